--- /dev/null
+++ b/src/briarhinged/entryprocess.cpp
@@ -0,0 +1,123 @@
+#include "entryprocess.h"
+
+namespace briarhinge::daemon
+{
+
+namespace
+{
+
+constexpr base::Milliseconds platformTimeout{2000};
+constexpr base::Milliseconds retryWhenDraining{200};
+
+bool startsWork(api::Verb verb)
+{
+    return verb == api::Verb::OpenProgram || verb == api::Verb::MakeCall;
+}
+
+}
+
+EntryProcess::EntryProcess(const settings::Settings &settings, logging::EventLog &log)
+    : m_settings(settings)
+    , m_log(log)
+    , m_threads(settings.ioThreads)
+    , m_recordLog(m_threads.context())
+    , m_directory([this](const wire::Address &address) {
+        return makeChannel(address);
+    })
+    , m_dispatcher(m_directory, log, settings.zone)
+    , m_service(m_clock, m_recordLog, m_dispatcher, m_policies)
+    , m_router(
+          settings.name, m_owners,
+          [this](const wire::Address &address) {
+              return makeChannel(address);
+          },
+          [this](const api::ClientRequest &request, const api::ClientSink &sink) {
+              handleLocal(request, sink);
+          })
+    , m_server(
+          m_threads.context(), log,
+          [this](const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame) {
+              m_router.received(session, frame);
+          },
+          [](const std::shared_ptr<wire::FrameSession> &, const std::string &) {})
+    , m_endpoint(settings.httpListen,
+                 {[this] {
+                      return m_hasVmList && !m_draining;
+                  },
+                  [this] {
+                      return m_metrics.text();
+                  }},
+                 [this](api::ClientRequest request, api::ClientSink sink) {
+                     auto counted = sink;
+                     counted.reply = [this, reply = std::move(sink.reply)](const api::ClientReply &answer) {
+                         m_metrics.requestAnswered(answer.status);
+                         reply(answer);
+                     };
+                     m_router.route(std::move(request), std::move(counted));
+                 })
+{
+}
+
+EntryProcess::~EntryProcess()
+{
+    m_vmListThread.request_stop();
+    m_endpoint.stop();
+    m_server.stop();
+    m_threads.stop();
+}
+
+std::string EntryProcess::start()
+{
+    const auto listening = m_server.listen(m_settings.listen);
+    if (const auto *error = std::get_if<wire::ListenError>(&listening)) {
+        return error->reason;
+    }
+    m_vmListThread = std::jthread([this](const std::stop_token &stop) {
+        followVmList(stop);
+    });
+    return m_endpoint.start();
+}
+
+void EntryProcess::drain()
+{
+    m_draining = true;
+}
+
+std::size_t EntryProcess::inProgress() const
+{
+    return m_endpoint.inProgress();
+}
+
+std::shared_ptr<wire::FrameChannel> EntryProcess::makeChannel(const wire::Address &address)
+{
+    return std::make_shared<wire::FrameChannel>(m_threads.context(), address, [](wire::FrameT &) {});
+}
+
+void EntryProcess::handleLocal(const api::ClientRequest &request, const api::ClientSink &sink)
+{
+    if (m_draining && startsWork(request.verb)) {
+        sink.reply(api::toReply(api::CallView{
+            request.program, request.number, core::NotRun{"the entry is stopping", retryWhenDraining}, {}, false}));
+        return;
+    }
+    m_service.handle(request, sink);
+}
+
+void EntryProcess::followVmList(const std::stop_token &stop)
+{
+    platform::VmListClient client(m_settings.vmListUrl, platformTimeout);
+    while (!stop.stop_requested()) {
+        const auto result = client.read();
+        if (const auto *vms = std::get_if<std::vector<platform::Vm>>(&result)) {
+            m_owners.update(*vms);
+            m_directory.update(*vms);
+            m_hasVmList = true;
+        } else {
+            m_log.write(logging::events::platformUnavailable,
+                        {{"service", "vm-list"}, {"reason", std::get<platform::PlatformUnavailable>(result).reason}});
+        }
+        std::this_thread::sleep_for(m_settings.vmListInterval);
+    }
+}
+
+}
--- /dev/null
+++ b/src/briarhinged/entryprocess.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "entry/fixedpolicies.h"
+#include "entry/memorylog.h"
+#include "entry/requestrouter.h"
+#include "http/callerendpoint.h"
+#include "logging/eventlog.h"
+#include "metrics/metrics.h"
+#include "placement/rundispatcher.h"
+#include "service/programservice.h"
+#include "settings/settings.h"
+#include "wire/frameserver.h"
+#include "wire/iothreads.h"
+
+#include <atomic>
+#include <thread>
+
+namespace briarhinge::daemon
+{
+
+/** Everything that runs in a process with the role entry. */
+class EntryProcess
+{
+public:
+    /** @param settings checked settings @param log gets the events */
+    EntryProcess(const settings::Settings &settings, logging::EventLog &log);
+    ~EntryProcess();
+
+    /** Starts to listen. @return why it can't, or an empty text */
+    std::string start();
+
+    /** Takes no new calls from now on. */
+    void drain();
+
+    /** @return callers' requests that have no final answer yet */
+    std::size_t inProgress() const;
+
+private:
+    using Service =
+        service::ProgramService<base::SystemClock, entry::MemoryLog, placement::RunDispatcher, entry::FixedPolicies>;
+
+    std::shared_ptr<wire::FrameChannel> makeChannel(const wire::Address &address);
+    void handleLocal(const api::ClientRequest &request, const api::ClientSink &sink);
+    void followVmList(const std::stop_token &stop);
+
+    const settings::Settings &m_settings;
+    logging::EventLog &m_log;
+    wire::IoThreads m_threads;
+    metrics::Metrics m_metrics;
+    base::SystemClock m_clock;
+    entry::FixedPolicies m_policies;
+    entry::MemoryLog m_recordLog;
+    placement::RunnerDirectory m_directory;
+    placement::RunDispatcher m_dispatcher;
+    Service m_service;
+    entry::OwnerMap m_owners;
+    entry::RequestRouter m_router;
+    wire::FrameServer m_server;
+    http::CallerEndpoint m_endpoint;
+    std::atomic<bool> m_draining{false};
+    std::atomic<bool> m_hasVmList{false};
+    std::jthread m_vmListThread;
+};
+
+}
--- /dev/null
+++ b/src/briarhinged/main.cpp
@@ -0,0 +1,112 @@
+#include "entryprocess.h"
+#include "runner/engineupstream.h"
+#include "runner/toolupstream.h"
+#include "runnerprocess.h"
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace
+{
+
+using namespace briarhinge;
+
+constexpr int exitOk = 0;
+constexpr int exitFailed = 1;
+constexpr int exitBadSettings = 2;
+constexpr base::Milliseconds upstreamTimeout{600'000};
+constexpr base::Milliseconds drainPoll{20};
+/** Lets the last bytes of finished answers leave before the connections are closed. */
+constexpr base::Milliseconds lastBytes{100};
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+/** Waits until nothing is in progress, the limit has passed or a second signal comes. */
+template <class ProcessT>
+void waitForWork(const ProcessT &process, base::Milliseconds limit, logging::EventLog &log)
+{
+    const auto signals = stopSignals();
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (process.inProgress() > 0) {
+        const timespec poll{0, std::chrono::nanoseconds(drainPoll).count()};
+        const bool hurried = sigtimedwait(&signals, nullptr, &poll) > 0;
+        if (hurried || std::chrono::steady_clock::now() > end) {
+            log.write(logging::events::stoppedEarly, {{"left", process.inProgress()}});
+            return;
+        }
+    }
+    std::this_thread::sleep_for(lastBytes);
+}
+
+template <class ProcessT>
+int run(ProcessT &process, const settings::Settings &settings, logging::EventLog &log)
+{
+    const std::string error = process.start();
+    if (!error.empty()) {
+        log.write(logging::events::settingsRefused, {{"reason", error}});
+        return exitFailed;
+    }
+    log.write(logging::events::processStarted,
+              {{"zone", settings.zone.value()}, {"listen", wire::toString(settings.listen)}});
+    const auto signals = stopSignals();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    log.write(logging::events::processStopping, {{"signal", signal}, {"inProgress", process.inProgress()}});
+    process.drain();
+    waitForWork(process, settings.drainLimit, log);
+    log.write(logging::events::processStopped, {});
+    return exitOk;
+}
+
+int runRole(const settings::Settings &settings)
+{
+    logging::EventLog log(settings.name);
+    http::setHttpThreads(settings.httpThreads);
+    if (settings.role == settings::Role::Entry) {
+        daemon::EntryProcess process(settings, log);
+        return run(process, settings, log);
+    }
+    if (settings.upstreamKind == settings::UpstreamKind::Engine) {
+        runner::EngineUpstream upstream(settings.upstreamUrl, upstreamTimeout);
+        daemon::RunnerProcess process(settings, log, upstream);
+        return run(process, settings, log);
+    }
+    runner::ToolUpstream upstream(settings.upstreamUrl, upstreamTimeout);
+    daemon::RunnerProcess process(settings, log, upstream);
+    return run(process, settings, log);
+}
+
+std::optional<std::string> environmentVariable(const std::string &name)
+{
+    const char *value = std::getenv(name.c_str());
+    return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    const auto signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const auto read = settings::readSettings({argv + 1, argv + argc}, environmentVariable);
+    if (const auto *errors = std::get_if<settings::SettingsErrors>(&read)) {
+        for (const std::string &fault : errors->faults) {
+            std::cerr << "briarhinged: " << fault << '\n';
+        }
+        return exitBadSettings;
+    }
+    if (const auto *info = std::get_if<settings::InfoText>(&read)) {
+        std::cout << info->text;
+        return exitOk;
+    }
+    return runRole(std::get<settings::Settings>(read));
+}
--- /dev/null
+++ b/src/libbriarhinge/base/digest.cpp
@@ -0,0 +1,60 @@
+#include "base/digest.h"
+
+#include <array>
+
+#include <openssl/evp.h>
+
+namespace briarhinge::base
+{
+
+namespace
+{
+
+constexpr std::size_t sha256Bytes = 32;
+
+std::string toHex(const std::array<unsigned char, sha256Bytes> &bytes)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    text.reserve(bytes.size() * 2);
+    for (const unsigned char byte : bytes) {
+        text.push_back(digits[byte >> 4]);
+        text.push_back(digits[byte & 0xf]);
+    }
+    return text;
+}
+
+}
+
+Digest digestOf(std::initializer_list<std::string_view> fields)
+{
+    std::array<unsigned char, sha256Bytes> bytes{};
+    EVP_MD_CTX *context = EVP_MD_CTX_new();
+    EVP_DigestInit_ex(context, EVP_sha256(), nullptr);
+    for (const std::string_view field : fields) {
+        const std::uint64_t length = field.size();
+        EVP_DigestUpdate(context, &length, sizeof length);
+        EVP_DigestUpdate(context, field.data(), field.size());
+    }
+    EVP_DigestFinal_ex(context, bytes.data(), nullptr);
+    EVP_MD_CTX_free(context);
+    return Digest(toHex(bytes));
+}
+
+std::uint64_t stableHash(std::string_view text)
+{
+    // FNV-1a, finished with the 64-bit mixer of MurmurHash3: FNV alone leaves similar names close together.
+    std::uint64_t hash = 0xcbf29ce484222325ULL;
+    for (const char character : text) {
+        hash ^= static_cast<unsigned char>(character);
+        hash *= 0x100000001b3ULL;
+    }
+    hash ^= hash >> 33;
+    hash *= 0xff51afd7ed558ccdULL;
+    hash ^= hash >> 33;
+    hash *= 0xc4ceb9fe1a85ec53ULL;
+    hash ^= hash >> 33;
+    return hash;
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/base/strongtype.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <utility>
+
+namespace briarhinge::base
+{
+
+/**
+ * A value that can't be confused with another value of the same representation.
+ *
+ * @tparam Tag an empty type that names the meaning
+ * @tparam Value the representation
+ */
+template <class Tag, class Value>
+class StrongType
+{
+public:
+    StrongType() = default;
+
+    /** @param value the representation to wrap */
+    explicit StrongType(Value value)
+        : m_value(std::move(value))
+    {
+    }
+
+    /** @return the representation */
+    const Value &value() const
+    {
+        return m_value;
+    }
+
+    auto operator<=>(const StrongType &) const = default;
+
+private:
+    Value m_value{};
+};
+
+}
+
+template <class Tag, class Value>
+struct std::hash<briarhinge::base::StrongType<Tag, Value>>
+{
+    std::size_t operator()(const briarhinge::base::StrongType<Tag, Value> &typed) const
+    {
+        return std::hash<Value>{}(typed.value());
+    }
+};
--- /dev/null
+++ b/src/libbriarhinge/core/step.cpp
@@ -0,0 +1,321 @@
+#include "core/step.h"
+
+#include <fmt/format.h>
+
+namespace briarhinge::core
+{
+
+namespace
+{
+
+using base::CallNumber;
+using base::ProgramId;
+using Actions = std::vector<Action>;
+
+constexpr base::Milliseconds noWait{0};
+
+/** Tokens that an engine may add around each message of a prompt. */
+constexpr std::uint64_t tokensAroundMessage = 8;
+
+ProgramState *find(ProgramTree &tree, const ProgramId &id)
+{
+    const auto found = tree.programs.find(id);
+    return found == tree.programs.end() ? nullptr : &found->second;
+}
+
+CallState *find(ProgramTree &tree, const ProgramId &id, CallNumber number)
+{
+    ProgramState *program = find(tree, id);
+    if (program == nullptr) {
+        return nullptr;
+    }
+    const auto found = program->calls.find(number);
+    return found == program->calls.end() ? nullptr : &found->second;
+}
+
+Actions refuse(RefusalCode code, std::string text)
+{
+    return {Refuse{code, std::move(text)}};
+}
+
+Actions notRun(const StartCall &event, std::string reason)
+{
+    return {AnswerNow{event.program, event.request.number, NotRun{std::move(reason), std::nullopt}}};
+}
+
+/**
+ * Bounds the tokens of a prompt: what the engine counted last time, and at most one token for each byte since.
+ */
+std::uint64_t promptBound(const ProgramState &program, const CallRequest &request)
+{
+    std::uint64_t bound = request.input.size() + tokensAroundMessage;
+    for (const auto &[number, call] : program.calls) {
+        if (!call.outcome) {
+            continue;
+        }
+        const auto *completed = std::get_if<Completed>(&*call.outcome);
+        if (completed != nullptr && call.request.kind == CallKind::Model && call.request.target == request.target) {
+            bound = completed->usage.prompt.value() + completed->usage.completion.value() + request.input.size()
+                + 2 * tokensAroundMessage;
+            continue;
+        }
+        bound += call.request.input.size() + historyText(*call.outcome).size() + 2 * tokensAroundMessage;
+    }
+    return bound;
+}
+
+Amounts worstCase(const ProgramState &program, const CallRequest &request)
+{
+    if (request.kind == CallKind::Tool) {
+        return {.tokens = {}, .money = request.maxCost, .calls = 1};
+    }
+    return {.tokens = base::Tokens(promptBound(program, request) + request.maxTokens.value()),
+            .money = request.maxCost,
+            .calls = 1};
+}
+
+Amounts used(const Outcome &outcome, const Amounts &reserved)
+{
+    if (std::holds_alternative<NotRun>(outcome)) {
+        return {};
+    }
+    const auto *completed = std::get_if<Completed>(&outcome);
+    if (completed == nullptr) {
+        return reserved;
+    }
+    const Usage &usage = completed->usage;
+    return {base::Tokens(usage.prompt.value() + usage.completion.value()), usage.money, 1};
+}
+
+DispatchCall dispatch(const ProgramTree &tree, const ProgramState &program, const CallRequest &request)
+{
+    const std::string prompt = request.kind == CallKind::Model ? promptOf(program, request.number) : request.input;
+    return {program.spec.id, request, prompt, tree.policy.priority, tree.budget.spent().tokens};
+}
+
+Actions on(ProgramTree &tree, const OpenProgram &event, base::Timestamp now)
+{
+    const ProgramId &id = event.spec.id;
+    if (const ProgramState *program = find(tree, id)) {
+        if (program->spec == event.spec) {
+            return {ShowProgram{id}};
+        }
+        return refuse(RefusalCode::ProgramDiffers,
+                      fmt::format("program \"{}\" is open already, with another kind or account", id.value()));
+    }
+    Amounts grant;
+    if (event.spec.parent) {
+        const ProgramState *parent = find(tree, *event.spec.parent);
+        if (parent == nullptr || parent->ended) {
+            return refuse(RefusalCode::ParentUnknown,
+                          fmt::format("parent program \"{}\" is not open", event.spec.parent->value()));
+        }
+    } else {
+        tree.policy = event.policy;
+        tree.openedAt = now;
+        tree.budget = Budget(event.policy.budget);
+        grant = tree.budget.missingGrant({}).value_or(Amounts{});
+        tree.budget.grant(grant);
+    }
+    ProgramState &program = tree.programs[id];
+    program.spec = event.spec;
+    program.head = emptyHistory(id);
+    return {StoreLater{ProgramOpened{event.spec, tree.policy, now, grant}}, ShowProgram{id}};
+}
+
+/** Answers a call whose number was used already: the same call joins or gets its outcome, another is refused. */
+Actions askAgain(const CallState &call, const StartCall &event)
+{
+    const CallNumber number = event.request.number;
+    if (call.body != bodyDigest(event.request)) {
+        return refuse(RefusalCode::CallDiffers,
+                      fmt::format("call {} of program \"{}\" was asked with another body", number.value(),
+                                  event.program.value()));
+    }
+    if (call.stage == CallStage::Finished) {
+        return {AnswerNow{event.program, number, *call.outcome}};
+    }
+    return {JoinCall{event.program, number}};
+}
+
+Actions begin(ProgramTree &tree, ProgramState &program, const StartCall &event)
+{
+    const CallRequest &request = event.request;
+    const Amounts needed = worstCase(program, request);
+    if (const auto resource = tree.budget.shortfall(needed)) {
+        return notRun(event,
+                      fmt::format("the budget of {} of program \"{}\" can't cover call {}", *resource,
+                                  rootOf(program.spec.id).value(), request.number.value()));
+    }
+    CallState call;
+    call.request = request;
+    call.body = bodyDigest(request);
+    call.reserved = needed;
+    call.pendingGrant = tree.budget.missingGrant(needed);
+    tree.budget.reserve(needed);
+    std::vector<Record> records;
+    if (call.pendingGrant) {
+        records.emplace_back(BudgetGranted{rootOf(program.spec.id), *call.pendingGrant});
+    }
+    if (!request.idempotent) {
+        records.emplace_back(CallClaimed{program.spec.id, request});
+    }
+    call.stage = records.empty() ? CallStage::Running : CallStage::Storing;
+    program.calls[request.number] = std::move(call);
+    Actions actions{JoinCall{event.program, request.number}};
+    if (records.empty()) {
+        actions.emplace_back(dispatch(tree, program, request));
+    } else {
+        actions.emplace_back(StoreBeforeCall{event.program, request.number, std::move(records)});
+    }
+    return actions;
+}
+
+Actions on(ProgramTree &tree, const StartCall &event, base::Timestamp now)
+{
+    const CallRequest &request = event.request;
+    ProgramState *program = find(tree, event.program);
+    if (program == nullptr) {
+        return refuse(RefusalCode::ProgramUnknown, fmt::format("program \"{}\" is not open", event.program.value()));
+    }
+    if (const CallState *call = find(tree, event.program, request.number)) {
+        return askAgain(*call, event);
+    }
+    if (program->ended) {
+        return refuse(RefusalCode::ProgramHasEnded, fmt::format("program \"{}\" has ended", event.program.value()));
+    }
+    if (request.number != program->nextCall) {
+        return refuse(RefusalCode::CallOutOfOrder,
+                      fmt::format("the next call of program \"{}\" is {}, not {}", event.program.value(),
+                                  program->nextCall.value(), request.number.value()));
+    }
+    if (request.extends ? *request.extends != program->head : request.number.value() > 1) {
+        return refuse(RefusalCode::HistoryDiffers,
+                      fmt::format("call {} of program \"{}\" must extend history \"{}\", extends \"{}\"",
+                                  request.number.value(), event.program.value(), program->head.value(),
+                                  request.extends ? request.extends->value() : ""));
+    }
+    if (now - tree.openedAt > tree.policy.wallTime) {
+        return notRun(event,
+                      fmt::format("program \"{}\" is past its wall time of {} ms", rootOf(event.program).value(),
+                                  tree.policy.wallTime.count()));
+    }
+    return begin(tree, *program, event);
+}
+
+void endProgram(ProgramState &program, Actions &actions)
+{
+    program.ended = true;
+    for (const auto &[number, call] : program.calls) {
+        if (call.stage == CallStage::Running) {
+            actions.emplace_back(CancelCall{program.spec.id, number});
+        }
+    }
+    actions.emplace_back(ReleaseProgram{program.spec.id});
+}
+
+bool isWithin(const ProgramId &id, const ProgramId &ancestor)
+{
+    return id == ancestor || id.value().starts_with(ancestor.value() + ".");
+}
+
+Actions on(ProgramTree &tree, const EndProgram &event, base::Timestamp)
+{
+    const ProgramState *program = find(tree, event.program);
+    if (program == nullptr) {
+        return refuse(RefusalCode::ProgramUnknown, fmt::format("program \"{}\" is not open", event.program.value()));
+    }
+    if (program->ended) {
+        return {ShowProgram{event.program}};
+    }
+    Actions actions{StoreLater{ProgramEnded{event.program}}};
+    for (auto &[id, member] : tree.programs) {
+        if (isWithin(id, event.program) && !member.ended) {
+            endProgram(member, actions);
+        }
+    }
+    actions.emplace_back(ShowProgram{event.program});
+    return actions;
+}
+
+/** Takes back a call that did not run: its number is free again. */
+Actions takeBack(ProgramTree &tree, const ProgramId &id, CallNumber number, NotRun outcome)
+{
+    ProgramState &program = tree.programs[id];
+    const CallState call = program.calls.extract(number).mapped();
+    tree.budget.settle(call.reserved, {});
+    Actions actions;
+    if (!call.request.idempotent) {
+        actions.emplace_back(StoreLater{ClaimWithdrawn{id, number}});
+    }
+    actions.emplace_back(FinishCall{id, number, std::move(outcome)});
+    return actions;
+}
+
+Actions on(ProgramTree &tree, const CallStored &event, base::Timestamp)
+{
+    CallState *call = find(tree, event.program, event.number);
+    if (call == nullptr || call->stage != CallStage::Storing) {
+        return {};
+    }
+    if (call->pendingGrant) {
+        tree.budget.grant(*call->pendingGrant);
+        call->pendingGrant.reset();
+    }
+    const ProgramState &program = tree.programs[event.program];
+    if (program.ended) {
+        return takeBack(tree, event.program, event.number, {"the program ended before the call was sent", noWait});
+    }
+    call->stage = CallStage::Running;
+    return {dispatch(tree, program, call->request)};
+}
+
+Actions on(ProgramTree &tree, const CallNotStored &event, base::Timestamp)
+{
+    const CallState *call = find(tree, event.program, event.number);
+    if (call == nullptr || call->stage != CallStage::Storing) {
+        return {};
+    }
+    return takeBack(tree, event.program, event.number, {event.reason, event.retryAfter});
+}
+
+Actions on(ProgramTree &tree, const CallEnded &event, base::Timestamp)
+{
+    CallState *call = find(tree, event.program, event.number);
+    if (call == nullptr || call->stage != CallStage::Running) {
+        return {};
+    }
+    if (const auto *refused = std::get_if<NotRun>(&event.outcome)) {
+        return takeBack(tree, event.program, event.number, *refused);
+    }
+    ProgramState &program = tree.programs[event.program];
+    tree.budget.settle(call->reserved, used(event.outcome, call->reserved));
+    call->stage = CallStage::Finished;
+    call->outcome = event.outcome;
+    call->digest = extendHistory(program.head, event.program, *call);
+    program.head = call->digest;
+    program.nextCall = CallNumber(event.number.value() + 1);
+    return {StoreLater{TurnFinished{event.program, call->request, event.outcome}},
+            FinishCall{event.program, event.number, event.outcome}};
+}
+
+Actions on(ProgramTree &tree, const TurnCommitted &event, base::Timestamp)
+{
+    if (CallState *call = find(tree, event.program, event.number)) {
+        call->committed = true;
+    }
+    return {};
+}
+
+}
+
+std::vector<Action> step(ProgramTree &tree, const Event &event, base::Timestamp now)
+{
+    return std::visit(
+        [&](const auto &happened) {
+            return on(tree, happened, now);
+        },
+        event);
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/logging/events.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace briarhinge::logging
+{
+
+/** How much an event matters to the people on call. */
+enum class Level {
+    Info,
+    Warning,
+    Error,
+};
+
+/** One kind of log event: its number never changes its meaning. */
+struct EventKind
+{
+    std::uint16_t number;
+    std::string_view name;
+    Level level;
+};
+
+/** The catalogue; docs/EVENTS.md says what to do about each. */
+namespace events
+{
+
+inline constexpr EventKind processStarted{100, "process-started", Level::Info};
+inline constexpr EventKind processStopping{101, "process-stopping", Level::Info};
+inline constexpr EventKind processStopped{102, "process-stopped", Level::Info};
+inline constexpr EventKind settingsRefused{103, "settings-refused", Level::Error};
+inline constexpr EventKind stoppedEarly{104, "stopped-early", Level::Warning};
+inline constexpr EventKind badFrame{200, "bad-frame", Level::Warning};
+inline constexpr EventKind peerConnected{201, "peer-connected", Level::Info};
+inline constexpr EventKind peerLost{202, "peer-lost", Level::Info};
+inline constexpr EventKind platformUnavailable{300, "platform-unavailable", Level::Warning};
+inline constexpr EventKind platformAvailable{301, "platform-available", Level::Info};
+inline constexpr EventKind requestRefused{400, "request-refused", Level::Info};
+inline constexpr EventKind callFinished{401, "call-finished", Level::Info};
+inline constexpr EventKind callRetried{402, "call-retried", Level::Info};
+inline constexpr EventKind upstreamFailed{500, "upstream-failed", Level::Warning};
+inline constexpr EventKind upstreamDraining{501, "upstream-draining", Level::Info};
+inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
+
+inline constexpr std::array all{
+    processStarted, processStopping, processStopped,      settingsRefused,   stoppedEarly,   badFrame,
+    peerConnected,  peerLost,        platformUnavailable, platformAvailable, requestRefused, callFinished,
+    callRetried,    upstreamFailed,  upstreamDraining,    invariantViolated,
+};
+
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/platform/keyvalue.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace briarhinge::platform
+{
+
+/** Version of one key; every write gives a higher one, 0 means that the key does not exist. */
+using KeyVersion = base::StrongType<struct KeyVersionTag, std::uint64_t>;
+
+/** Names a lease of the key-value service. */
+using LeaseId = base::StrongType<struct LeaseIdTag, std::uint64_t>;
+
+/** A key with its value. */
+struct KeyValue
+{
+    std::string key;
+    std::string value;
+    KeyVersion version;
+};
+
+/** The write was refused because the key had another version; nothing was written. */
+struct VersionConflict
+{
+    KeyVersion present;
+};
+
+/** There is no such key or lease. */
+struct KeyMissing
+{
+};
+
+/** The service could not be asked, or its answer was lost: a write may have taken effect. */
+struct PlatformUnavailable
+{
+    std::string reason;
+};
+
+using ReadResult = std::variant<KeyValue, KeyMissing, PlatformUnavailable>;
+using WriteResult = std::variant<KeyVersion, VersionConflict, PlatformUnavailable>;
+using ListResult = std::variant<std::vector<KeyValue>, PlatformUnavailable>;
+using LeaseResult = std::variant<LeaseId, KeyMissing, PlatformUnavailable>;
+
+/** What a watch saw: the keys that changed, and where to go on. */
+struct Changes
+{
+    std::vector<KeyValue> changed;
+    KeyVersion seen;
+};
+
+using WatchResult = std::variant<Changes, PlatformUnavailable>;
+
+/** The platform's key-value service. Calls block; each counts against the service's rate. */
+template <class T>
+concept KeyValueService = requires(T &service, const std::string &key, const std::string &value, KeyVersion version,
+                                   std::optional<LeaseId> lease, std::size_t limit, base::Milliseconds time,
+                                   LeaseId held)
+{
+    {
+        service.read(key)
+        } -> std::same_as<ReadResult>;
+    {
+        service.write(key, value, version, lease)
+        } -> std::same_as<WriteResult>;
+    {
+        service.remove(key)
+        } -> std::same_as<WriteResult>;
+    {
+        service.list(key, key, limit)
+        } -> std::same_as<ListResult>;
+    {
+        service.openLease(time)
+        } -> std::same_as<LeaseResult>;
+    {
+        service.keepLease(held)
+        } -> std::same_as<LeaseResult>;
+    {
+        service.watch(key, version, time)
+        } -> std::same_as<WatchResult>;
+};
+
+}
--- /dev/null
+++ b/src/libbriarhinge/platform/vmlist.cpp
@@ -0,0 +1,75 @@
+#include "platform/vmlist.h"
+
+#include <cpprest/http_client.h>
+#include <nlohmann/json.hpp>
+
+namespace briarhinge::platform
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+Vm parseVm(const json &item)
+{
+    Vm vm;
+    vm.name = item.at("name").get<std::string>();
+    vm.zone = base::ZoneName(item.at("zone").get<std::string>());
+    vm.role = item.at("role").get<std::string>();
+    vm.address = wire::parseAddress(item.at("address").get<std::string>()).value_or(wire::Address{});
+    vm.pool = base::PoolName(item.value("pool", std::string()));
+    for (const json &target : item.value("serves", json::array())) {
+        vm.serves.emplace_back(target.get<std::string>());
+    }
+    vm.leaving = item.value("leaving", false);
+    return vm;
+}
+
+}
+
+class VmListClient::Private
+{
+public:
+    Private(const std::string &url, base::Milliseconds timeout)
+        : client(url, config(timeout))
+    {
+    }
+
+    web::http::client::http_client client;
+
+private:
+    static web::http::client::http_client_config config(base::Milliseconds timeout)
+    {
+        web::http::client::http_client_config settings;
+        settings.set_timeout(timeout);
+        return settings;
+    }
+};
+
+VmListClient::VmListClient(const std::string &url, base::Milliseconds timeout)
+    : d(std::make_unique<Private>(url, timeout))
+{
+}
+
+VmListClient::~VmListClient() = default;
+
+VmListResult VmListClient::read()
+{
+    try {
+        const auto response = d->client.request(web::http::methods::GET, "/v1/vms").get();
+        if (response.status_code() != web::http::status_codes::OK) {
+            return PlatformUnavailable{"the VM list answered " + std::to_string(response.status_code())};
+        }
+        const json parsed = json::parse(response.extract_utf8string(true).get());
+        std::vector<Vm> vms;
+        for (const json &item : parsed.at("vms")) {
+            vms.push_back(parseVm(item));
+        }
+        return vms;
+    } catch (const std::exception &error) {
+        return PlatformUnavailable{error.what()};
+    }
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -0,0 +1,222 @@
+#include "runner/engineupstream.h"
+
+#include "runner/sseparser.h"
+
+#include <optional>
+
+#include <cpprest/http_client.h>
+#include <cpprest/producerconsumerstream.h>
+#include <nlohmann/json.hpp>
+
+namespace briarhinge::runner
+{
+
+namespace
+{
+
+using nlohmann::json;
+using web::http::http_response;
+using Buffer = concurrency::streams::container_buffer<std::string>;
+
+constexpr base::Milliseconds retryWhenUnreachable{1000};
+
+constexpr std::string_view endOfStream = "[DONE]";
+
+class TokenCancellation : public Cancellation
+{
+public:
+    void cancel() override
+    {
+        m_source.cancel();
+    }
+
+    pplx::cancellation_token token() const
+    {
+        return m_source.get_token();
+    }
+
+private:
+    pplx::cancellation_token_source m_source;
+};
+
+/** Follows one streamed answer. */
+class StreamReader : public std::enable_shared_from_this<StreamReader>
+{
+public:
+    StreamReader(const UpstreamCall &call, UpstreamObserver observer)
+        : m_observer(std::move(observer))
+        , m_text(call.partial)
+        , m_parser([this](std::string_view data) {
+            event(data);
+        })
+    {
+    }
+
+    pplx::task<void> read(const http_response &response)
+    {
+        m_input = response.body();
+        return readLines();
+    }
+
+    core::Outcome outcome() const
+    {
+        if (!m_error.empty()) {
+            return core::Failed{m_error};
+        }
+        if (!m_complete) {
+            return core::Unknown{"the engine's stream broke off"};
+        }
+        return core::Completed{m_text, m_usage};
+    }
+
+private:
+    pplx::task<void> readLines()
+    {
+        const auto self = shared_from_this();
+        Buffer buffer;
+        return m_input.read_line(buffer).then([self, buffer](std::size_t count) mutable -> pplx::task<void> {
+            self->m_parser.line(buffer.collection());
+            if (self->m_complete || (count == 0 && self->m_input.is_eof())) {
+                return pplx::task_from_result();
+            }
+            return self->readLines();
+        });
+    }
+
+    void event(std::string_view data)
+    {
+        if (data == endOfStream) {
+            m_complete = true;
+            return;
+        }
+        const json parsed = json::parse(data, nullptr, false);
+        if (parsed.is_discarded() || !parsed.is_object()) {
+            m_error = "the engine sent an event that is not JSON";
+            return;
+        }
+        readUsage(parsed);
+        for (const json &choice : parsed.value("choices", json::array())) {
+            const std::string text = choice.value("delta", json::object()).value("content", std::string());
+            if (!text.empty()) {
+                m_observer.chunk(m_text.size(), text);
+                m_text += text;
+            }
+        }
+    }
+
+    void readUsage(const json &parsed)
+    {
+        const auto usage = parsed.find("usage");
+        if (usage == parsed.end() || !usage->is_object()) {
+            return;
+        }
+        m_usage.prompt = base::Tokens(usage->value("prompt_tokens", std::uint64_t{0}));
+        m_usage.completion = base::Tokens(usage->value("completion_tokens", std::uint64_t{0}));
+        m_usage.cached = base::Tokens(
+            usage->value("prompt_tokens_details", json::object()).value("cached_tokens", std::uint64_t{0}));
+    }
+
+    UpstreamObserver m_observer;
+    std::string m_text;
+    SseParser m_parser;
+    core::Usage m_usage;
+    std::string m_error;
+    bool m_complete = false;
+    concurrency::streams::istream m_input;
+};
+
+std::string requestBody(const UpstreamCall &call)
+{
+    const json body{{"model", call.call.request.target.value()},
+                    {"messages", json::array({{{"role", "user"}, {"content", call.call.prompt}}})},
+                    {"stream", true},
+                    {"stream_options", {{"include_usage", true}}},
+                    {"max_tokens", call.call.request.maxTokens.value()},
+                    {"user", call.call.program.value()},
+                    {"priority", call.call.priority},
+                    {"resume_from", call.partial.size()}};
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+/** Whether the request surely never left: cpprest reports a failed connect as host_unreachable only. */
+bool neverConnected(const web::http::http_exception &error)
+{
+    return error.error_code() == std::errc::host_unreachable;
+}
+
+}
+
+class EngineUpstream::Private
+{
+public:
+    Private(const std::string &url, base::Milliseconds timeout)
+        : client(url, config(timeout))
+    {
+    }
+
+    web::http::client::http_client client;
+
+private:
+    static web::http::client::http_client_config config(base::Milliseconds timeout)
+    {
+        web::http::client::http_client_config settings;
+        settings.set_timeout(timeout);
+        return settings;
+    }
+};
+
+EngineUpstream::EngineUpstream(const std::string &url, base::Milliseconds timeout)
+    : d(std::make_unique<Private>(url, timeout))
+{
+}
+
+EngineUpstream::~EngineUpstream() = default;
+
+std::shared_ptr<Cancellation> EngineUpstream::execute(const UpstreamCall &call, const UpstreamObserver &observer)
+{
+    const auto cancellation = std::make_shared<TokenCancellation>();
+    const auto reader = std::make_shared<StreamReader>(call, observer);
+    web::http::http_request request(web::http::methods::POST);
+    request.set_request_uri("/v1/chat/completions");
+    request.set_body(requestBody(call), "application/json");
+    d->client.request(request, cancellation->token())
+        .then([reader](const http_response &response) -> pplx::task<std::optional<core::Outcome>> {
+            if (response.status_code() == web::http::status_codes::OK) {
+                return reader->read(response).then([reader]() -> std::optional<core::Outcome> {
+                    return reader->outcome();
+                });
+            }
+            const std::string reason = "the engine answered " + std::to_string(response.status_code());
+            return pplx::task_from_result<std::optional<core::Outcome>>(core::Failed{reason});
+        })
+        .then([observer](const pplx::task<std::optional<core::Outcome>> &task) {
+            try {
+                observer.ended(*task.get());
+            } catch (const web::http::http_exception &error) {
+                if (neverConnected(error)) {
+                    observer.ended(core::NotRun{error.what(), retryWhenUnreachable});
+                } else {
+                    observer.ended(core::Unknown{error.what()});
+                }
+            } catch (const std::exception &error) {
+                observer.ended(core::Unknown{error.what()});
+            }
+        });
+    return cancellation;
+}
+
+void EngineUpstream::release(const base::ProgramId &program)
+{
+    web::http::http_request request(web::http::methods::POST);
+    request.set_request_uri("/v1/cache/release");
+    request.set_body(json{{"user", program.value()}}.dump(), "application/json");
+    d->client.request(request).then([](const pplx::task<http_response> &task) {
+        try {
+            task.get();
+        } catch (const std::exception &) {
+            // The hold is a lease: the engine lets go by itself.
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/runner/engineupstream.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "runner/upstream.h"
+
+#include <memory>
+#include <string>
+
+namespace briarhinge::runner
+{
+
+/** A model engine with the usual chat-completions interface and streaming. */
+class EngineUpstream
+{
+public:
+    /** @param url address of the engine @param timeout longest silence of the engine */
+    EngineUpstream(const std::string &url, base::Milliseconds timeout);
+    ~EngineUpstream();
+
+    /** Runs a model call. @param call what to run @param observer is told of it @return stops it */
+    std::shared_ptr<Cancellation> execute(const UpstreamCall &call, const UpstreamObserver &observer);
+
+    /** Lets go of what the engine holds for a program. @param program the program */
+    void release(const base::ProgramId &program);
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/libbriarhinge/runner/toolupstream.cpp
@@ -0,0 +1,85 @@
+#include "runner/toolupstream.h"
+
+#include <cpprest/http_client.h>
+#include <nlohmann/json.hpp>
+
+namespace briarhinge::runner
+{
+
+namespace
+{
+
+using nlohmann::json;
+using web::http::http_response;
+
+constexpr base::Milliseconds retryWhenUnreachable{1000};
+
+/** A tool call can't be stopped: whether it took effect would stay open. */
+class NoCancellation : public Cancellation
+{
+public:
+    void cancel() override
+    {
+    }
+};
+
+core::Outcome outcomeOf(web::http::status_code status, const std::string &body)
+{
+    const json parsed = json::parse(body, nullptr, false);
+    if (status != web::http::status_codes::OK || !parsed.is_object()) {
+        return core::Failed{"the tool answered " + std::to_string(status) + ": " + body};
+    }
+    core::Usage usage;
+    usage.money = base::MicroMoney(parsed.value("cost", std::uint64_t{0}));
+    return core::Completed{parsed.value("output", std::string()), usage};
+}
+
+}
+
+ToolUpstream::ToolUpstream(std::string url, base::Milliseconds timeout)
+    : m_url(std::move(url))
+    , m_timeout(timeout)
+{
+}
+
+std::shared_ptr<Cancellation> ToolUpstream::execute(const UpstreamCall &call, const UpstreamObserver &observer)
+{
+    web::http::client::http_client_config config;
+    config.set_timeout(m_timeout);
+    // A client of its own for each call: on a kept connection that the service closes, cpprest sends a request
+    // again by itself, which would run a non-idempotent tool twice.
+    const auto client = std::make_shared<web::http::client::http_client>(m_url, config);
+    web::http::http_request request(web::http::methods::POST);
+    request.set_request_uri("/v1/tools/" + web::uri::encode_data_string(call.call.request.target.value()));
+    const json body{{"program", call.call.program.value()},
+                    {"call", call.call.request.number.value()},
+                    {"input", call.call.prompt}};
+    request.set_body(body.dump(-1, ' ', false, json::error_handler_t::replace), "application/json");
+    client->request(request)
+        .then([](const http_response &response) {
+            return response.extract_utf8string(true).then([response](const std::string &text) {
+                return std::make_pair(response.status_code(), text);
+            });
+        })
+        .then([observer, client](const pplx::task<std::pair<web::http::status_code, std::string>> &task) {
+            try {
+                const auto [status, text] = task.get();
+                observer.ended(outcomeOf(status, text));
+            } catch (const web::http::http_exception &error) {
+                if (error.error_code() == std::errc::host_unreachable) {
+                    observer.ended(core::NotRun{error.what(), retryWhenUnreachable});
+                } else {
+                    observer.ended(core::Unknown{error.what()});
+                }
+            } catch (const std::exception &error) {
+                observer.ended(core::Unknown{error.what()});
+            }
+        });
+    return std::make_shared<NoCancellation>();
+}
+
+void ToolUpstream::release(const base::ProgramId &)
+{
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/runner/toolupstream.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "runner/upstream.h"
+
+#include <memory>
+#include <string>
+
+namespace briarhinge::runner
+{
+
+/** A plain service that runs tools, some of which may not be repeated. */
+class ToolUpstream
+{
+public:
+    /** @param url address of the service @param timeout longest wait for an answer */
+    ToolUpstream(std::string url, base::Milliseconds timeout);
+
+    /** Runs a tool call. @param call what to run @param observer is told of it @return stops waiting for it */
+    std::shared_ptr<Cancellation> execute(const UpstreamCall &call, const UpstreamObserver &observer);
+
+    /** Tools hold nothing for programs. */
+    void release(const base::ProgramId &program);
+
+private:
+    const std::string m_url;
+    const base::Milliseconds m_timeout;
+};
+
+}
--- /dev/null
+++ b/src/libbriarhinge/service/programservice.h
@@ -0,0 +1,375 @@
+#pragma once
+
+#include "api/json.h"
+#include "base/clock.h"
+#include "service/callstream.h"
+#include "service/concepts.h"
+
+#include <array>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace briarhinge::service
+{
+
+/**
+ * Owns the programs of this process: feeds events to the decision core and carries out its actions.
+ *
+ * The state is in shards, each under its own lock; a program tree lies in one shard.
+ */
+template <base::Clock ClockT, RecordLog LogT, CallDispatcher DispatcherT, KindPolicies PoliciesT>
+class ProgramService
+{
+public:
+    /**
+     * @param clock gives the time of each event
+     * @param log keeps the records
+     * @param dispatcher runs the calls
+     * @param policies knows the kinds of programs
+     */
+    ProgramService(const ClockT &clock, LogT &log, DispatcherT &dispatcher, const PoliciesT &policies)
+        : m_clock(clock)
+        , m_log(log)
+        , m_dispatcher(dispatcher)
+        , m_policies(policies)
+    {
+    }
+
+    /** Answers a request of a caller. @param request what it wants @param sink where the answer goes */
+    void handle(const api::ClientRequest &request, const api::ClientSink &sink)
+    {
+        switch (request.verb) {
+        case api::Verb::OpenProgram:
+            open(request, sink);
+            return;
+        case api::Verb::MakeCall:
+            call(request, sink);
+            return;
+        case api::Verb::ReadCall:
+            readCall(request, sink);
+            return;
+        case api::Verb::ReadProgram:
+            readProgram(request.program, sink);
+            return;
+        case api::Verb::EndProgram:
+            run(request.program, core::EndProgram{request.program}, &sink, 0);
+            return;
+        }
+    }
+
+    /** Takes over a tree, as read back from a log. @param root its root program @param tree the state */
+    void adopt(const base::ProgramId &root, core::ProgramTree tree)
+    {
+        Shard &shard = shardOf(root);
+        const std::lock_guard lock(shard.mutex);
+        shard.trees[root].tree = std::move(tree);
+    }
+
+    /** Forgets the trees that a predicate names. @param isForgotten called with each root program's id */
+    template <class Predicate>
+    void forget(Predicate isForgotten)
+    {
+        for (Shard &shard : m_shards) {
+            const std::lock_guard lock(shard.mutex);
+            std::erase_if(shard.trees, [&](const auto &slot) {
+                return isForgotten(slot.first);
+            });
+        }
+    }
+
+    /** Shows every tree to a visitor, a shard at a time under its lock. */
+    template <class Visitor>
+    void visit(Visitor visitor) const
+    {
+        for (const Shard &shard : m_shards) {
+            const std::lock_guard lock(shard.mutex);
+            for (const auto &[root, slot] : shard.trees) {
+                visitor(root, slot.tree);
+            }
+        }
+    }
+
+private:
+    static constexpr std::size_t shardCount = 64;
+
+    using CallKey = std::pair<base::ProgramId, base::CallNumber>;
+
+    struct Slot
+    {
+        core::ProgramTree tree;
+        std::map<CallKey, std::shared_ptr<CallStream>> streams;
+    };
+
+    struct Shard
+    {
+        mutable std::mutex mutex;
+        std::unordered_map<base::ProgramId, Slot> trees;
+    };
+
+    /** Work that follows an event once the shard's lock is free again. */
+    using Deferred = std::vector<std::function<void()>>;
+
+    Shard &shardOf(const base::ProgramId &root)
+    {
+        return m_shards[base::stableHash(root.value()) % shardCount];
+    }
+
+    void open(const api::ClientRequest &request, const api::ClientSink &sink)
+    {
+        const auto parsed = api::parseProgram(request.body);
+        if (const auto *bad = std::get_if<api::BadRequest>(&parsed)) {
+            sink.reply(api::toReply(*bad));
+            return;
+        }
+        const auto &spec = std::get<core::ProgramSpec>(parsed);
+        const auto policy = m_policies.policyOf(spec.kind);
+        if (!policy) {
+            sink.reply(api::toReply(api::BadRequest{
+                "kind-unknown", "field \"kind\" must name a declared kind, is \"" + spec.kind.value() + "\""}));
+            return;
+        }
+        run(spec.id, core::OpenProgram{spec, *policy}, &sink, 0);
+    }
+
+    void call(const api::ClientRequest &request, const api::ClientSink &sink)
+    {
+        const auto parsed = api::parseCall(request.number, request.body);
+        if (const auto *bad = std::get_if<api::BadRequest>(&parsed)) {
+            sink.reply(api::toReply(*bad));
+            return;
+        }
+        run(request.program, core::StartCall{request.program, std::get<core::CallRequest>(parsed)}, &sink,
+            request.offset);
+    }
+
+    void readCall(const api::ClientRequest &request, const api::ClientSink &sink)
+    {
+        const base::ProgramId root = core::rootOf(request.program);
+        Shard &shard = shardOf(root);
+        std::shared_ptr<CallStream> stream;
+        api::ClientReply reply = unknownProgram(request.program);
+        {
+            const std::lock_guard lock(shard.mutex);
+            const auto slot = shard.trees.find(root);
+            if (slot != shard.trees.end()) {
+                const auto running = slot->second.streams.find({request.program, request.number});
+                if (running != slot->second.streams.end()) {
+                    stream = running->second;
+                } else {
+                    reply = finishedCall(slot->second.tree, request);
+                }
+            }
+        }
+        if (stream) {
+            stream->join(sink, request.offset);
+        } else {
+            sink.reply(reply);
+        }
+    }
+
+    void readProgram(const base::ProgramId &id, const api::ClientSink &sink)
+    {
+        Shard &shard = shardOf(core::rootOf(id));
+        api::ClientReply reply;
+        {
+            const std::lock_guard lock(shard.mutex);
+            const auto slot = shard.trees.find(core::rootOf(id));
+            reply = slot == shard.trees.end() ? unknownProgram(id) : programReply(slot->second.tree, id);
+        }
+        sink.reply(reply);
+    }
+
+    static api::ClientReply unknownProgram(const base::ProgramId &id)
+    {
+        return api::toReply(
+            core::Refuse{core::RefusalCode::ProgramUnknown, "program \"" + id.value() + "\" is not open"});
+    }
+
+    static api::ClientReply finishedCall(const core::ProgramTree &tree, const api::ClientRequest &request)
+    {
+        const auto program = tree.programs.find(request.program);
+        if (program == tree.programs.end()) {
+            return unknownProgram(request.program);
+        }
+        const auto found = program->second.calls.find(request.number);
+        if (found == program->second.calls.end() || !found->second.outcome) {
+            return api::toReply(core::Refuse{core::RefusalCode::ProgramUnknown,
+                                             "call " + std::to_string(request.number.value()) + " of program \""
+                                                 + request.program.value() + "\" was not made"});
+        }
+        return callReply(tree, request.program, request.number, *found->second.outcome);
+    }
+
+    static api::ClientReply programReply(const core::ProgramTree &tree, const base::ProgramId &id)
+    {
+        const auto found = tree.programs.find(id);
+        if (found == tree.programs.end()) {
+            return unknownProgram(id);
+        }
+        const core::ProgramState &program = found->second;
+        return api::toReply(api::ProgramView{program.spec, program.nextCall, program.head, program.ended,
+                                             tree.budget.spent(), tree.budget.limit()});
+    }
+
+    static api::ClientReply callReply(const core::ProgramTree &tree, const base::ProgramId &id, base::CallNumber number,
+                                      const core::Outcome &outcome)
+    {
+        api::CallView view{id, number, outcome, {}, false};
+        const auto program = tree.programs.find(id);
+        if (program != tree.programs.end()) {
+            const auto found = program->second.calls.find(number);
+            if (found != program->second.calls.end()) {
+                view.digest = found->second.digest;
+                view.committed = found->second.committed;
+            }
+        }
+        return api::toReply(view);
+    }
+
+    /** Feeds one event to the core and carries out what it decides. */
+    void run(const base::ProgramId &program, const core::Event &event, const api::ClientSink *sink,
+             std::uint64_t offset)
+    {
+        const base::ProgramId root = core::rootOf(program);
+        Shard &shard = shardOf(root);
+        Deferred deferred;
+        {
+            const std::lock_guard lock(shard.mutex);
+            Slot &slot = shard.trees[root];
+            for (core::Action &action : core::step(slot.tree, event, m_clock.now())) {
+                std::visit(
+                    [&](auto &decided) {
+                        perform(slot, decided, sink, offset, deferred);
+                    },
+                    action);
+            }
+            if (slot.tree.programs.empty()) {
+                shard.trees.erase(root);
+            }
+        }
+        for (const auto &work : deferred) {
+            work();
+        }
+    }
+
+    void perform(Slot &, const core::Refuse &action, const api::ClientSink *sink, std::uint64_t, Deferred &deferred)
+    {
+        answer(sink, api::toReply(action), deferred);
+    }
+
+    void perform(Slot &slot, const core::ShowProgram &action, const api::ClientSink *sink, std::uint64_t,
+                 Deferred &deferred)
+    {
+        answer(sink, programReply(slot.tree, action.program), deferred);
+    }
+
+    void perform(Slot &slot, const core::AnswerNow &action, const api::ClientSink *sink, std::uint64_t,
+                 Deferred &deferred)
+    {
+        answer(sink, callReply(slot.tree, action.program, action.number, action.outcome), deferred);
+    }
+
+    void perform(Slot &slot, const core::JoinCall &action, const api::ClientSink *sink, std::uint64_t offset,
+                 Deferred &deferred)
+    {
+        auto &stream = slot.streams[{action.program, action.number}];
+        if (!stream) {
+            stream = std::make_shared<CallStream>();
+        }
+        if (sink != nullptr) {
+            deferred.emplace_back([stream, sink = *sink, offset] {
+                stream->join(sink, offset);
+            });
+        }
+    }
+
+    void perform(Slot &, core::StoreBeforeCall &action, const api::ClientSink *, std::uint64_t, Deferred &)
+    {
+        m_log.appendNow(std::move(action.records),
+                        [this, program = action.program, number = action.number](const StoreResult &result) {
+                            stored(program, number, result);
+                        });
+    }
+
+    void perform(Slot &, core::StoreLater &action, const api::ClientSink *, std::uint64_t, Deferred &)
+    {
+        StoreHandler handler = [](const StoreResult &) {};
+        if (const auto *turn = std::get_if<core::TurnFinished>(&action.record)) {
+            handler = [this, program = turn->program, number = turn->request.number](const StoreResult &result) {
+                if (std::holds_alternative<Stored>(result)) {
+                    run(program, core::TurnCommitted{program, number}, nullptr, 0);
+                }
+            };
+        }
+        m_log.appendLater({std::move(action.record)}, std::move(handler));
+    }
+
+    void perform(Slot &slot, core::DispatchCall &action, const api::ClientSink *, std::uint64_t, Deferred &deferred)
+    {
+        const auto stream = slot.streams[{action.program, action.request.number}];
+        DispatchObserver observer;
+        observer.chunk = [stream](std::uint64_t offset, const std::string &text) {
+            stream->append(offset, text);
+        };
+        observer.ended = [this, program = action.program,
+                          number = action.request.number](const core::Outcome &outcome) {
+            run(program, core::CallEnded{program, number, outcome}, nullptr, 0);
+        };
+        deferred.emplace_back([this, call = std::move(action), observer = std::move(observer)] {
+            m_dispatcher.dispatch(call, observer);
+        });
+    }
+
+    void perform(Slot &, const core::CancelCall &action, const api::ClientSink *, std::uint64_t, Deferred &deferred)
+    {
+        deferred.emplace_back([this, action] {
+            m_dispatcher.cancel(action.program, action.number);
+        });
+    }
+
+    void perform(Slot &slot, const core::FinishCall &action, const api::ClientSink *, std::uint64_t, Deferred &deferred)
+    {
+        auto stream = slot.streams.extract({action.program, action.number});
+        if (stream.empty()) {
+            return;
+        }
+        deferred.emplace_back(
+            [stream = stream.mapped(), reply = callReply(slot.tree, action.program, action.number, action.outcome)] {
+                stream->finish(reply);
+            });
+    }
+
+    void perform(Slot &, const core::ReleaseProgram &action, const api::ClientSink *, std::uint64_t, Deferred &deferred)
+    {
+        deferred.emplace_back([this, action] {
+            m_dispatcher.release(action.program);
+        });
+    }
+
+    static void answer(const api::ClientSink *sink, api::ClientReply reply, Deferred &deferred)
+    {
+        if (sink != nullptr) {
+            deferred.emplace_back([sink = *sink, reply = std::move(reply)] {
+                sink.reply(reply);
+            });
+        }
+    }
+
+    void stored(const base::ProgramId &program, base::CallNumber number, const StoreResult &result)
+    {
+        if (const auto *refused = std::get_if<NotStored>(&result)) {
+            run(program, core::CallNotStored{program, number, refused->reason, refused->retryAfter}, nullptr, 0);
+            return;
+        }
+        run(program, core::CallStored{program, number}, nullptr, 0);
+    }
+
+    const ClockT &m_clock;
+    LogT &m_log;
+    DispatcherT &m_dispatcher;
+    const PoliciesT &m_policies;
+    std::array<Shard, shardCount> m_shards;
+};
+
+}
--- /dev/null
+++ b/src/libbriarhinge/settings/settings.cpp
@@ -0,0 +1,255 @@
+#include "settings/settings.h"
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+namespace briarhinge::settings
+{
+
+namespace
+{
+
+using Values = std::map<std::string, std::string>;
+
+struct Definition
+{
+    const char *flag;
+    const char *fallback;
+    const char *meaning;
+};
+
+constexpr Definition definitions[] = {
+    {"role", "", "entry or runner"},
+    {"name", "", "name of this VM, unique in the deployment"},
+    {"zone", "", "availability zone of this VM"},
+    {"listen", "", "IP number and port for other processes of the system"},
+    {"http-listen", "", "IP number and port for callers and operators"},
+    {"key-value", "", "address of the platform's key-value service, as http://10.0.0.5:2379"},
+    {"vm-list", "", "address of the platform's VM list, as http://10.0.0.6:8080"},
+    {"vm-list-interval", "1000", "milliseconds between two reads of the VM list"},
+    {"io-threads", "2", "threads for the connections between processes"},
+    {"http-threads", "8", "threads for HTTP"},
+    {"drain-limit", "60000", "milliseconds that a stopping process waits for requests in progress"},
+    {"flush-interval", "2000", "milliseconds that a finished turn may wait to become durable"},
+    {"lease-time", "3000", "milliseconds after which a silent entry is taken over"},
+    {"upstream", "", "runner: address of the upstream, as http://127.0.0.1:9000"},
+    {"upstream-kind", "engine", "runner: engine or tool"},
+    {"pool", "", "runner: the pool that the upstream belongs to"},
+    {"serves", "", "runner: models or tools of the upstream, separated by commas"},
+    {"concurrency", "8", "runner: calls given to the upstream at once"},
+};
+
+std::string variableOf(std::string_view flag)
+{
+    std::string name = "BRIARHINGE_";
+    for (const char character : flag) {
+        name.push_back(character == '-' ? '_' : static_cast<char>(std::toupper(character)));
+    }
+    return name;
+}
+
+/** Takes typed values out of the texts and gathers every fault. */
+class Checker
+{
+public:
+    explicit Checker(const Values &values)
+        : m_values(values)
+    {
+    }
+
+    std::string text(const std::string &flag)
+    {
+        const std::string &value = m_values.at(flag);
+        if (value.empty()) {
+            fault(flag, "must be given");
+        }
+        return value;
+    }
+
+    wire::Address address(const std::string &flag)
+    {
+        const std::string value = text(flag);
+        const auto parsed = wire::parseAddress(value);
+        if (!parsed && !value.empty()) {
+            fault(flag, fmt::format("must be an address such as \"127.0.0.1:7000\", is \"{}\"", value));
+        }
+        return parsed.value_or(wire::Address{});
+    }
+
+    std::string url(const std::string &flag)
+    {
+        const std::string value = text(flag);
+        if (!value.empty() && !value.starts_with("http://") && !value.starts_with("https://")) {
+            fault(flag, fmt::format("must be an address such as \"http://127.0.0.1:8080\", is \"{}\"", value));
+        }
+        return value;
+    }
+
+    std::uint64_t number(const std::string &flag, std::uint64_t least, std::uint64_t most)
+    {
+        const std::string &value = m_values.at(flag);
+        std::uint64_t parsed = 0;
+        const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), parsed);
+        if (error != std::errc{} || end != value.data() + value.size() || parsed < least || parsed > most) {
+            fault(flag, fmt::format("must be a number from {} to {}, is \"{}\"", least, most, value));
+        }
+        return parsed;
+    }
+
+    base::Milliseconds milliseconds(const std::string &flag)
+    {
+        constexpr std::uint64_t dayMs = 86'400'000;
+        return base::Milliseconds(number(flag, 1, dayMs));
+    }
+
+    template <class Choice>
+    Choice choice(const std::string &flag, const std::map<std::string, Choice> &choices)
+    {
+        const std::string &value = m_values.at(flag);
+        const auto found = choices.find(value);
+        if (found != choices.end()) {
+            return found->second;
+        }
+        std::string names;
+        for (const auto &[name, unused] : choices) {
+            names += names.empty() ? name : " or " + name;
+        }
+        fault(flag, fmt::format("must be {}, is \"{}\"", names, value));
+        return Choice{};
+    }
+
+    std::vector<base::TargetName> names(const std::string &flag)
+    {
+        std::vector<base::TargetName> list;
+        std::string rest = text(flag);
+        while (!rest.empty()) {
+            const std::size_t comma = rest.find(',');
+            if (comma == 0) {
+                fault(flag, fmt::format("has an empty name in \"{}\"", m_values.at(flag)));
+            }
+            list.emplace_back(rest.substr(0, comma));
+            rest = comma == std::string::npos ? "" : rest.substr(comma + 1);
+        }
+        return list;
+    }
+
+    std::vector<std::string> takeFaults()
+    {
+        return std::move(m_faults);
+    }
+
+private:
+    void fault(const std::string &flag, const std::string &what)
+    {
+        m_faults.push_back(fmt::format("--{} ({}) {}", flag, variableOf(flag), what));
+    }
+
+    const Values &m_values;
+    std::vector<std::string> m_faults;
+};
+
+std::variant<Settings, SettingsErrors> check(const Values &values)
+{
+    constexpr std::uint64_t maxThreads = 256;
+    constexpr std::uint64_t maxConcurrency = 4096;
+    Checker checker(values);
+    Settings settings;
+    settings.role = checker.choice<Role>("role", {{"entry", Role::Entry}, {"runner", Role::Runner}});
+    settings.name = checker.text("name");
+    settings.zone = base::ZoneName(checker.text("zone"));
+    settings.listen = checker.address("listen");
+    settings.httpListen = checker.address("http-listen");
+    settings.keyValueUrl = checker.url("key-value");
+    settings.vmListUrl = checker.url("vm-list");
+    settings.vmListInterval = checker.milliseconds("vm-list-interval");
+    settings.ioThreads = checker.number("io-threads", 1, maxThreads);
+    settings.httpThreads = checker.number("http-threads", 1, maxThreads);
+    settings.drainLimit = checker.milliseconds("drain-limit");
+    settings.flushInterval = checker.milliseconds("flush-interval");
+    settings.leaseTime = checker.milliseconds("lease-time");
+    if (settings.role == Role::Runner) {
+        settings.upstreamUrl = checker.url("upstream");
+        settings.upstreamKind = checker.choice<UpstreamKind>(
+            "upstream-kind", {{"engine", UpstreamKind::Engine}, {"tool", UpstreamKind::Tool}});
+        settings.pool = base::PoolName(checker.text("pool"));
+        settings.serves = checker.names("serves");
+        settings.concurrency = checker.number("concurrency", 1, maxConcurrency);
+    }
+    std::vector<std::string> faults = checker.takeFaults();
+    if (!faults.empty()) {
+        return SettingsErrors{std::move(faults)};
+    }
+    return settings;
+}
+
+cxxopts::Options makeOptions()
+{
+    cxxopts::Options options("briarhinged", "Schedules agent programs: an entry for callers, or beside an upstream.");
+    auto add = options.add_options();
+    for (const Definition &definition : definitions) {
+        std::string meaning = fmt::format("{} [{}]", definition.meaning, variableOf(definition.flag));
+        if (*definition.fallback != '\0') {
+            meaning += fmt::format(" (default {})", definition.fallback);
+        }
+        add(definition.flag, meaning, cxxopts::value<std::string>());
+    }
+    add("help", "print this text");
+    add("version", "print the version");
+    add("check-settings", "check the settings and stop");
+    return options;
+}
+
+}
+
+std::vector<SettingDescription> describeSettings()
+{
+    std::vector<SettingDescription> descriptions;
+    for (const Definition &definition : definitions) {
+        descriptions.push_back({definition.flag, variableOf(definition.flag), definition.fallback, definition.meaning});
+    }
+    return descriptions;
+}
+
+std::variant<Settings, SettingsErrors, InfoText> readSettings(const std::vector<std::string> &arguments,
+                                                              const EnvironmentReader &environment)
+{
+    std::vector<const char *> argv{"briarhinged"};
+    for (const std::string &argument : arguments) {
+        argv.push_back(argument.c_str());
+    }
+    cxxopts::Options options = makeOptions();
+    try {
+        const cxxopts::ParseResult parsed = options.parse(static_cast<int>(argv.size()), argv.data());
+        if (!parsed.unmatched().empty()) {
+            return SettingsErrors{{fmt::format("\"{}\" is not a flag", parsed.unmatched().front())}};
+        }
+        if (parsed.count("help") > 0) {
+            return InfoText{options.help()};
+        }
+        if (parsed.count("version") > 0) {
+            return InfoText{"briarhinged " BRIARHINGE_VERSION "\n"};
+        }
+        Values values;
+        for (const Definition &definition : definitions) {
+            const std::string flag = definition.flag;
+            values[flag] = parsed.count(flag) > 0 ? parsed[flag].as<std::string>()
+                                                  : environment(variableOf(flag)).value_or(definition.fallback);
+        }
+        const auto checked = check(values);
+        if (const auto *errors = std::get_if<SettingsErrors>(&checked)) {
+            return *errors;
+        }
+        if (parsed.count("check-settings") > 0) {
+            return InfoText{"settings are valid\n"};
+        }
+        return std::get<Settings>(checked);
+    } catch (const cxxopts::exceptions::exception &error) {
+        return SettingsErrors{{error.what()}};
+    }
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/settings/settings.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "wire/address.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace briarhinge::settings
+{
+
+/** What this process does. */
+enum class Role {
+    /** Takes requests from callers and owns programs. */
+    Entry,
+    /** Runs beside one upstream. */
+    Runner,
+};
+
+/** What kind of upstream a runner process stands beside. */
+enum class UpstreamKind {
+    Engine,
+    Tool,
+};
+
+/** The settings of the daemon, checked. */
+struct Settings
+{
+    Role role = Role::Entry;
+    /** Name of the VM; the process id adds the start time to it. */
+    std::string name;
+    base::ZoneName zone;
+    /** Where other processes of the system connect. */
+    wire::Address listen;
+    /** Where callers (entry) and operators (both roles) connect by HTTP. */
+    wire::Address httpListen;
+    /** Base address of the platform's key-value service. */
+    std::string keyValueUrl;
+    /** Base address of the platform's VM list. */
+    std::string vmListUrl;
+    base::Milliseconds vmListInterval{0};
+    std::size_t ioThreads = 0;
+    std::size_t httpThreads = 0;
+    base::Milliseconds drainLimit{0};
+    base::Milliseconds flushInterval{0};
+    base::Milliseconds leaseTime{0};
+    /** Runner only: base address of the upstream. */
+    std::string upstreamUrl;
+    UpstreamKind upstreamKind = UpstreamKind::Engine;
+    base::PoolName pool;
+    /** Runner only: the models or tools that the upstream serves. */
+    std::vector<base::TargetName> serves;
+    /** Runner only: calls given to the upstream at once. */
+    std::size_t concurrency = 0;
+};
+
+/** Every fault of the given settings. */
+struct SettingsErrors
+{
+    std::vector<std::string> faults;
+};
+
+/** The process was asked for a text only: help or version, or the result of a check. */
+struct InfoText
+{
+    std::string text;
+};
+
+/** Reads an environment variable; nothing when it is not set. */
+using EnvironmentReader = std::function<std::optional<std::string>(const std::string &)>;
+
+/** Description of one setting, for help and docs/SETTINGS.md. */
+struct SettingDescription
+{
+    std::string flag;
+    std::string variable;
+    std::string fallback;
+    std::string meaning;
+};
+
+/** @return every setting of the daemon */
+std::vector<SettingDescription> describeSettings();
+
+/**
+ * Reads the settings from flags and environment variables; a flag wins over its variable.
+ *
+ * @param arguments the command line without the program's name
+ * @param environment reads the environment
+ * @return the settings, all their faults, or a text to print
+ */
+std::variant<Settings, SettingsErrors, InfoText> readSettings(const std::vector<std::string> &arguments,
+                                                              const EnvironmentReader &environment);
+
+}
--- /dev/null
+++ b/src/libbriarhinge/wire/framechannel.cpp
@@ -0,0 +1,165 @@
+#include "wire/framechannel.h"
+
+#include <chrono>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace briarhinge::wire
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds connectTimeout{1000};
+
+}
+
+FrameChannel::FrameChannel(asio::io_context &context, Address address, FrameStamp stamp)
+    : m_context(context)
+    , m_address(std::move(address))
+    , m_stamp(std::move(stamp))
+{
+}
+
+std::uint64_t FrameChannel::ask(MessageUnion message, ReplyHandler onReply)
+{
+    auto frame = std::make_unique<FrameT>();
+    frame->message = std::move(message);
+    const std::lock_guard lock(m_mutex);
+    const std::uint64_t requestId = ++m_lastRequestId;
+    frame->request_id = requestId;
+    Pending &pending = m_pending[requestId];
+    pending.onReply = std::move(onReply);
+    if (m_session) {
+        sendFrame(m_session, *frame);
+        return requestId;
+    }
+    pending.unsent = std::move(frame);
+    if (!m_connecting) {
+        m_connecting = true;
+        connect();
+    }
+    return requestId;
+}
+
+void FrameChannel::cancel(std::uint64_t requestId)
+{
+    FrameT frame;
+    frame.request_id = requestId;
+    frame.message.Set(CancelCallT{});
+    const std::lock_guard lock(m_mutex);
+    if (m_session && m_pending.contains(requestId)) {
+        sendFrame(m_session, frame);
+    }
+}
+
+void FrameChannel::close()
+{
+    std::shared_ptr<FrameSession> session;
+    {
+        const std::lock_guard lock(m_mutex);
+        session = m_session;
+    }
+    if (session) {
+        session->close("channel closed");
+    }
+}
+
+const Address &FrameChannel::address() const
+{
+    return m_address;
+}
+
+void FrameChannel::connect()
+{
+    auto socket = std::make_shared<tcp::socket>(asio::make_strand(m_context));
+    auto timer = std::make_shared<asio::steady_timer>(socket->get_executor(), connectTimeout);
+    error_code error;
+    const tcp::endpoint endpoint(asio::ip::make_address(m_address.host, error), m_address.port);
+    timer->async_wait([socket](error_code cancelled) {
+        if (!cancelled) {
+            error_code ignored;
+            socket->close(ignored);
+        }
+    });
+    socket->async_connect(endpoint, [self = shared_from_this(), socket, timer](error_code failed) {
+        timer->cancel();
+        if (failed || !socket->is_open()) {
+            self->lost("can't connect to " + toString(self->m_address) + ": "
+                       + (failed ? failed.message() : "timed out"));
+            return;
+        }
+        self->connected(std::move(*socket));
+    });
+}
+
+void FrameChannel::connected(FrameSession::Socket socket)
+{
+    const std::weak_ptr<FrameChannel> weak = weak_from_this();
+    auto session = std::make_shared<FrameSession>(
+        std::move(socket),
+        [weak](const auto &, FrameT frame) {
+            if (const auto self = weak.lock()) {
+                self->received(std::move(frame));
+            }
+        },
+        [weak](const auto &, const std::string &reason) {
+            if (const auto self = weak.lock()) {
+                self->lost(reason);
+            }
+        });
+    session->start();
+    const std::lock_guard lock(m_mutex);
+    m_connecting = false;
+    m_session = session;
+    for (auto &[id, pending] : m_pending) {
+        if (pending.unsent) {
+            sendFrame(session, *pending.unsent);
+            pending.unsent.reset();
+        }
+    }
+}
+
+void FrameChannel::received(FrameT frame)
+{
+    ReplyHandler handler;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_pending.find(frame.request_id);
+        if (found == m_pending.end()) {
+            return;
+        }
+        handler = found->second.onReply;
+        if (frame.last) {
+            m_pending.erase(found);
+        }
+    }
+    handler(std::move(frame));
+}
+
+void FrameChannel::lost(const std::string &reason)
+{
+    std::unordered_map<std::uint64_t, Pending> ended;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_connecting = false;
+        m_session.reset();
+        ended.swap(m_pending);
+    }
+    for (auto &[id, pending] : ended) {
+        pending.onReply(ChannelError{pending.unsent == nullptr, reason});
+    }
+}
+
+void FrameChannel::sendFrame(const std::shared_ptr<FrameSession> &session, FrameT &frame)
+{
+    m_stamp(frame);
+    session->send(frame);
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/wire/frameserver.cpp
@@ -0,0 +1,92 @@
+#include "wire/frameserver.h"
+
+#include "logging/eventlog.h"
+
+namespace briarhinge::wire
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+FrameServer::FrameServer(asio::io_context &context, logging::EventLog &log, FrameSession::FrameHandler onFrame,
+                         FrameSession::CloseHandler onClose)
+    : m_context(context)
+    , m_log(log)
+    , m_onFrame(std::move(onFrame))
+    , m_onClose(std::move(onClose))
+    , m_acceptor(context)
+{
+}
+
+FrameServer::~FrameServer()
+{
+    stop();
+}
+
+std::variant<std::uint16_t, ListenError> FrameServer::listen(const Address &address)
+{
+    error_code error;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
+    if (error) {
+        return ListenError{"\"" + address.host + "\" is not an IP number"};
+    }
+    m_acceptor.open(endpoint.protocol(), error);
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    m_acceptor.bind(endpoint, error);
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return ListenError{"can't listen at " + toString(address) + ": " + error.message()};
+    }
+    accept();
+    return m_acceptor.local_endpoint().port();
+}
+
+void FrameServer::stop()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+    std::set<std::shared_ptr<FrameSession>> sessions;
+    {
+        const std::lock_guard lock(m_mutex);
+        sessions.swap(m_sessions);
+    }
+    for (const auto &session : sessions) {
+        session->close("server stopped");
+    }
+}
+
+void FrameServer::accept()
+{
+    m_acceptor.async_accept(asio::make_strand(m_context), [this](error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            auto session = std::make_shared<FrameSession>(std::move(socket), m_onFrame,
+                                                          [this](const auto &ended, const std::string &reason) {
+                                                              closed(ended, reason);
+                                                          });
+            const std::lock_guard lock(m_mutex);
+            m_sessions.insert(session);
+            session->start();
+        }
+        accept();
+    });
+}
+
+void FrameServer::closed(const std::shared_ptr<FrameSession> &session, const std::string &reason)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_sessions.erase(session);
+    }
+    if (reason.starts_with("bad frame")) {
+        m_log.write(logging::events::badFrame, {{"reason", reason}});
+    }
+    m_onClose(session, reason);
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/wire/framesession.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "wire/framecodec.h"
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace briarhinge::wire
+{
+
+/** One TCP connection that carries frames both ways. */
+class FrameSession : public std::enable_shared_from_this<FrameSession>
+{
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+    using FrameHandler = std::function<void(const std::shared_ptr<FrameSession> &, FrameT)>;
+    using CloseHandler = std::function<void(const std::shared_ptr<FrameSession> &, const std::string &reason)>;
+
+    /**
+     * @param socket a connected socket
+     * @param onFrame called for each frame that arrives, one after another
+     * @param onClose called once, when the connection is closed
+     */
+    FrameSession(Socket socket, FrameHandler onFrame, CloseHandler onClose);
+
+    /** Starts reading. */
+    void start();
+
+    /** Sends a frame after those already given. @param frame the frame */
+    void send(const FrameT &frame);
+
+    /** Closes the connection. @param reason told to the close handler */
+    void close(std::string reason);
+
+private:
+    void readLength();
+    void readBody(std::size_t length);
+    void received();
+    void writeNext();
+    void closeNow(const std::string &reason);
+
+    Socket m_socket;
+    FrameHandler m_onFrame;
+    CloseHandler m_onClose;
+    std::array<std::uint8_t, lengthPrefixBytes> m_length{};
+    std::vector<std::uint8_t> m_body;
+    std::deque<std::vector<std::uint8_t>> m_outgoing;
+    bool m_closed = false;
+};
+
+}
--- /dev/null
+++ b/src/libbriarhinge/wire/iothreads.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace briarhinge::wire
+{
+
+/** The threads that run the connections between processes. */
+class IoThreads
+{
+public:
+    /** @param count how many threads to run */
+    explicit IoThreads(std::size_t count);
+    ~IoThreads();
+
+    IoThreads(const IoThreads &) = delete;
+    IoThreads &operator=(const IoThreads &) = delete;
+
+    /** @return the context that the threads run */
+    boost::asio::io_context &context();
+
+    /** Ends all work and joins the threads. */
+    void stop();
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    std::vector<std::jthread> m_threads;
+};
+
+}
--- /dev/null
+++ b/standins/engine/batcher.cpp
@@ -0,0 +1,139 @@
+#include "engine/batcher.h"
+
+#include "base/digest.h"
+
+namespace standins::engine
+{
+
+namespace
+{
+
+using briarhinge::base::stableHash;
+
+constexpr std::uint64_t hashMultiplier = 0x9e3779b97f4a7c15ULL;
+
+/** The answer is a function of the prompt alone, so that a test can compare bytes. */
+std::string tokenText(std::uint64_t seed, std::uint64_t index)
+{
+    constexpr std::string_view syllables[] = {"ka", "ri", "mo", "te", "lu", "shi", "na", "fo"};
+    const std::uint64_t mixed = (seed + index) * hashMultiplier;
+    return std::string(syllables[(mixed >> 40) % 8]) + ((mixed >> 50) % 3 == 0 ? " " : "");
+}
+
+std::uint64_t answerLength(const std::string &prompt, std::uint64_t seed, std::uint64_t maxTokens)
+{
+    // "answer=N" in the last line of a prompt asks for an answer of N tokens.
+    const std::size_t asked = prompt.rfind("answer=");
+    const std::uint64_t wanted =
+        asked == std::string::npos ? 8 + seed % 24 : std::strtoull(prompt.c_str() + asked + 7, nullptr, 10);
+    return std::max<std::uint64_t>(1, std::min(wanted, maxTokens));
+}
+
+}
+
+Batcher::Batcher(const Speed &speed)
+    : m_speed(speed)
+    , m_cache(speed.cacheTokens)
+    , m_thread([this](const std::stop_token &stop) {
+        loop(stop);
+    })
+{
+}
+
+void Batcher::add(Sequence sequence)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_account.requests;
+    const std::int64_t rank = -static_cast<std::int64_t>(sequence.priority);
+    m_waiting.emplace(rank, std::move(sequence));
+    m_work.notify_one();
+}
+
+void Batcher::hold(const std::string &user, const std::string &prompt, std::chrono::milliseconds time)
+{
+    const std::lock_guard lock(m_mutex);
+    m_cache.hold(user, blocksOf(prompt), std::chrono::steady_clock::now() + time);
+}
+
+void Batcher::release(const std::string &user)
+{
+    const std::lock_guard lock(m_mutex);
+    m_cache.release(user);
+}
+
+Account Batcher::account()
+{
+    const std::lock_guard lock(m_mutex);
+    Account account = m_account;
+    account.running = m_running.size();
+    account.waiting = m_waiting.size();
+    account.held = m_cache.held(std::chrono::steady_clock::now());
+    return account;
+}
+
+void Batcher::loop(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        std::chrono::nanoseconds stepTime{0};
+        {
+            std::unique_lock lock(m_mutex);
+            if (!m_work.wait(lock, stop, [this] {
+                    return !m_waiting.empty() || !m_running.empty();
+                })) {
+                return;
+            }
+            stepTime = admit() + m_speed.step + m_speed.perSequence * m_running.size();
+        }
+        std::this_thread::sleep_for(stepTime);
+        const std::lock_guard lock(m_mutex);
+        makeTokens();
+    }
+}
+
+std::chrono::nanoseconds Batcher::admit()
+{
+    std::chrono::nanoseconds prefill{0};
+    while (!m_waiting.empty() && m_running.size() < m_speed.maxBatch) {
+        Running running;
+        running.sequence = std::move(m_waiting.extract(m_waiting.begin()).mapped());
+        const std::string &prompt = running.sequence.prompt;
+        running.seed = stableHash(running.sequence.model + prompt);
+        running.promptTokens = tokensOf(prompt.size());
+        const auto blocks = blocksOf(prompt);
+        running.cachedTokens = std::min(m_cache.cachedTokens(blocks), running.promptTokens);
+        m_cache.touch(blocks);
+        running.answerTokens = answerLength(prompt, running.seed, running.sequence.maxTokens);
+        const std::uint64_t uncached = running.promptTokens - running.cachedTokens;
+        m_account.prefillTokens += uncached;
+        m_account.cachedTokens += running.cachedTokens;
+        prefill += m_speed.perPrefillToken * uncached;
+        m_running.push_back(std::move(running));
+    }
+    return prefill;
+}
+
+void Batcher::makeTokens()
+{
+    for (auto running = m_running.begin(); running != m_running.end();) {
+        std::string text = tokenText(running->seed, running->made++);
+        const std::uint64_t before = running->answer.size();
+        running->answer += text;
+        ++m_account.completionTokens;
+        bool listening = true;
+        if (running->answer.size() > running->sequence.resumeFrom) {
+            const std::uint64_t from = std::max(before, running->sequence.resumeFrom);
+            listening = running->sequence.token(running->answer.substr(from));
+        }
+        if (listening && running->made < running->answerTokens) {
+            ++running;
+            continue;
+        }
+        if (listening) {
+            m_cache.touch(blocksOf(running->sequence.prompt + running->answer));
+            running->sequence.done(running->promptTokens, running->cachedTokens, running->made);
+        }
+        running = m_running.erase(running);
+    }
+}
+
+}
--- /dev/null
+++ b/standins/engine/main.cpp
@@ -0,0 +1,208 @@
+#include "common/httpstandin.h"
+#include "engine/batcher.h"
+
+#include <atomic>
+#include <deque>
+#include <fstream>
+#include <memory>
+#include <mutex>
+
+#include <cpprest/producerconsumerstream.h>
+
+using namespace standins::common;
+using namespace standins::engine;
+using nlohmann::json;
+
+namespace
+{
+
+using StreamBuffer = concurrency::streams::producer_consumer_buffer<std::uint8_t>;
+
+constexpr std::string_view crashMark = "CRASH-ENGINE";
+
+Speed speedOf(const std::map<std::string, std::string> &options)
+{
+    Speed speed;
+    speed.step = std::chrono::microseconds(numberOf(options, "step-us", 2000));
+    speed.perSequence = std::chrono::microseconds(numberOf(options, "sequence-us", 100));
+    speed.perPrefillToken = std::chrono::nanoseconds(numberOf(options, "prefill-ns", 20'000));
+    speed.maxBatch = numberOf(options, "batch", 16);
+    speed.cacheTokens = numberOf(options, "cache-tokens", 200'000);
+    return speed;
+}
+
+/** A model engine with the usual chat-completions interface. */
+class Engine
+{
+public:
+    explicit Engine(const std::map<std::string, std::string> &options)
+        : m_batcher(speedOf(options))
+        , m_checksFencing(options.contains("check-fencing"))
+        , m_loadLag(numberOf(options, "load-lag", 0))
+    {
+        const auto requests = options.find("requests");
+        if (requests != options.end()) {
+            m_requests.open(requests->second, std::ios::app);
+        }
+    }
+
+    void handle(const http_request &request)
+    {
+        const std::string path = request.relative_uri().path();
+        if (path == "/v1/chat/completions") {
+            complete(request);
+        } else if (path == "/v1/cache/hold" || path == "/v1/cache/release") {
+            changeHold(request, path.ends_with("hold"));
+        } else if (path == "/v1/orders") {
+            order(request);
+        } else if (path == "/v1/load") {
+            replyJson(request, status_codes::OK, laggingLoad());
+        } else if (path == "/v1/account") {
+            replyJson(request, status_codes::OK, toJson(m_batcher.account()));
+        } else {
+            replyJson(request, status_codes::NotFound, {{"error", "no such path"}});
+        }
+    }
+
+private:
+    static json toJson(const Account &account)
+    {
+        return {{"running", account.running},
+                {"waiting", account.waiting},
+                {"prefillTokens", account.prefillTokens},
+                {"cachedTokens", account.cachedTokens},
+                {"completionTokens", account.completionTokens},
+                {"requests", account.requests},
+                {"held", account.held}};
+    }
+
+    void complete(const http_request &request)
+    {
+        const json body = json::parse(bodyOf(request), nullptr, false);
+        if (!body.is_object() || !body.contains("messages") || body["messages"].empty()) {
+            replyJson(request, status_codes::BadRequest, {{"error", "messages must be given"}});
+            return;
+        }
+        Sequence sequence;
+        sequence.prompt = body["messages"].back().value("content", "");
+        sequence.user = body.value("user", "");
+        sequence.model = body.value("model", "");
+        sequence.priority = body.value("priority", 0);
+        sequence.maxTokens = body.value("max_tokens", 256);
+        sequence.resumeFrom = body.value("resume_from", 0);
+        note(sequence);
+        if (sequence.prompt.find(crashMark) != std::string::npos) {
+            std::_Exit(1);
+        }
+        stream(request, std::move(sequence));
+    }
+
+    /** Writes down each request that reached the engine, for tests. */
+    void note(const Sequence &sequence)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_requests.is_open()) {
+            m_requests << sequence.user << ' ' << sequence.prompt.size() << std::endl;
+        }
+    }
+
+    void stream(const http_request &request, Sequence sequence)
+    {
+        StreamBuffer buffer;
+        http_response response(status_codes::OK);
+        response.headers().set_content_type("text/event-stream");
+        response.set_body(buffer.create_istream());
+        auto gone = std::make_shared<std::atomic<bool>>(false);
+        request.reply(response).then([gone](const pplx::task<void> &sent) {
+            try {
+                sent.get();
+            } catch (const std::exception &) {
+                *gone = true;
+            }
+        });
+        sequence.token = [buffer, gone](const std::string &text) mutable {
+            write(buffer, json{{"choices", json::array({{{"delta", {{"content", text}}}}})}});
+            return !*gone;
+        };
+        sequence.done = [buffer](std::uint64_t prompt, std::uint64_t cached, std::uint64_t completion) mutable {
+            write(buffer,
+                  json{{"choices", json::array()},
+                       {"usage",
+                        {{"prompt_tokens", prompt},
+                         {"completion_tokens", completion},
+                         {"prompt_tokens_details", {{"cached_tokens", cached}}}}}});
+            writeText(buffer, "data: [DONE]\n\n");
+            buffer.close(std::ios_base::out);
+        };
+        m_batcher.add(std::move(sequence));
+    }
+
+    static void write(StreamBuffer &buffer, const json &event)
+    {
+        writeText(buffer, "data: " + event.dump() + "\n\n");
+    }
+
+    static void writeText(StreamBuffer &buffer, const std::string &text)
+    {
+        buffer.putn_nocopy(reinterpret_cast<const std::uint8_t *>(text.data()), text.size()).wait();
+        buffer.sync().wait();
+    }
+
+    void changeHold(const http_request &request, bool hold)
+    {
+        const json body = json::parse(bodyOf(request));
+        if (hold) {
+            m_batcher.hold(body.value("user", ""), body.value("prompt", ""),
+                           std::chrono::milliseconds(body.value("ttl_ms", 1000)));
+        } else {
+            m_batcher.release(body.value("user", ""));
+        }
+        replyJson(request, status_codes::OK, json::object());
+    }
+
+    void order(const http_request &request)
+    {
+        const json body = json::parse(bodyOf(request));
+        const std::uint64_t fence = body.value("fence", std::uint64_t{0});
+        const std::lock_guard lock(m_mutex);
+        if (m_checksFencing && fence < m_fence) {
+            replyJson(request, status_codes::Conflict, {{"fence", m_fence}});
+            return;
+        }
+        m_fence = std::max(m_fence, fence);
+        replyJson(request, status_codes::OK, {{"fence", m_fence}});
+    }
+
+    /** @return the load as it was a lag ago */
+    json laggingLoad()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const json present = toJson(m_batcher.account());
+        const std::lock_guard lock(m_mutex);
+        m_loads.push_back({now, present});
+        while (m_loads.size() > 1 && m_loads[1].first + m_loadLag <= now) {
+            m_loads.pop_front();
+        }
+        return m_loads.front().second;
+    }
+
+    Batcher m_batcher;
+    const bool m_checksFencing;
+    const std::chrono::milliseconds m_loadLag;
+    std::mutex m_mutex;
+    std::uint64_t m_fence = 0;
+    std::ofstream m_requests;
+    std::deque<std::pair<std::chrono::steady_clock::time_point, json>> m_loads;
+};
+
+}
+
+int main(int argc, char **argv)
+{
+    return serve(argc, argv, "standin-engine", [](const auto &options) {
+        auto engine = std::make_shared<Engine>(options);
+        return [engine](const http_request &request) {
+            engine->handle(request);
+        };
+    });
+}
--- /dev/null
+++ b/standins/engine/prefixcache.cpp
@@ -0,0 +1,122 @@
+#include "engine/prefixcache.h"
+
+#include "base/digest.h"
+
+namespace standins::engine
+{
+
+namespace
+{
+
+constexpr std::size_t bytesPerToken = 4;
+constexpr std::size_t bytesPerBlock = tokensPerBlock * bytesPerToken;
+constexpr std::uint64_t hashMultiplier = 0x9e3779b97f4a7c15ULL;
+
+}
+
+std::vector<std::uint64_t> blocksOf(const std::string &prompt)
+{
+    std::vector<std::uint64_t> blocks;
+    std::uint64_t prefix = 0;
+    for (std::size_t at = 0; at + bytesPerBlock <= prompt.size(); at += bytesPerBlock) {
+        prefix = (prefix ^ briarhinge::base::stableHash({prompt.data() + at, bytesPerBlock})) * hashMultiplier + 1;
+        blocks.push_back(prefix);
+    }
+    return blocks;
+}
+
+std::uint64_t tokensOf(std::size_t bytes)
+{
+    return (bytes + bytesPerToken - 1) / bytesPerToken;
+}
+
+PrefixCache::PrefixCache(std::uint64_t capacity)
+    : m_capacity(capacity / tokensPerBlock)
+{
+}
+
+std::uint64_t PrefixCache::cachedTokens(const std::vector<std::uint64_t> &blocks) const
+{
+    std::uint64_t cached = 0;
+    for (const std::uint64_t block : blocks) {
+        if (!m_blocks.contains(block)) {
+            break;
+        }
+        cached += tokensPerBlock;
+    }
+    return cached;
+}
+
+void PrefixCache::touch(const std::vector<std::uint64_t> &blocks)
+{
+    // The end of a prefix is used first, so that its beginning outlives it.
+    for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
+        Block &entry = m_blocks[*block];
+        m_byUse.erase(entry.lastUse);
+        entry.lastUse = ++m_uses;
+        m_byUse[entry.lastUse] = *block;
+    }
+    evict();
+}
+
+void PrefixCache::hold(const std::string &program, const std::vector<std::uint64_t> &blocks, Time until)
+{
+    release(program);
+    for (const std::uint64_t block : blocks) {
+        const auto found = m_blocks.find(block);
+        if (found != m_blocks.end()) {
+            ++found->second.holds;
+        }
+    }
+    m_holds[program] = {blocks, until};
+}
+
+void PrefixCache::release(const std::string &program)
+{
+    const auto found = m_holds.find(program);
+    if (found != m_holds.end()) {
+        dropHold(found->second);
+        m_holds.erase(found);
+    }
+}
+
+std::map<std::string, std::uint64_t> PrefixCache::held(Time now)
+{
+    std::map<std::string, std::uint64_t> tokens;
+    for (auto hold = m_holds.begin(); hold != m_holds.end();) {
+        if (hold->second.until <= now) {
+            dropHold(hold->second);
+            hold = m_holds.erase(hold);
+            continue;
+        }
+        tokens[hold->first] = hold->second.blocks.size() * tokensPerBlock;
+        ++hold;
+    }
+    return tokens;
+}
+
+void PrefixCache::evict()
+{
+    auto oldest = m_byUse.begin();
+    while (m_blocks.size() > m_capacity && oldest != m_byUse.end()) {
+        const auto found = m_blocks.find(oldest->second);
+        if (found->second.holds > 0) {
+            ++oldest;
+            continue;
+        }
+        m_blocks.erase(found);
+        oldest = m_byUse.erase(oldest);
+    }
+}
+
+void PrefixCache::dropHold(const Hold &hold)
+{
+    for (const std::uint64_t block : hold.blocks) {
+        const auto found = m_blocks.find(block);
+        if (found != m_blocks.end() && found->second.holds > 0) {
+            --found->second.holds;
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/standins/engine/prefixcache.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace standins::engine
+{
+
+/** A prompt cut into blocks; each block is named by the hash of the whole prefix up to its end. */
+std::vector<std::uint64_t> blocksOf(const std::string &prompt);
+
+/** Tokens in a text, four bytes each. */
+std::uint64_t tokensOf(std::size_t bytes);
+
+/** Tokens in a block. */
+inline constexpr std::uint64_t tokensPerBlock = 16;
+
+/** A limited cache of prompt prefixes, least recently used goes first; held blocks stay until the hold ends. */
+class PrefixCache
+{
+public:
+    using Time = std::chrono::steady_clock::time_point;
+
+    /** @param capacity tokens that fit */
+    explicit PrefixCache(std::uint64_t capacity);
+
+    /** @return tokens of a prompt's prefix that are cached */
+    std::uint64_t cachedTokens(const std::vector<std::uint64_t> &blocks) const;
+
+    /** Uses and adds the blocks of a prompt. */
+    void touch(const std::vector<std::uint64_t> &blocks);
+
+    /** Keeps the blocks of a program until a time. */
+    void hold(const std::string &program, const std::vector<std::uint64_t> &blocks, Time until);
+
+    /** Ends the hold of a program. */
+    void release(const std::string &program);
+
+    /** @return held tokens by program, at a time */
+    std::map<std::string, std::uint64_t> held(Time now);
+
+private:
+    struct Block
+    {
+        std::uint64_t lastUse = 0;
+        std::uint32_t holds = 0;
+    };
+
+    struct Hold
+    {
+        std::vector<std::uint64_t> blocks;
+        Time until;
+    };
+
+    void evict();
+    void dropHold(const Hold &hold);
+
+    const std::uint64_t m_capacity;
+    std::unordered_map<std::uint64_t, Block> m_blocks;
+    std::map<std::uint64_t, std::uint64_t> m_byUse;
+    std::map<std::string, Hold> m_holds;
+    std::uint64_t m_uses = 0;
+};
+
+}
--- /dev/null
+++ b/tests/system/stack.py
@@ -0,0 +1,278 @@
+"""Starts the stand-ins and the daemons of one deployment on 127.0.0.1 and ends them by their ids."""
+
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+BUILD = os.environ.get("BRIARHINGE_BUILD", os.path.join(ROOT, "build"))
+START_TIMEOUT_S = 15
+STOP_TIMEOUT_S = 20
+
+
+def free_port():
+    """Returns a port of 127.0.0.1 that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def ask(method, url, body=None, timeout=30):
+    """Sends a request; returns the status and the body as text, whatever the status."""
+    data = body.encode() if isinstance(body, str) else body
+    request = urllib.request.Request(url, data=data, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return response.status, response.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read().decode()
+
+
+def wait_until(condition, what, timeout=START_TIMEOUT_S):
+    """Waits until a condition holds; fails with what was waited for."""
+    end = time.monotonic() + timeout
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise TimeoutError(f"waited {timeout} s for {what}")
+
+
+def answers(url):
+    """Returns whether a GET of the address succeeds."""
+    try:
+        return ask("GET", url, timeout=1)[0] == 200
+    except OSError:
+        return False
+
+
+class Process:
+    """One process that this stack started."""
+
+    def __init__(self, name, command, log):
+        self.name = name
+        self.command = command
+        self.log = log
+        self.popen = None
+
+    def start(self):
+        """Starts the process; its output is appended to its log."""
+        with open(self.log, "ab") as output:
+            self.popen = subprocess.Popen(self.command, stdout=output, stderr=output)
+
+    def signal(self, number):
+        """Sends a signal to the process."""
+        self.popen.send_signal(number)
+
+    def wait(self, timeout=STOP_TIMEOUT_S):
+        """Waits for the end of the process; returns its exit code."""
+        return self.popen.wait(timeout)
+
+    def kill(self):
+        """Ends the process at once."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.kill()
+            self.popen.wait()
+
+
+class Stack:
+    """A deployment of stand-ins and daemons."""
+
+    def __init__(self):
+        self.folder = tempfile.mkdtemp(prefix="briarhinge.")
+        self.processes = {}
+        self.vms = []
+        self.entries = {}
+        self.engines = {}
+        self.tools = {}
+        self.key_value = self._standin("keyvalue", "--threads", "32")
+        self.vm_list = self._standin("vmlist")
+        wait_until(lambda: answers(self.key_value + "/admin/counts"), "the key-value service")
+        wait_until(lambda: answers(self.vm_list + "/v1/vms"), "the VM list")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *unused):
+        self.close()
+
+    def close(self):
+        """Ends every process and removes the folder."""
+        for process in self.processes.values():
+            process.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def path(self, name):
+        """Returns the path of a file in the folder of this stack."""
+        return os.path.join(self.folder, name)
+
+    def run(self, name, command):
+        """Starts a process under a name."""
+        process = Process(name, command, self.path(name + ".log"))
+        self.processes[name] = process
+        process.start()
+        return process
+
+    def _standin(self, kind, *flags, name=None):
+        port = free_port()
+        program = os.path.join(BUILD, "standins", "standin-" + kind)
+        self.run(name or kind, [program, "--listen", f"127.0.0.1:{port}", *flags])
+        return f"http://127.0.0.1:{port}"
+
+    def engine(self, name, *flags):
+        """Starts a model engine."""
+        self.engines[name] = self._standin("engine", "--requests", self.path(name + ".requests"), *flags, name=name)
+        wait_until(lambda: answers(self.engines[name] + "/v1/account"), name)
+        return self.engines[name]
+
+    def tool(self, name):
+        """Starts a tool service."""
+        self.tools[name] = self._standin("tool", "--effects", self.path(name + ".effects"), name=name)
+        return self.tools[name]
+
+    def effects(self, name):
+        """Returns the effects that a tool service had, a line each."""
+        with open(self.path(name + ".effects"), encoding="utf-8") as lines:
+            return lines.read().splitlines()
+
+    def _daemon(self, role, name, zone, *flags):
+        frames, http = free_port(), free_port()
+        self.run(name, [os.path.join(BUILD, "src", "briarhinged"), "--role", role, "--name", name, "--zone", zone,
+                        "--listen", f"127.0.0.1:{frames}", "--http-listen", f"127.0.0.1:{http}",
+                        "--key-value", self.key_value, "--vm-list", self.vm_list, "--vm-list-interval", "100",
+                        *flags])
+        return f"127.0.0.1:{frames}", f"http://127.0.0.1:{http}"
+
+    def entry(self, name, zone, *flags):
+        """Starts an entry and lists its VM."""
+        address, http = self._daemon("entry", name, zone, *flags)
+        self.entries[name] = http
+        self.vms.append({"name": name, "zone": zone, "role": "entry", "address": address})
+        return http
+
+    def runner(self, name, zone, upstream, kind, pool, serves, *flags):
+        """Starts a runner process beside an upstream and lists its VM."""
+        address, _ = self._daemon("runner", name, zone, "--upstream", upstream, "--upstream-kind", kind,
+                                  "--pool", pool, "--serves", ",".join(serves), *flags)
+        self.vms.append({"name": name, "zone": zone, "role": "runner", "address": address, "pool": pool,
+                         "serves": serves})
+
+    def publish(self, **changes):
+        """Puts the VMs into the VM list. A change names a VM and says what is different about it."""
+        for vm in self.vms:
+            vm.update(changes.get(vm["name"].replace("-", "_"), {}))
+        ask("PUT", self.vm_list + "/admin/vms", json.dumps({"vms": self.vms}))
+
+    def unlist(self, name):
+        """Takes a VM out of the VM list."""
+        self.vms = [vm for vm in self.vms if vm["name"] != name]
+        self.publish()
+
+    def wait_ready(self):
+        """Waits until every entry is ready."""
+        for name, http in self.entries.items():
+            wait_until(lambda url=http: answers(url + "/readyz"), name)
+
+    def faults(self, **faults):
+        """Sets faults of the key-value service, such as outage=True, delayMs=50 or loseAnswers=1."""
+        ask("PUT", self.key_value + "/admin/faults", json.dumps(faults))
+
+    def counts(self):
+        """Returns the calls that the key-value service has counted."""
+        return json.loads(ask("GET", self.key_value + "/admin/counts")[1])
+
+    def pause(self, name):
+        """Stops a process without its notice."""
+        self.processes[name].signal(signal.SIGSTOP)
+
+    def wake(self, name):
+        """Lets a stopped process go on."""
+        self.processes[name].signal(signal.SIGCONT)
+
+    def kill(self, name):
+        """Ends a process at once."""
+        self.processes[name].kill()
+        self.entries.pop(name, None)
+
+    def terminate(self, name):
+        """Asks a process to stop; returns its exit code."""
+        self.processes[name].signal(signal.SIGTERM)
+        return self.processes[name].wait()
+
+
+class Caller:
+    """A caller of one program; remembers the history that its next call extends."""
+
+    def __init__(self, entry, program, kind="chat", account="huye", parent=None):
+        self.entry = entry
+        self.program = program
+        self.kind = kind
+        self.account = account
+        self.parent = parent
+        self.history = None
+        self.number = 1
+
+    def open(self):
+        """Opens the program; returns status and reply."""
+        body = {"id": self.program, "kind": self.kind, "account": self.account}
+        if self.parent:
+            body["parent"] = self.parent
+        status, reply = ask("POST", self.entry + "/v1/programs", json.dumps(body))
+        return status, json.loads(reply)
+
+    def call(self, number=None, timeout=30, **body):
+        """Makes a call, the next one unless a number is given; returns status and reply."""
+        number = number or self.number
+        if self.history and "extends" not in body:
+            body["extends"] = self.history
+        url = f"{self.entry}/v1/programs/{self.program}/calls/{number}"
+        status, text = ask("POST", url, json.dumps(body), timeout)
+        reply = json.loads(text)
+        if "history" in reply and number == self.number:
+            self.history = reply["history"]
+            self.number += 1
+        return status, reply
+
+    def model(self, text, model="small", **body):
+        """Makes a model call."""
+        return self.call(type="model", model=model, input=text, **body)
+
+    def tool(self, text, tool="charge", idempotent=False, **body):
+        """Makes a tool call."""
+        return self.call(type="tool", tool=tool, input=text, idempotent=idempotent, **body)
+
+    def show(self):
+        """Returns status and state of the program."""
+        status, reply = ask("GET", f"{self.entry}/v1/programs/{self.program}")
+        return status, json.loads(reply)
+
+    def end(self):
+        """Ends the program; returns status and state."""
+        status, reply = ask("DELETE", f"{self.entry}/v1/programs/{self.program}")
+        return status, json.loads(reply)
+
+
+def small_stack(entries=2, engines=2, entry_flags=(), engine_flags=(), runner_flags=()):
+    """Starts a small deployment: entries and engines over two zones and one tool service."""
+    stack = Stack()
+    try:
+        for i in range(engines):
+            engine = stack.engine(f"engine-{i}", *engine_flags)
+            stack.runner(f"runner-{i}", "rwc-" + "ab"[i % 2], engine, "engine", "chat", ["small"], *runner_flags)
+        tool = stack.tool("orders")
+        stack.runner("runner-orders", "rwc-a", tool, "tool", "orders", ["charge", "search"], *runner_flags)
+        for i in range(entries):
+            stack.entry(f"entry-{i}", "rwc-" + "ab"[i % 2], *entry_flags)
+        stack.publish()
+        stack.wait_ready()
+    except BaseException:
+        stack.close()
+        raise
+    return stack
--- /dev/null
+++ b/tests/test_step.cpp
@@ -0,0 +1,141 @@
+#include "core/step.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace briarhinge;
+using namespace briarhinge::core;
+
+namespace
+{
+
+const base::Timestamp start{base::Milliseconds(1'000)};
+
+KindPolicy policy()
+{
+    KindPolicy kind;
+    kind.budget = {base::Tokens(10'000), base::MicroMoney(100), 10};
+    kind.wallTime = base::Milliseconds(60'000);
+    return kind;
+}
+
+CallRequest toolCall(std::uint32_t number, const std::optional<base::Digest> &extends)
+{
+    CallRequest request;
+    request.number = base::CallNumber(number);
+    request.kind = CallKind::Tool;
+    request.target = base::TargetName("charge");
+    request.input = "12 pouches";
+    request.idempotent = false;
+    request.extends = extends;
+    return request;
+}
+
+template <class Kind>
+const Kind *firstOf(const std::vector<Action> &actions)
+{
+    for (const Action &action : actions) {
+        if (const auto *kind = std::get_if<Kind>(&action)) {
+            return kind;
+        }
+    }
+    return nullptr;
+}
+
+}
+
+TEST_GROUP(Step)
+{
+    ProgramTree tree;
+    const base::ProgramId id{"order-1"};
+
+    void setup() override
+    {
+        step(tree, OpenProgram{{id, base::KindName("chat"), base::AccountId("huye"), std::nullopt}, policy()}, start);
+    }
+
+    std::vector<Action> startCall(const CallRequest &request)
+    {
+        return step(tree, StartCall{id, request}, start);
+    }
+};
+
+TEST(Step, NonIdempotentCallIsDispatchedOnlyOnceItsClaimIsDurable)
+{
+    const auto started = startCall(toolCall(1, std::nullopt));
+    CHECK(firstOf<DispatchCall>(started) == nullptr);
+    const auto *stored = firstOf<StoreBeforeCall>(started);
+    CHECK(stored != nullptr);
+    CHECK(std::holds_alternative<CallClaimed>(stored->records.back()));
+    CHECK(firstOf<DispatchCall>(step(tree, CallStored{id, base::CallNumber(1)}, start)) != nullptr);
+}
+
+TEST(Step, CallWhoseClaimCouldNotBeStoredWasNotRunAndMayBeAskedAgain)
+{
+    startCall(toolCall(1, std::nullopt));
+    const auto ended = step(tree, CallNotStored{id, base::CallNumber(1), "outage", base::Milliseconds(500)}, start);
+    const auto *finished = firstOf<FinishCall>(ended);
+    CHECK(finished != nullptr);
+    CHECK(std::holds_alternative<NotRun>(finished->outcome));
+    CHECK(firstOf<StoreBeforeCall>(startCall(toolCall(1, std::nullopt))) != nullptr);
+}
+
+TEST(Step, SameCallAskedAgainJoinsAndThenGetsTheStoredAnswer)
+{
+    startCall(toolCall(1, std::nullopt));
+    CHECK(firstOf<JoinCall>(startCall(toolCall(1, std::nullopt))) != nullptr);
+    step(tree, CallStored{id, base::CallNumber(1)}, start);
+    step(tree, CallEnded{id, base::CallNumber(1), Completed{"charged", {}}}, start);
+    const auto again = startCall(toolCall(1, std::nullopt));
+    LONGS_EQUAL(1, again.size());
+    CHECK(firstOf<AnswerNow>(again)->outcome == Outcome(Completed{"charged", {}}));
+}
+
+TEST(Step, AnotherBodyUnderAUsedNumberIsRefused)
+{
+    startCall(toolCall(1, std::nullopt));
+    CallRequest other = toolCall(1, std::nullopt);
+    other.input = "13 pouches";
+    CHECK(firstOf<Refuse>(startCall(other))->code == RefusalCode::CallDiffers);
+}
+
+TEST(Step, CallOutOfOrderIsRefused)
+{
+    CHECK(firstOf<Refuse>(startCall(toolCall(2, std::nullopt)))->code == RefusalCode::CallOutOfOrder);
+}
+
+TEST(Step, CallThatExtendsAnotherHistoryIsRefused)
+{
+    startCall(toolCall(1, std::nullopt));
+    step(tree, CallStored{id, base::CallNumber(1)}, start);
+    step(tree, CallEnded{id, base::CallNumber(1), Completed{"charged", {}}}, start);
+    const auto refused = startCall(toolCall(2, emptyHistory(base::ProgramId("order-2"))));
+    CHECK(firstOf<Refuse>(refused)->code == RefusalCode::HistoryDiffers);
+}
+
+TEST(Step, CallBeyondTheBudgetIsNotRun)
+{
+    CallRequest expensive = toolCall(1, std::nullopt);
+    expensive.maxCost = base::MicroMoney(101);
+    const auto *answer = firstOf<AnswerNow>(startCall(expensive));
+    CHECK(answer != nullptr);
+    CHECK(std::holds_alternative<NotRun>(answer->outcome));
+    CHECK(!std::get<NotRun>(answer->outcome).retryAfter.has_value());
+}
+
+TEST(Step, EndedProgramReleasesWhatEnginesHold)
+{
+    CHECK(firstOf<ReleaseProgram>(step(tree, EndProgram{id}, start)) != nullptr);
+    CHECK(firstOf<Refuse>(startCall(toolCall(1, std::nullopt)))->code == RefusalCode::ProgramHasEnded);
+}
+
+TEST(Step, ClaimOfADeadOwnerBecomesUnknown)
+{
+    ProgramTree next;
+    replay(next, ProgramOpened{tree.programs.at(id).spec, policy(), start, {}});
+    replay(next, CallClaimed{id, toolCall(1, std::nullopt)});
+    LONGS_EQUAL(1, finishReplay(next).size());
+    const auto again = step(next, StartCall{id, toolCall(1, std::nullopt)}, start);
+    CHECK(std::holds_alternative<Unknown>(firstOf<AnswerNow>(again)->outcome));
+}
