Runner: Engine streams are taken line by line as they arrive

Cause: reading a response body through cpprest's buffer starts a task for each byte that is waited for. An entry is ready only once the VM list names anyone (seen: a call answered 'no entry is known yet' behind /readyz).

--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -111,7 +111,7 @@
         if (const auto *vms = std::get_if<std::vector<platform::Vm>>(&result)) {
             m_owners.update(*vms);
             m_directory.update(*vms);
-            m_hasVmList = true;
+            m_hasVmList = m_hasVmList || !vms->empty();
         } else {
             m_log.write(logging::events::platformUnavailable,
                         {{"service", "vm-list"}, {"reason", std::get<platform::PlatformUnavailable>(result).reason}});
--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -1,11 +1,11 @@
 #include "runner/engineupstream.h"
 
+#include "runner/linesink.h"
 #include "runner/sseparser.h"
 
 #include <optional>
 
 #include <cpprest/http_client.h>
-#include <cpprest/producerconsumerstream.h>
 #include <nlohmann/json.hpp>
 
 namespace briarhinge::runner
@@ -16,7 +16,6 @@
 
 using nlohmann::json;
 using web::http::http_response;
-using Buffer = concurrency::streams::container_buffer<std::string>;
 
 constexpr base::Milliseconds retryWhenUnreachable{1000};
 
@@ -52,10 +51,13 @@
     {
     }
 
-    pplx::task<void> read(const http_response &response)
+    /** @return where the response body goes; it keeps this reader alive */
+    concurrency::streams::ostream sink()
     {
-        m_input = response.body();
-        return readLines();
+        const auto lines = std::make_shared<LineSink>([self = shared_from_this()](std::string_view line) {
+            self->m_parser.line(line);
+        });
+        return concurrency::streams::streambuf<std::uint8_t>(lines).create_ostream();
     }
 
     core::Outcome outcome() const
@@ -70,19 +72,6 @@
     }
 
 private:
-    pplx::task<void> readLines()
-    {
-        const auto self = shared_from_this();
-        Buffer buffer;
-        return m_input.read_line(buffer).then([self, buffer](std::size_t count) mutable -> pplx::task<void> {
-            self->m_parser.line(buffer.collection());
-            if (self->m_complete || (count == 0 && self->m_input.is_eof())) {
-                return pplx::task_from_result();
-            }
-            return self->readLines();
-        });
-    }
-
     void event(std::string_view data)
     {
         if (data == endOfStream) {
@@ -122,7 +111,6 @@
     core::Usage m_usage;
     std::string m_error;
     bool m_complete = false;
-    concurrency::streams::istream m_input;
 };
 
 std::string requestBody(const UpstreamCall &call)
@@ -179,10 +167,11 @@
     web::http::http_request request(web::http::methods::POST);
     request.set_request_uri("/v1/chat/completions");
     request.set_body(requestBody(call), "application/json");
+    request.set_response_stream(reader->sink());
     d->client.request(request, cancellation->token())
         .then([reader](const http_response &response) -> pplx::task<std::optional<core::Outcome>> {
             if (response.status_code() == web::http::status_codes::OK) {
-                return reader->read(response).then([reader]() -> std::optional<core::Outcome> {
+                return response.content_ready().then([reader](const http_response &) -> std::optional<core::Outcome> {
                     return reader->outcome();
                 });
             }
--- /dev/null
+++ b/src/libbriarhinge/runner/linesink.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include <cpprest/streams.h>
+
+namespace briarhinge::runner
+{
+
+/**
+ * A stream buffer that only takes bytes and hands on each whole line as it arrives.
+ *
+ * cpprest writes a response body into it on the thread that received it. Reading the body through its own buffer
+ * starts a task for each byte that is waited for.
+ */
+class LineSink : public concurrency::streams::details::streambuf_state_manager<std::uint8_t>
+{
+public:
+    /** @param onLine called with each line, without its end */
+    explicit LineSink(std::function<void(std::string_view)> onLine);
+
+    bool can_seek() const override;
+    bool has_size() const override;
+    std::size_t buffer_size(std::ios_base::openmode direction) const override;
+    void set_buffer_size(std::size_t size, std::ios_base::openmode direction) override;
+    std::size_t in_avail() const override;
+    pos_type getpos(std::ios_base::openmode direction) const override;
+    pos_type seekpos(pos_type position, std::ios_base::openmode direction) override;
+    pos_type seekoff(off_type offset, std::ios_base::seekdir way, std::ios_base::openmode direction) override;
+    bool acquire(std::uint8_t *&pointer, std::size_t &count) override;
+    void release(std::uint8_t *pointer, std::size_t count) override;
+
+private:
+    pplx::task<int_type> _putc(std::uint8_t byte) override;
+    pplx::task<std::size_t> _putn(const std::uint8_t *bytes, std::size_t count) override;
+    pplx::task<int_type> _bumpc() override;
+    int_type _sbumpc() override;
+    pplx::task<int_type> _getc() override;
+    int_type _sgetc() override;
+    pplx::task<int_type> _nextc() override;
+    pplx::task<int_type> _ungetc() override;
+    pplx::task<std::size_t> _getn(std::uint8_t *bytes, std::size_t count) override;
+    std::size_t _scopy(std::uint8_t *bytes, std::size_t count) override;
+    pplx::task<bool> _sync() override;
+    std::uint8_t *_alloc(std::size_t count) override;
+    void _commit(std::size_t count) override;
+
+    void take(std::string_view text);
+
+    std::function<void(std::string_view)> m_onLine;
+    /** The beginning of a line whose end has not arrived. */
+    std::string m_partial;
+};
+
+}
