--- a/src/libbriarhinge/core/budget.cpp
+++ b/src/libbriarhinge/core/budget.cpp
@@ -89,6 +89,11 @@
     return wanted - m_granted;
 }
 
+Amounts Budget::firstGrant() const
+{
+    return grantChunk(m_limit);
+}
+
 void Budget::grant(const Amounts &amounts)
 {
     m_granted = m_granted + amounts;
--- a/src/libbriarhinge/core/budget.h
+++ b/src/libbriarhinge/core/budget.h
@@ -48,6 +48,9 @@
     /** @return what must still be granted durably before @p worstCase may be reserved; nothing when granted already */
     std::optional<Amounts> missingGrant(const Amounts &worstCase) const;
 
+    /** @return the grant that comes with the opening of a program, so that its first calls need no write of their own */
+    Amounts firstGrant() const;
+
     /** Adds a durable grant. */
     void grant(const Amounts &amounts);
 
--- a/src/libbriarhinge/core/program.h
+++ b/src/libbriarhinge/core/program.h
@@ -84,6 +84,8 @@
     base::Timestamp openedAt;
     Budget budget;
     std::map<base::ProgramId, ProgramState> programs;
+    /** When the sweep first found the root program ended; not durable, a new owner counts anew. */
+    std::optional<base::Timestamp> endedAt;
 };
 
 /**
--- a/src/libbriarhinge/core/step.cpp
+++ b/src/libbriarhinge/core/step.cpp
@@ -114,7 +114,7 @@
         tree.policy = event.policy;
         tree.openedAt = now;
         tree.budget = Budget(event.policy.budget);
-        grant = tree.budget.missingGrant({}).value_or(Amounts{});
+        grant = tree.budget.firstGrant();
         tree.budget.grant(grant);
     }
     ProgramState &program = tree.programs[id];
--- a/tests/test_step.cpp
+++ b/tests/test_step.cpp
@@ -124,6 +124,16 @@
     CHECK(!std::get<NotRun>(answer->outcome).retryAfter.has_value());
 }
 
+TEST(Step, FirstModelCallNeedsNoDurableWrite)
+{
+    CallRequest request;
+    request.number = base::CallNumber(1);
+    request.target = base::TargetName("small");
+    request.input = "hello";
+    request.maxTokens = base::Tokens(100);
+    CHECK(firstOf<DispatchCall>(startCall(request)) != nullptr);
+}
+
 TEST(Step, EndedProgramReleasesWhatEnginesHold)
 {
     CHECK(firstOf<ReleaseProgram>(step(tree, EndProgram{id}, start)) != nullptr);
