--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -1,5 +1,9 @@
 #include "entryprocess.h"
 
+#include <random>
+
+#include <fmt/format.h>
+
 namespace briarhinge::daemon
 {
 
@@ -8,26 +12,55 @@
 
 constexpr base::Milliseconds platformTimeout{2000};
 constexpr base::Milliseconds retryWhenDraining{200};
+constexpr base::Milliseconds retryPlatform{200};
+/** Renewals in the time of a lease. */
+constexpr int renewalsPerLease = 3;
 
 bool startsWork(api::Verb verb)
 {
     return verb == api::Verb::OpenProgram || verb == api::Verb::MakeCall;
 }
 
+/** Names one start of an entry. */
+base::ProcessId makeIncarnation(const std::string &name)
+{
+    std::random_device random;
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return base::ProcessId(
+        fmt::format("{}.{}.{:08x}", name, std::chrono::duration_cast<base::Milliseconds>(now).count(), random()));
+}
+
 }
 
 EntryProcess::EntryProcess(const settings::Settings &settings, logging::EventLog &log)
     : m_settings(settings)
     , m_log(log)
     , m_threads(settings.ioThreads)
-    , m_recordLog(m_threads.context())
+    , m_logService(settings.keyValueUrl, platformTimeout)
+    , m_keeperService(settings.keyValueUrl, platformTimeout)
+    , m_owners({makeIncarnation(settings.name), settings.name, settings.listen}, settings.leaseTime + platformTimeout)
+    , m_recordLog(
+          m_logService, m_owners.self().incarnation, {.flushInterval = settings.flushInterval},
+          [this](std::function<void()> work) {
+              boost::asio::post(m_threads.context(), std::move(work));
+          },
+          [this] {
+              m_keeper.superseded();
+          })
     , m_directory([this](const wire::Address &address) {
         return makeChannel(address);
     })
     , m_dispatcher(m_directory, log, settings.zone)
-    , m_service(m_clock, m_recordLog, m_dispatcher, m_policies)
+    , m_service(m_clock, m_recordLog, m_dispatcher, m_policies,
+                [this](const base::ProgramId &root) {
+                    return m_owners.serves(root);
+                })
+    , m_keeper(m_keeperService, m_recordLog, m_service, m_owners, log, settings.leaseTime,
+               [name = settings.name] {
+                   return makeIncarnation(name);
+               })
     , m_router(
-          settings.name, m_owners,
+          m_owners,
           [this](const wire::Address &address) {
               return makeChannel(address);
           },
@@ -42,7 +75,7 @@
           [](const std::shared_ptr<wire::FrameSession> &, const std::string &) {})
     , m_endpoint(settings.httpListen,
                  {[this] {
-                      return m_hasVmList && !m_draining;
+                      return m_hasVmList && m_hasTable && !m_draining;
                   },
                   [this] {
                       return m_metrics.text();
@@ -61,6 +94,8 @@
 EntryProcess::~EntryProcess()
 {
     m_vmListThread.request_stop();
+    m_keeperThread.request_stop();
+    m_keeperThread = {};
     m_endpoint.stop();
     m_server.stop();
     m_threads.stop();
@@ -75,17 +110,21 @@
     m_vmListThread = std::jthread([this](const std::stop_token &stop) {
         followVmList(stop);
     });
+    m_keeperThread = std::jthread([this](const std::stop_token &stop) {
+        keepOwnership(stop);
+    });
     return m_endpoint.start();
 }
 
 void EntryProcess::drain()
 {
     m_draining = true;
+    m_keeper.resign();
 }
 
 std::size_t EntryProcess::inProgress() const
 {
-    return m_endpoint.inProgress();
+    return m_endpoint.inProgress() + m_router.forwardedInProgress() + (m_keeper.hasToHandOver() ? 1 : 0);
 }
 
 std::shared_ptr<wire::FrameChannel> EntryProcess::makeChannel(const wire::Address &address)
@@ -109,7 +148,6 @@
     while (!stop.stop_requested()) {
         const auto result = client.read();
         if (const auto *vms = std::get_if<std::vector<platform::Vm>>(&result)) {
-            m_owners.update(*vms);
             m_directory.update(*vms);
             m_hasVmList = true;
         } else {
@@ -120,4 +158,17 @@
     }
 }
 
+void EntryProcess::keepOwnership(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        if (m_keeper.pass()) {
+            m_hasTable = true;
+            m_keeper.waitForChange(m_settings.leaseTime / renewalsPerLease);
+        } else {
+            std::this_thread::sleep_for(retryPlatform);
+        }
+    }
+    m_keeper.leave();
+}
+
 }
--- a/src/briarhinged/entryprocess.h
+++ b/src/briarhinged/entryprocess.h
@@ -1,14 +1,16 @@
 #pragma once
 
 #include "entry/fixedpolicies.h"
-#include "entry/memorylog.h"
+#include "entry/ownershipkeeper.h"
 #include "entry/requestrouter.h"
 #include "http/callerendpoint.h"
 #include "logging/eventlog.h"
 #include "metrics/metrics.h"
 #include "placement/rundispatcher.h"
+#include "platform/httpkeyvalue.h"
 #include "service/programservice.h"
 #include "settings/settings.h"
+#include "state/keyvaluelog.h"
 #include "wire/frameserver.h"
 #include "wire/iothreads.h"
 
@@ -32,16 +34,18 @@
     /** Takes no new calls from now on. */
     void drain();
 
-    /** @return callers' requests that have no final answer yet */
+    /** @return requests that have no final answer yet, and the handover while it is due */
     std::size_t inProgress() const;
 
 private:
-    using Service =
-        service::ProgramService<base::SystemClock, entry::MemoryLog, placement::RunDispatcher, entry::FixedPolicies>;
+    using Log = state::KeyValueLog<platform::HttpKeyValue>;
+    using Service = service::ProgramService<base::SystemClock, Log, placement::RunDispatcher, entry::FixedPolicies>;
+    using Keeper = entry::OwnershipKeeper<platform::HttpKeyValue, Log, Service>;
 
     std::shared_ptr<wire::FrameChannel> makeChannel(const wire::Address &address);
     void handleLocal(const api::ClientRequest &request, const api::ClientSink &sink);
     void followVmList(const std::stop_token &stop);
+    void keepOwnership(const std::stop_token &stop);
 
     const settings::Settings &m_settings;
     logging::EventLog &m_log;
@@ -49,17 +53,23 @@
     metrics::Metrics m_metrics;
     base::SystemClock m_clock;
     entry::FixedPolicies m_policies;
-    entry::MemoryLog m_recordLog;
+    /** Connections of their own, so that the log never waits behind a watch. */
+    platform::HttpKeyValue m_logService;
+    platform::HttpKeyValue m_keeperService;
+    entry::OwnerMap m_owners;
+    Log m_recordLog;
     placement::RunnerDirectory m_directory;
     placement::RunDispatcher m_dispatcher;
     Service m_service;
-    entry::OwnerMap m_owners;
+    Keeper m_keeper;
     entry::RequestRouter m_router;
     wire::FrameServer m_server;
     http::CallerEndpoint m_endpoint;
     std::atomic<bool> m_draining{false};
     std::atomic<bool> m_hasVmList{false};
+    std::atomic<bool> m_hasTable{false};
     std::jthread m_vmListThread;
+    std::jthread m_keeperThread;
 };
 
 }
--- a/src/libbriarhinge/core/budget.cpp
+++ b/src/libbriarhinge/core/budget.cpp
@@ -64,6 +64,13 @@
 {
 }
 
+Budget::Budget(Amounts limit, Amounts granted, Amounts spent)
+    : m_limit(limit)
+    , m_granted(granted)
+    , m_spent(spent)
+{
+}
+
 std::optional<std::string> Budget::shortfall(const Amounts &worstCase) const
 {
     const Amounts left = m_limit - (m_spent + m_reserved);
@@ -91,7 +98,8 @@
 
 void Budget::grant(const Amounts &amounts)
 {
-    m_granted = m_granted + amounts;
+    // A grant whose answer was lost may be in the log twice.
+    m_granted = atMost(m_granted + amounts, m_limit);
 }
 
 void Budget::reserve(const Amounts &worstCase)
--- a/src/libbriarhinge/core/budget.h
+++ b/src/libbriarhinge/core/budget.h
@@ -42,13 +42,22 @@
     /** @param limit what may be spent in total */
     explicit Budget(Amounts limit);
 
+    /**
+     * Restores an account.
+     *
+     * @param limit what may be spent in total
+     * @param granted what was granted durably
+     * @param spent what was spent
+     */
+    Budget(Amounts limit, Amounts granted, Amounts spent);
+
     /** @return the resource that can't cover @p worstCase within the limit, or nothing when all can */
     std::optional<std::string> shortfall(const Amounts &worstCase) const;
 
     /** @return what must still be granted durably before @p worstCase may be reserved; nothing when granted already */
     std::optional<Amounts> missingGrant(const Amounts &worstCase) const;
 
-    /** Adds a durable grant. */
+    /** Adds a durable grant; all grants together stay within the limit. @param amounts what was granted */
     void grant(const Amounts &amounts);
 
     /** Sets @p worstCase aside for a call. */
--- a/src/libbriarhinge/core/program.h
+++ b/src/libbriarhinge/core/program.h
@@ -84,6 +84,8 @@
     base::Timestamp openedAt;
     Budget budget;
     std::map<base::ProgramId, ProgramState> programs;
+    /** During a replay: whether the last record settled the budget. */
+    bool settled = false;
 };
 
 /**
--- a/src/libbriarhinge/core/record.cpp
+++ b/src/libbriarhinge/core/record.cpp
@@ -13,6 +13,9 @@
 
 bool apply(ProgramTree &tree, const ProgramOpened &record)
 {
+    if (tree.programs.contains(record.spec.id)) {
+        return false;
+    }
     ProgramState &program = tree.programs[record.spec.id];
     program.spec = record.spec;
     program.head = emptyHistory(record.spec.id);
@@ -31,6 +34,12 @@
     return true;
 }
 
+bool apply(ProgramTree &tree, const BudgetState &record)
+{
+    tree.budget = Budget(tree.policy.budget, record.granted, record.spent);
+    return true;
+}
+
 ProgramState *find(ProgramTree &tree, const base::ProgramId &id)
 {
     const auto found = tree.programs.find(id);
@@ -97,7 +106,7 @@
             using Kind = std::decay_t<decltype(changed)>;
             if constexpr (std::is_same_v<Kind, ProgramOpened>) {
                 return rootOf(changed.spec.id);
-            } else if constexpr (std::is_same_v<Kind, BudgetGranted>) {
+            } else if constexpr (std::is_same_v<Kind, BudgetGranted> || std::is_same_v<Kind, BudgetState>) {
                 return changed.root;
             } else {
                 return rootOf(changed.program);
@@ -108,6 +117,8 @@
 
 bool replay(ProgramTree &tree, const Record &record)
 {
+    const auto *state = std::get_if<BudgetState>(&record);
+    tree.settled = state != nullptr && state->settled;
     return std::visit(
         [&](const auto &changed) {
             return apply(tree, changed);
@@ -118,7 +129,10 @@
 std::vector<Record> finishReplay(ProgramTree &tree)
 {
     std::vector<Record> records;
-    tree.budget.forfeitGrants();
+    if (!tree.settled) {
+        tree.budget.forfeitGrants();
+    }
+    tree.settled = false;
     for (auto &[id, program] : tree.programs) {
         const auto found = program.calls.find(program.nextCall);
         if (found == program.calls.end()) {
@@ -132,4 +146,60 @@
     return records;
 }
 
+namespace
+{
+
+/** What the log says is granted: the records of calls that wait to be stored are in it already. */
+Amounts grantedInLog(const ProgramTree &tree)
+{
+    Amounts granted = tree.budget.granted();
+    for (const auto &[id, program] : tree.programs) {
+        for (const auto &[number, call] : program.calls) {
+            granted = granted + call.pendingGrant.value_or(Amounts{});
+        }
+    }
+    return granted;
+}
+
+void addCalls(const ProgramState &program, std::vector<Record> &records)
+{
+    for (const auto &[number, call] : program.calls) {
+        if (call.stage == CallStage::Finished) {
+            records.emplace_back(TurnFinished{program.spec.id, call.request, *call.outcome});
+        } else if (!call.request.idempotent) {
+            records.emplace_back(CallClaimed{program.spec.id, call.request});
+        }
+    }
+}
+
+}
+
+std::vector<Record> snapshotOf(const ProgramTree &tree)
+{
+    std::vector<Record> records;
+    std::vector<Record> ends;
+    for (const auto &[id, program] : tree.programs) {
+        records.emplace_back(ProgramOpened{program.spec, tree.policy, tree.openedAt, {}});
+        addCalls(program, records);
+        if (program.ended) {
+            ends.emplace_back(ProgramEnded{id});
+        }
+    }
+    records.insert(records.end(), ends.begin(), ends.end());
+    if (!tree.programs.empty()) {
+        records.emplace_back(
+            BudgetState{rootOf(tree.programs.begin()->first), grantedInLog(tree), tree.budget.spent(), isIdle(tree)});
+    }
+    return records;
+}
+
+bool isIdle(const ProgramTree &tree)
+{
+    return std::all_of(tree.programs.begin(), tree.programs.end(), [](const auto &program) {
+        return std::all_of(program.second.calls.begin(), program.second.calls.end(), [](const auto &call) {
+            return call.second.stage == CallStage::Finished;
+        });
+    });
+}
+
 }
--- a/src/libbriarhinge/core/record.h
+++ b/src/libbriarhinge/core/record.h
@@ -63,8 +63,21 @@
     bool operator==(const ProgramEnded &) const = default;
 };
 
+/** The whole account of a budget at this place of the log; replaces what earlier records said. */
+struct BudgetState
+{
+    base::ProgramId root;
+    Amounts granted;
+    Amounts spent;
+    /** Whether no call was under way: the difference of both is then still to spend. */
+    bool settled = false;
+
+    bool operator==(const BudgetState &) const = default;
+};
+
 /** One entry of the durable log of an owner. */
-using Record = std::variant<ProgramOpened, BudgetGranted, CallClaimed, ClaimWithdrawn, TurnFinished, ProgramEnded>;
+using Record =
+    std::variant<ProgramOpened, BudgetGranted, CallClaimed, ClaimWithdrawn, TurnFinished, ProgramEnded, BudgetState>;
 
 /**
  * @param record a record
@@ -84,11 +97,25 @@
 bool replay(ProgramTree &tree, const Record &record);
 
 /**
- * Closes the replay of a dead owner's records: claims without an end become Unknown, open grants count as spent.
+ * Closes the replay of a dead owner's records: claims without an end become Unknown, open grants count as spent
+ * unless the budget was settled by a planned handover.
  *
  * @param tree the tree that was replayed
  * @return the records that make these endings durable in the new owner's log
  */
 std::vector<Record> finishReplay(ProgramTree &tree);
 
+/**
+ * Lists the records from which a tree can be built again, so that the records before them are not needed any more.
+ *
+ * Replayed over the tree itself they change nothing: a snapshot that was cut off loses nothing either.
+ *
+ * @param tree the tree
+ * @return the records, in the order of replay
+ */
+std::vector<Record> snapshotOf(const ProgramTree &tree);
+
+/** @param tree a tree @return whether no call of it is under way */
+bool isIdle(const ProgramTree &tree);
+
 }
--- a/src/libbriarhinge/entry/ownermap.cpp
+++ b/src/libbriarhinge/entry/ownermap.cpp
@@ -1,47 +1,102 @@
 #include "entry/ownermap.h"
 
-#include "base/digest.h"
-
-#include <algorithm>
+#include "core/program.h"
 
 namespace briarhinge::entry
 {
 
-base::PartitionId partitionOf(const base::ProgramId &root)
+OwnerMap::OwnerMap(state::EntryInfo self, base::Milliseconds staleAfter)
+    : m_staleAfter(staleAfter)
+    , m_self(std::move(self))
+    , m_confirmedAt(SteadyClock::now())
 {
-    return base::PartitionId(static_cast<std::uint32_t>(base::stableHash(root.value()) % partitionCount));
 }
 
-std::optional<std::string> rendezvousOwner(base::PartitionId partition, const std::vector<std::string> &entries)
+void OwnerMap::restart(state::EntryInfo self)
 {
-    const std::string suffix = "/" + std::to_string(partition.value());
-    const auto owner = std::max_element(entries.begin(), entries.end(), [&](const auto &left, const auto &right) {
-        return base::stableHash(left + suffix) < base::stableHash(right + suffix);
-    });
-    return owner == entries.end() ? std::nullopt : std::optional(*owner);
+    const std::lock_guard lock(m_mutex);
+    m_self = std::move(self);
+    m_adopted.clear();
+    m_blocked.clear();
+    m_steppedDown = false;
 }
 
-void OwnerMap::update(const std::vector<platform::Vm> &vms)
+void OwnerMap::install(state::PartitionTable table)
 {
     const std::lock_guard lock(m_mutex);
-    m_entries.clear();
-    std::copy_if(vms.begin(), vms.end(), std::back_inserter(m_entries), [](const platform::Vm &vm) {
-        return vm.role == "entry" && !vm.leaving;
+    m_table = std::move(table);
+    std::erase_if(m_adopted, [this](base::PartitionId partition) {
+        return !ownsLocked(partition);
     });
 }
 
-std::optional<platform::Vm> OwnerMap::ownerOf(const base::ProgramId &root) const
+void OwnerMap::confirm()
+{
+    const std::lock_guard lock(m_mutex);
+    m_confirmedAt = SteadyClock::now();
+}
+
+void OwnerMap::stepDown()
+{
+    const std::lock_guard lock(m_mutex);
+    m_steppedDown = true;
+}
+
+void OwnerMap::markAdopted(const std::set<base::PartitionId> &partitions)
+{
+    const std::lock_guard lock(m_mutex);
+    m_adopted.insert(partitions.begin(), partitions.end());
+}
+
+bool OwnerMap::isAdopted(base::PartitionId partition) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_adopted.contains(partition);
+}
+
+void OwnerMap::block(std::set<base::PartitionId> partitions)
+{
+    const std::lock_guard lock(m_mutex);
+    m_blocked = std::move(partitions);
+}
+
+state::EntryInfo OwnerMap::self() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_self;
+}
+
+std::optional<state::EntryInfo> OwnerMap::ownerOf(const base::ProgramId &root) const
 {
     const std::lock_guard lock(m_mutex);
-    std::vector<std::string> names;
-    for (const platform::Vm &vm : m_entries) {
-        names.push_back(vm.name);
+    if (!m_table) {
+        return std::nullopt;
     }
-    const auto owner = rendezvousOwner(partitionOf(root), names);
-    const auto found = std::find_if(m_entries.begin(), m_entries.end(), [&](const platform::Vm &vm) {
-        return vm.name == owner;
-    });
-    return found == m_entries.end() ? std::nullopt : std::optional(*found);
+    const auto &owner = m_table->partitions[state::partitionOf(root).value()].owner;
+    const auto found = m_table->entries.find(owner);
+    return found == m_table->entries.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool OwnerMap::owns(base::PartitionId partition) const
+{
+    const std::lock_guard lock(m_mutex);
+    return ownsLocked(partition);
+}
+
+bool OwnerMap::serves(const base::ProgramId &root) const
+{
+    const base::PartitionId partition = state::partitionOf(root);
+    const std::lock_guard lock(m_mutex);
+    if (m_steppedDown || !ownsLocked(partition) || m_blocked.contains(partition)
+        || SteadyClock::now() - m_confirmedAt > m_staleAfter) {
+        return false;
+    }
+    return m_table->partitions[partition.value()].sources.empty() || m_adopted.contains(partition);
+}
+
+bool OwnerMap::ownsLocked(base::PartitionId partition) const
+{
+    return m_table && m_table->partitions[partition.value()].owner == m_self.incarnation;
 }
 
 }
--- a/src/libbriarhinge/entry/ownermap.h
+++ b/src/libbriarhinge/entry/ownermap.h
@@ -1,45 +1,72 @@
 #pragma once
 
-#include "base/ids.h"
-#include "platform/vmlist.h"
+#include "base/units.h"
+#include "state/partitiontable.h"
 
+#include <chrono>
 #include <mutex>
 #include <optional>
-#include <string>
-#include <vector>
+#include <set>
 
 namespace briarhinge::entry
 {
 
-/** The fixed number of groups that programs hash to. */
-inline constexpr std::uint32_t partitionCount = 1024;
-
-/** @param root a root program @return its partition */
-base::PartitionId partitionOf(const base::ProgramId &root);
-
-/**
- * Names the owner of a partition by rendezvous hashing: a change of the entries moves only the partitions of those
- * that came or went.
- *
- * @param partition the partition
- * @param entries the names of the live entries
- * @return the name of its owner; nothing when there are no entries
- */
-std::optional<std::string> rendezvousOwner(base::PartitionId partition, const std::vector<std::string> &entries);
-
-/** Knows the live entries, and with them the owner of each program. */
+/** What this entry knows of the owners of programs, and which programs it may serve itself right now. */
 class OwnerMap
 {
 public:
-    /** Takes in the VM list. @param vms every VM; those that are no entries are passed over */
-    void update(const std::vector<platform::Vm> &vms);
+    /**
+     * @param self this incarnation
+     * @param staleAfter without a confirmation for so long nothing is served, as after a pause of the process
+     */
+    OwnerMap(state::EntryInfo self, base::Milliseconds staleAfter);
+
+    /** Begins a new incarnation, which serves nothing yet. @param self the new incarnation */
+    void restart(state::EntryInfo self);
+
+    /** Takes in the table as it was read. @param table the table */
+    void install(state::PartitionTable table);
+
+    /** Notes that this process is known to be running and in touch, or that the service is known to be away. */
+    void confirm();
+
+    /** Serves nothing until the next restart(). */
+    void stepDown();
+
+    /** Notes partitions whose programs this process has now. @param partitions the partitions */
+    void markAdopted(const std::set<base::PartitionId> &partitions);
 
-    /** @param root a root program @return the VM of its owner; nothing when there is none */
-    std::optional<platform::Vm> ownerOf(const base::ProgramId &root) const;
+    /** @param partition a partition @return whether it was adopted by this incarnation, by whatever the table says */
+    bool isAdopted(base::PartitionId partition) const;
+
+    /** Serves partitions no longer, as before they are handed over. @param partitions replaces those named before */
+    void block(std::set<base::PartitionId> partitions);
+
+    /** @return this incarnation */
+    state::EntryInfo self() const;
+
+    /** @param root a root program @return its owner; nothing when none is known */
+    std::optional<state::EntryInfo> ownerOf(const base::ProgramId &root) const;
+
+    /** @param partition a partition @return whether this incarnation is its owner by the table */
+    bool owns(base::PartitionId partition) const;
+
+    /** @param root a root program @return whether this process may serve it now */
+    bool serves(const base::ProgramId &root) const;
 
 private:
+    using SteadyClock = std::chrono::steady_clock;
+
+    bool ownsLocked(base::PartitionId partition) const;
+
+    const base::Milliseconds m_staleAfter;
     mutable std::mutex m_mutex;
-    std::vector<platform::Vm> m_entries;
+    state::EntryInfo m_self;
+    std::optional<state::PartitionTable> m_table;
+    std::set<base::PartitionId> m_adopted;
+    std::set<base::PartitionId> m_blocked;
+    SteadyClock::time_point m_confirmedAt;
+    bool m_steppedDown = false;
 };
 
 }
--- a/src/libbriarhinge/entry/requestrouter.cpp
+++ b/src/libbriarhinge/entry/requestrouter.cpp
@@ -47,10 +47,8 @@
 
 }
 
-RequestRouter::RequestRouter(std::string self, const OwnerMap &owners, ChannelFactory makeChannel,
-                             api::ClientHandler local)
-    : m_self(std::move(self))
-    , m_owners(owners)
+RequestRouter::RequestRouter(const OwnerMap &owners, ChannelFactory makeChannel, api::ClientHandler local)
+    : m_owners(owners)
     , m_makeChannel(std::move(makeChannel))
     , m_local(std::move(local))
 {
@@ -67,7 +65,7 @@
         sink.reply(notRun(request, "no entry is known yet"));
         return;
     }
-    if (owner->name == m_self) {
+    if (owner->incarnation == m_owners.self().incarnation) {
         m_local(std::move(request), std::move(sink));
         return;
     }
@@ -94,7 +92,9 @@
         answer.message.Set(std::move(chunk));
         session->send(answer);
     };
-    sink.reply = [session, id = frame.request_id](const api::ClientReply &reply) {
+    ++m_forwarded;
+    sink.reply = [this, session, id = frame.request_id](const api::ClientReply &reply) {
+        --m_forwarded;
         wire::FrameT answer;
         answer.request_id = id;
         answer.last = true;
@@ -104,6 +104,11 @@
     m_local(wire::fromWire(*forwarded), std::move(sink));
 }
 
+std::size_t RequestRouter::forwardedInProgress() const
+{
+    return m_forwarded;
+}
+
 std::shared_ptr<wire::FrameChannel> RequestRouter::channelTo(const wire::Address &address)
 {
     const std::lock_guard lock(m_mutex);
@@ -114,7 +119,8 @@
     return channel;
 }
 
-void RequestRouter::forward(const platform::Vm &owner, const api::ClientRequest &request, const api::ClientSink &sink)
+void RequestRouter::forward(const state::EntryInfo &owner, const api::ClientRequest &request,
+                            const api::ClientSink &sink)
 {
     wire::MessageUnion message;
     message.Set(wire::toWire(request));
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -36,6 +36,13 @@
 inline constexpr EventKind peerLost{202, "peer-lost", Level::Info};
 inline constexpr EventKind platformUnavailable{300, "platform-unavailable", Level::Warning};
 inline constexpr EventKind platformAvailable{301, "platform-available", Level::Info};
+inline constexpr EventKind ownerSuperseded{310, "owner-superseded", Level::Warning};
+inline constexpr EventKind leaseLapsed{311, "lease-lapsed", Level::Warning};
+inline constexpr EventKind entryTakenOver{312, "entry-taken-over", Level::Warning};
+inline constexpr EventKind takeoverFailed{313, "takeover-failed", Level::Warning};
+inline constexpr EventKind partitionsAdopted{314, "partitions-adopted", Level::Info};
+inline constexpr EventKind partitionsHandedOver{315, "partitions-handed-over", Level::Info};
+inline constexpr EventKind badPartitionTable{316, "bad-partition-table", Level::Error};
 inline constexpr EventKind requestRefused{400, "request-refused", Level::Info};
 inline constexpr EventKind callFinished{401, "call-finished", Level::Info};
 inline constexpr EventKind callRetried{402, "call-retried", Level::Info};
@@ -44,9 +51,10 @@
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
 inline constexpr std::array all{
-    processStarted, processStopping, processStopped,      settingsRefused,   stoppedEarly,   badFrame,
-    peerConnected,  peerLost,        platformUnavailable, platformAvailable, requestRefused, callFinished,
-    callRetried,    upstreamFailed,  upstreamDraining,    invariantViolated,
+    processStarted, processStopping, processStopped,      settingsRefused,      stoppedEarly,      badFrame,
+    peerConnected,  peerLost,        platformUnavailable, platformAvailable,    requestRefused,    callFinished,
+    callRetried,    upstreamFailed,  upstreamDraining,    invariantViolated,    ownerSuperseded,   leaseLapsed,
+    entryTakenOver, takeoverFailed,  partitionsAdopted,   partitionsHandedOver, badPartitionTable,
 };
 
 }
--- a/src/libbriarhinge/service/programservice.h
+++ b/src/libbriarhinge/service/programservice.h
@@ -6,6 +6,8 @@
 #include "service/concepts.h"
 
 #include <array>
+#include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -27,18 +29,25 @@
      * @param log keeps the records
      * @param dispatcher runs the calls
      * @param policies knows the kinds of programs
+     * @param serves whether this process may serve a root program now; always when empty
      */
-    ProgramService(const ClockT &clock, LogT &log, DispatcherT &dispatcher, const PoliciesT &policies)
+    ProgramService(const ClockT &clock, LogT &log, DispatcherT &dispatcher, const PoliciesT &policies,
+                   std::function<bool(const base::ProgramId &root)> serves = {})
         : m_clock(clock)
         , m_log(log)
         , m_dispatcher(dispatcher)
         , m_policies(policies)
+        , m_serves(std::move(serves))
     {
     }
 
     /** Answers a request of a caller. @param request what it wants @param sink where the answer goes */
     void handle(const api::ClientRequest &request, const api::ClientSink &sink)
     {
+        if (m_serves && !m_serves(core::rootOf(request.program))) {
+            sink.reply(notServed(request.program));
+            return;
+        }
         switch (request.verb) {
         case api::Verb::OpenProgram:
             open(request, sink);
@@ -63,18 +72,31 @@
     {
         Shard &shard = shardOf(root);
         const std::lock_guard lock(shard.mutex);
-        shard.trees[root].tree = std::move(tree);
+        Slot &slot = shard.trees[root];
+        slot.tree = std::move(tree);
+        slot.generation = ++m_generations;
     }
 
-    /** Forgets the trees that a predicate names. @param isForgotten called with each root program's id */
+    /** Forgets trees and tells those who wait for their calls. @param isForgotten called with each root program's id */
     template <class Predicate>
     void forget(Predicate isForgotten)
     {
         for (Shard &shard : m_shards) {
-            const std::lock_guard lock(shard.mutex);
-            std::erase_if(shard.trees, [&](const auto &slot) {
-                return isForgotten(slot.first);
-            });
+            Deferred deferred;
+            {
+                const std::lock_guard lock(shard.mutex);
+                for (auto slot = shard.trees.begin(); slot != shard.trees.end();) {
+                    if (!isForgotten(slot->first)) {
+                        ++slot;
+                        continue;
+                    }
+                    abandonStreams(slot->second, deferred);
+                    slot = shard.trees.erase(slot);
+                }
+            }
+            for (const auto &work : deferred) {
+                work();
+            }
         }
     }
 
@@ -99,6 +121,8 @@
     {
         core::ProgramTree tree;
         std::map<CallKey, std::shared_ptr<CallStream>> streams;
+        /** Tells this stay of the tree in this process from an earlier one. */
+        std::uint64_t generation = 0;
     };
 
     struct Shard
@@ -110,6 +134,26 @@
     /** Work that follows an event once the shard's lock is free again. */
     using Deferred = std::vector<std::function<void()>>;
 
+    /** Ends the calls of a tree that another process owns from now on. */
+    static void abandonStreams(Slot &slot, Deferred &deferred)
+    {
+        for (auto &[key, stream] : slot.streams) {
+            const core::Unknown lost{"another entry owns the program now; ask again with the same call number"};
+            deferred.emplace_back([stream = std::move(stream),
+                                   reply = api::toReply(api::CallView{key.first, key.second, lost, {}, false})] {
+                stream->finish(reply);
+            });
+        }
+    }
+
+    /** @return what to say about a program that this process may not serve now */
+    static api::ClientReply notServed(const base::ProgramId &program)
+    {
+        constexpr base::Milliseconds retryAfter{200};
+        return api::toReply(
+            api::CallView{program, {}, core::NotRun{"the program changes its owner", retryAfter}, {}, false});
+    }
+
     Shard &shardOf(const base::ProgramId &root)
     {
         return m_shards[base::stableHash(root.value()) % shardCount];
@@ -227,23 +271,27 @@
         return api::toReply(view);
     }
 
-    /** Feeds one event to the core and carries out what it decides. */
+    /**
+     * Feeds one event to the core and carries out what it decides.
+     *
+     * @param sink the caller, for an event that a caller caused
+     * @param generation the stay of the tree that the event belongs to; 0 for any
+     */
     void run(const base::ProgramId &program, const core::Event &event, const api::ClientSink *sink,
-             std::uint64_t offset)
+             std::uint64_t offset, std::uint64_t generation = 0)
     {
         const base::ProgramId root = core::rootOf(program);
         Shard &shard = shardOf(root);
         Deferred deferred;
         {
             const std::lock_guard lock(shard.mutex);
-            Slot &slot = shard.trees[root];
-            for (core::Action &action : core::step(slot.tree, event, m_clock.now())) {
-                std::visit(
-                    [&](auto &decided) {
-                        perform(slot, decided, sink, offset, deferred);
-                    },
-                    action);
+            // Asked under the lock: who stops serving a program sees every request that got in before.
+            if (sink != nullptr && m_serves && !m_serves(root)) {
+                answer(sink, notServed(program), deferred);
+            } else {
+                carryOut(shard.trees[root], event, sink, offset, generation, deferred);
             }
+            const Slot &slot = shard.trees[root];
             if (slot.tree.programs.empty()) {
                 shard.trees.erase(root);
             }
@@ -253,6 +301,24 @@
         }
     }
 
+    void carryOut(Slot &slot, const core::Event &event, const api::ClientSink *sink, std::uint64_t offset,
+                  std::uint64_t generation, Deferred &deferred)
+    {
+        if (slot.generation == 0) {
+            slot.generation = ++m_generations;
+        }
+        if (generation != 0 && slot.generation != generation) {
+            return;
+        }
+        for (core::Action &action : core::step(slot.tree, event, m_clock.now())) {
+            std::visit(
+                [&](auto &decided) {
+                    perform(slot, decided, sink, offset, deferred);
+                },
+                action);
+        }
+    }
+
     void perform(Slot &, const core::Refuse &action, const api::ClientSink *sink, std::uint64_t, Deferred &deferred)
     {
         answer(sink, api::toReply(action), deferred);
@@ -284,21 +350,23 @@
         }
     }
 
-    void perform(Slot &, core::StoreBeforeCall &action, const api::ClientSink *, std::uint64_t, Deferred &)
+    void perform(Slot &slot, core::StoreBeforeCall &action, const api::ClientSink *, std::uint64_t, Deferred &)
     {
         m_log.appendNow(std::move(action.records),
-                        [this, program = action.program, number = action.number](const StoreResult &result) {
-                            stored(program, number, result);
+                        [this, program = action.program, number = action.number,
+                         generation = slot.generation](const StoreResult &result) {
+                            stored(program, number, generation, result);
                         });
     }
 
-    void perform(Slot &, core::StoreLater &action, const api::ClientSink *, std::uint64_t, Deferred &)
+    void perform(Slot &slot, core::StoreLater &action, const api::ClientSink *, std::uint64_t, Deferred &)
     {
         StoreHandler handler = [](const StoreResult &) {};
         if (const auto *turn = std::get_if<core::TurnFinished>(&action.record)) {
-            handler = [this, program = turn->program, number = turn->request.number](const StoreResult &result) {
+            handler = [this, program = turn->program, number = turn->request.number,
+                       generation = slot.generation](const StoreResult &result) {
                 if (std::holds_alternative<Stored>(result)) {
-                    run(program, core::TurnCommitted{program, number}, nullptr, 0);
+                    run(program, core::TurnCommitted{program, number}, nullptr, 0, generation);
                 }
             };
         }
@@ -312,9 +380,9 @@
         observer.chunk = [stream](std::uint64_t offset, const std::string &text) {
             stream->append(offset, text);
         };
-        observer.ended = [this, program = action.program,
-                          number = action.request.number](const core::Outcome &outcome) {
-            run(program, core::CallEnded{program, number, outcome}, nullptr, 0);
+        observer.ended = [this, program = action.program, number = action.request.number,
+                          generation = slot.generation](const core::Outcome &outcome) {
+            run(program, core::CallEnded{program, number, outcome}, nullptr, 0, generation);
         };
         deferred.emplace_back([this, call = std::move(action), observer = std::move(observer)] {
             m_dispatcher.dispatch(call, observer);
@@ -356,19 +424,23 @@
         }
     }
 
-    void stored(const base::ProgramId &program, base::CallNumber number, const StoreResult &result)
+    void stored(const base::ProgramId &program, base::CallNumber number, std::uint64_t generation,
+                const StoreResult &result)
     {
         if (const auto *refused = std::get_if<NotStored>(&result)) {
-            run(program, core::CallNotStored{program, number, refused->reason, refused->retryAfter}, nullptr, 0);
+            run(program, core::CallNotStored{program, number, refused->reason, refused->retryAfter}, nullptr, 0,
+                generation);
             return;
         }
-        run(program, core::CallStored{program, number}, nullptr, 0);
+        run(program, core::CallStored{program, number}, nullptr, 0, generation);
     }
 
     const ClockT &m_clock;
     LogT &m_log;
     DispatcherT &m_dispatcher;
     const PoliciesT &m_policies;
+    std::function<bool(const base::ProgramId &root)> m_serves;
+    std::atomic<std::uint64_t> m_generations{0};
     std::array<Shard, shardCount> m_shards;
 };
 
--- /dev/null
+++ b/src/libbriarhinge/state/keyvaluelog.h
@@ -0,0 +1,433 @@
+#pragma once
+
+#include "platform/keyvalue.h"
+#include "service/concepts.h"
+#include "state/logkeys.h"
+#include "state/recordcodec.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace briarhinge::state
+{
+
+/** How a log writes. */
+struct LogSettings
+{
+    /** How long a deferred record may wait for others. */
+    base::Milliseconds flushInterval{2000};
+    /** Time between two attempts at a write that is not confirmed. */
+    base::Milliseconds retryInterval{500};
+    /** Most bytes of records in one value; the service takes 1 MB. */
+    std::size_t maxBatchBytes = std::size_t{900} * 1024;
+};
+
+/**
+ * The durable log of one incarnation of an entry, in the platform's key-value service.
+ *
+ * Each position is created once. Whoever holds a position that this log wants has sealed the log: the incarnation is
+ * superseded and nothing more is stored. One write is under way at a time, so the order of the log is the order of
+ * the appends, and at most one position is ever in doubt.
+ */
+template <platform::KeyValueService KeyValueT>
+class KeyValueLog
+{
+public:
+    /** Runs work on a thread of the process. */
+    using Executor = std::function<void(std::function<void()>)>;
+
+    /**
+     * @param service the platform's service
+     * @param incarnation whose log it is
+     * @param settings how it writes
+     * @param execute runs the handlers
+     * @param superseded told once when the log was sealed by another entry
+     */
+    KeyValueLog(KeyValueT &service, base::ProcessId incarnation, LogSettings settings, Executor execute,
+                std::function<void()> superseded)
+        : m_service(service)
+        , m_incarnation(std::move(incarnation))
+        , m_settings(settings)
+        , m_execute(std::move(execute))
+        , m_onSuperseded(std::move(superseded))
+        , m_writer([this](const std::stop_token &stop) {
+            writeUntil(stop);
+        })
+    {
+    }
+
+    ~KeyValueLog()
+    {
+        m_writer.request_stop();
+        m_wake.notify_all();
+    }
+
+    KeyValueLog(const KeyValueLog &) = delete;
+    KeyValueLog &operator=(const KeyValueLog &) = delete;
+
+    /**
+     * Stores records before the caller goes on; refused at once while the service is known not to answer.
+     *
+     * @param records the records
+     * @param handler told whether they are durable
+     */
+    void appendNow(const std::vector<core::Record> &records, service::StoreHandler handler)
+    {
+        append(records, std::move(handler), true, true);
+    }
+
+    /**
+     * Stores records when convenient, however long the service is away. The turn of a call that must not run twice is
+     * written at once: its answer would else be lost with this process.
+     *
+     * @param records the records
+     * @param handler told when they are durable, or that they never will be
+     */
+    void appendLater(const std::vector<core::Record> &records, service::StoreHandler handler)
+    {
+        const bool isUrgent = std::any_of(records.begin(), records.end(), [](const core::Record &record) {
+            const auto *turn = std::get_if<core::TurnFinished>(&record);
+            return turn != nullptr && !turn->request.idempotent;
+        });
+        append(records, std::move(handler), false, isUrgent);
+    }
+
+    /** Writes all that waits. @param limit longest wait @return whether everything is durable now */
+    bool flush(base::Milliseconds limit)
+    {
+        std::unique_lock lock(m_mutex);
+        m_flushing = true;
+        m_wake.notify_all();
+        const bool done = m_drained.wait_for(lock, limit, [this] {
+            return (m_queue.empty() && m_inDoubt.empty()) || m_superseded;
+        });
+        m_flushing = false;
+        return done && !m_superseded;
+    }
+
+    /** Begins the log of a new incarnation; what the old one did not store is lost. @param incarnation the new one */
+    void restart(base::ProcessId incarnation)
+    {
+        supersede();
+        const std::lock_guard lock(m_mutex);
+        m_incarnation = std::move(incarnation);
+        m_position = LogPosition(1);
+        m_superseded = false;
+        m_isDown = false;
+        ++m_restarts;
+    }
+
+    /** @return the next position to be written: all before it is durable */
+    LogPosition position() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_position;
+    }
+
+    /** @return whether the service did not confirm the last write */
+    bool isDown() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_isDown;
+    }
+
+private:
+    using SteadyClock = std::chrono::steady_clock;
+
+    /** Flush intervals grow with the time of a write, up to this factor. */
+    static constexpr int maxStretch = 8;
+    /** A write that takes longer than this stretches the flush interval in proportion. */
+    static constexpr base::Milliseconds usualWrite{50};
+
+    /** What one append brought. */
+    struct Item
+    {
+        std::vector<std::string> encoded;
+        std::size_t bytes = 0;
+        service::StoreHandler handler;
+        /** The caller waits and may be told NotStored. */
+        bool isRequired = false;
+        bool isUrgent = false;
+        SteadyClock::time_point since;
+    };
+
+    enum class Written {
+        Stored,
+        InDoubt,
+        Sealed,
+    };
+
+    /** Splits records into items of at most one value each; the handler goes with the last. */
+    std::vector<Item> makeItems(const std::vector<core::Record> &records, service::StoreHandler handler,
+                                bool isRequired, bool isUrgent) const
+    {
+        const Item empty{{}, 0, [](const service::StoreResult &) {}, isRequired, isUrgent, SteadyClock::now()};
+        std::vector<Item> items{empty};
+        for (const core::Record &record : records) {
+            std::string encoded = encodeRecord(record);
+            const std::size_t bytes = encoded.size() + 1;
+            if (items.back().bytes > 0 && items.back().bytes + bytes > m_settings.maxBatchBytes) {
+                items.push_back(empty);
+            }
+            items.back().bytes += bytes;
+            items.back().encoded.push_back(std::move(encoded));
+        }
+        items.back().handler = std::move(handler);
+        return items;
+    }
+
+    bool isTooLarge(const std::vector<Item> &items) const
+    {
+        return std::any_of(items.begin(), items.end(), [this](const Item &item) {
+            return item.bytes > m_settings.maxBatchBytes;
+        });
+    }
+
+    void append(const std::vector<core::Record> &records, service::StoreHandler handler, bool isRequired, bool isUrgent)
+    {
+        std::vector<Item> items = makeItems(records, std::move(handler), isRequired, isUrgent);
+        std::string refusal;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_superseded) {
+                refusal = "another entry owns the program now";
+            } else if (isRequired && m_isDown) {
+                refusal = "the key-value service does not answer";
+            } else if (isTooLarge(items)) {
+                refusal = "a record is larger than a value of the key-value service may be";
+            } else {
+                std::move(items.begin(), items.end(), std::back_inserter(m_queue));
+                m_wake.notify_all();
+                return;
+            }
+        }
+        refuse(std::move(items.back()), refusal);
+    }
+
+    void refuse(Item item, const std::string &reason)
+    {
+        constexpr base::Milliseconds retryAfter{1000};
+        m_execute([handler = std::move(item.handler), reason, retryAfter] {
+            handler(service::NotStored{reason, retryAfter});
+        });
+    }
+
+    /** Under the lock: when the next batch is due. */
+    SteadyClock::time_point dueAt() const
+    {
+        const bool isUrgent = m_flushing || std::any_of(m_queue.begin(), m_queue.end(), [](const Item &item) {
+                                  return item.isUrgent;
+                              });
+        return isUrgent ? SteadyClock::now() : m_queue.front().since + m_settings.flushInterval * m_stretch;
+    }
+
+    void writeUntil(const std::stop_token &stop)
+    {
+        while (!stop.stop_requested()) {
+            if (waitForBatch(stop)) {
+                writeBatch(stop);
+            }
+        }
+    }
+
+    /** @return whether a batch is due */
+    bool waitForBatch(const std::stop_token &stop)
+    {
+        std::unique_lock lock(m_mutex);
+        if (m_queue.empty()) {
+            m_wake.wait(lock, stop, [this] {
+                return !m_queue.empty();
+            });
+            return false;
+        }
+        if (const auto due = dueAt(); due > SteadyClock::now()) {
+            // Appends wake the writer: an urgent one makes the batch due.
+            const std::size_t seen = m_queue.size();
+            m_wake.wait_until(lock, stop, due, [this, seen] {
+                return m_queue.size() != seen || m_flushing;
+            });
+            return false;
+        }
+        takeBatch();
+        return true;
+    }
+
+    /** Under the lock: moves the front of the queue into the batch, as much as one value takes. */
+    void takeBatch()
+    {
+        std::size_t bytes = 0;
+        while (!m_queue.empty() && (m_inDoubt.empty() || bytes + m_queue.front().bytes <= m_settings.maxBatchBytes)) {
+            bytes += m_queue.front().bytes;
+            m_inDoubt.push_back(std::move(m_queue.front()));
+            m_queue.pop_front();
+        }
+    }
+
+    /** Writes the batch until it is known to be in the log or the log is known to be sealed. */
+    void writeBatch(const std::stop_token &stop)
+    {
+        std::vector<std::string> nonces;
+        std::unique_lock lock(m_mutex);
+        const std::uint64_t restarts = m_restarts;
+        lock.unlock();
+        while (!stop.stop_requested()) {
+            const auto began = SteadyClock::now();
+            const Written written = writeOnce(nonces);
+            lock.lock();
+            if (m_restarts != restarts || m_superseded) {
+                return;
+            }
+            lock.unlock();
+            if (written == Written::Sealed) {
+                supersede();
+                m_execute(m_onSuperseded);
+                return;
+            }
+            if (written == Written::Stored) {
+                confirm(restarts, std::chrono::duration_cast<base::Milliseconds>(SteadyClock::now() - began));
+                return;
+            }
+            if (!waitToRetry(stop, restarts)) {
+                return;
+            }
+        }
+    }
+
+    Written writeOnce(std::vector<std::string> &nonces)
+    {
+        std::string key;
+        std::string value;
+        {
+            const std::lock_guard lock(m_mutex);
+            key = logKey(m_incarnation, m_position);
+            nonces.push_back(m_incarnation.value() + "/" + std::to_string(++m_lastNonce));
+            std::vector<std::string> records;
+            for (const Item &item : m_inDoubt) {
+                records.insert(records.end(), item.encoded.begin(), item.encoded.end());
+            }
+            value = encodeBatch(nonces.back(), records);
+        }
+        if (std::holds_alternative<platform::KeyVersion>(
+                m_service.write(key, value, platform::KeyVersion(0), std::nullopt))) {
+            return Written::Stored;
+        }
+        return readBack(key, nonces);
+    }
+
+    /** Decides by the nonce whether a write whose answer was lost, or that met a key, was this log's own. */
+    Written readBack(const std::string &key, const std::vector<std::string> &nonces)
+    {
+        const platform::ReadResult read = m_service.read(key);
+        const auto *found = std::get_if<platform::KeyValue>(&read);
+        if (found == nullptr) {
+            return Written::InDoubt;
+        }
+        const auto decoded = decodeBatch(found->value);
+        const auto *batch = std::get_if<LogBatch>(&decoded);
+        const bool isOwn = batch != nullptr && std::find(nonces.begin(), nonces.end(), batch->nonce) != nonces.end();
+        return isOwn ? Written::Stored : Written::Sealed;
+    }
+
+    void confirm(std::uint64_t restarts, base::Milliseconds took)
+    {
+        std::vector<Item> stored;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_superseded || m_restarts != restarts) {
+                return;
+            }
+            m_position = LogPosition(m_position.value() + 1);
+            stored.swap(m_inDoubt);
+            m_isDown = false;
+            m_stretch = static_cast<int>(std::clamp<std::int64_t>(took / usualWrite, 1, maxStretch));
+            m_drained.notify_all();
+        }
+        for (Item &item : stored) {
+            m_execute([handler = std::move(item.handler)] {
+                handler(service::Stored{});
+            });
+        }
+    }
+
+    /**
+     * Answers those who wait and lets the rest of the batch wait. A refused record may be in the log all the same;
+     * its caller withdraws it behind.
+     *
+     * @return whether the batch is still to be written
+     */
+    bool waitToRetry(const std::stop_token &stop, std::uint64_t restarts)
+    {
+        std::vector<Item> refused;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_restarts != restarts) {
+                return false;
+            }
+            m_isDown = true;
+            takeRequired(m_inDoubt, refused);
+            takeRequired(m_queue, refused);
+        }
+        for (Item &item : refused) {
+            refuse(std::move(item), "the key-value service does not answer");
+        }
+        std::unique_lock lock(m_mutex);
+        m_wake.wait_for(lock, stop, m_settings.retryInterval, [this] {
+            return m_superseded;
+        });
+        return !m_superseded && m_restarts == restarts;
+    }
+
+    template <class Items>
+    static void takeRequired(Items &items, std::vector<Item> &taken)
+    {
+        const auto required = std::stable_partition(items.begin(), items.end(), [](const Item &item) {
+            return !item.isRequired;
+        });
+        std::move(required, items.end(), std::back_inserter(taken));
+        items.erase(required, items.end());
+    }
+
+    void supersede()
+    {
+        std::vector<Item> lost;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_superseded = true;
+            std::move(m_inDoubt.begin(), m_inDoubt.end(), std::back_inserter(lost));
+            std::move(m_queue.begin(), m_queue.end(), std::back_inserter(lost));
+            m_inDoubt.clear();
+            m_queue.clear();
+            m_drained.notify_all();
+            m_wake.notify_all();
+        }
+        for (Item &item : lost) {
+            refuse(std::move(item), "another entry owns the program now");
+        }
+    }
+
+    KeyValueT &m_service;
+    base::ProcessId m_incarnation;
+    const LogSettings m_settings;
+    Executor m_execute;
+    std::function<void()> m_onSuperseded;
+    mutable std::mutex m_mutex;
+    std::condition_variable_any m_wake;
+    std::condition_variable m_drained;
+    std::deque<Item> m_queue;
+    /** The batch that is being written. */
+    std::vector<Item> m_inDoubt;
+    LogPosition m_position{1};
+    std::uint64_t m_lastNonce = 0;
+    std::uint64_t m_restarts = 0;
+    int m_stretch = 1;
+    bool m_isDown = false;
+    bool m_flushing = false;
+    bool m_superseded = false;
+    std::jthread m_writer;
+};
+
+}
--- /dev/null
+++ b/src/libbriarhinge/state/logreader.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "platform/keyvalue.h"
+#include "state/logkeys.h"
+#include "state/recordcodec.h"
+
+namespace briarhinge::state
+{
+
+/** A log could not be read or changed now. */
+struct LogError
+{
+    std::string reason;
+};
+
+/** A log as it was read. */
+struct LogContent
+{
+    std::vector<core::Record> records;
+    /** The position behind the last one. */
+    LogPosition next{1};
+    bool isSealed = false;
+};
+
+/** Reads, seals and removes the logs of other incarnations. */
+template <platform::KeyValueService KeyValueT>
+class LogReader
+{
+public:
+    /** @param service the platform's service */
+    explicit LogReader(KeyValueT &service)
+        : m_service(service)
+    {
+    }
+
+    /** @param incarnation whose log @return its records in order */
+    std::variant<LogContent, LogError> read(const base::ProcessId &incarnation)
+    {
+        LogContent content;
+        std::string after;
+        while (true) {
+            const auto listed = m_service.list(logPrefix(incarnation), after, keysPerRead);
+            if (const auto *lost = std::get_if<platform::PlatformUnavailable>(&listed)) {
+                return LogError{lost->reason};
+            }
+            const auto &keys = std::get<std::vector<platform::KeyValue>>(listed);
+            for (const platform::KeyValue &key : keys) {
+                if (const auto error = addBatch(key, content)) {
+                    return *error;
+                }
+                after = key.key;
+            }
+            if (keys.size() < keysPerRead) {
+                return content;
+            }
+        }
+    }
+
+    /**
+     * Closes a log: its writer can append nothing from then on.
+     *
+     * @param incarnation whose log
+     * @param sealer names who closes it
+     * @return the error, or nothing once it is closed by whomever
+     */
+    std::optional<LogError> seal(const base::ProcessId &incarnation, const base::ProcessId &sealer)
+    {
+        for (int attempt = 0; attempt < maxSealAttempts; ++attempt) {
+            const auto content = read(incarnation);
+            if (const auto *error = std::get_if<LogError>(&content)) {
+                return *error;
+            }
+            const auto &log = std::get<LogContent>(content);
+            if (log.isSealed) {
+                return std::nullopt;
+            }
+            // Whether this created the seal shows at the next read, also when the answer was lost.
+            m_service.write(logKey(incarnation, log.next), encodeSeal(sealer.value()), platform::KeyVersion(0),
+                            std::nullopt);
+        }
+        return LogError{"the log of \"" + incarnation.value() + "\" grows still"};
+    }
+
+    /**
+     * Removes a sealed log that nobody needs. The seal and a marker at the last position before it stay: a paused
+     * writer that wakes must find both taken.
+     *
+     * @param incarnation whose log
+     * @return the error, or nothing
+     */
+    std::optional<LogError> remove(const base::ProcessId &incarnation)
+    {
+        std::string after;
+        std::optional<platform::KeyValue> previous;
+        while (true) {
+            const auto listed = m_service.list(logPrefix(incarnation), after, keysPerRead);
+            if (const auto *lost = std::get_if<platform::PlatformUnavailable>(&listed)) {
+                return LogError{lost->reason};
+            }
+            const auto &keys = std::get<std::vector<platform::KeyValue>>(listed);
+            for (const platform::KeyValue &key : keys) {
+                if (isSeal(key)) {
+                    return previous ? mark(*previous) : std::nullopt;
+                }
+                if (previous) {
+                    m_service.remove(previous->key);
+                }
+                previous = key;
+                after = key.key;
+            }
+            if (keys.size() < keysPerRead) {
+                return std::nullopt;
+            }
+        }
+    }
+
+private:
+    /** Values are up to 1 MB: few at a time. */
+    static constexpr std::size_t keysPerRead = 16;
+    static constexpr int maxSealAttempts = 10;
+
+    static std::optional<LogError> addBatch(const platform::KeyValue &key, LogContent &content)
+    {
+        const auto decoded = decodeBatch(key.value);
+        if (const auto *error = std::get_if<CodecError>(&decoded)) {
+            return LogError{"key \"" + key.key + "\" is no batch of records: " + error->reason};
+        }
+        const auto &batch = std::get<LogBatch>(decoded);
+        content.records.insert(content.records.end(), batch.records.begin(), batch.records.end());
+        content.isSealed = content.isSealed || batch.seal;
+        content.next = LogPosition(positionOf(key.key).value() + 1);
+        return std::nullopt;
+    }
+
+    static bool isSeal(const platform::KeyValue &key)
+    {
+        const auto decoded = decodeBatch(key.value);
+        const auto *batch = std::get_if<LogBatch>(&decoded);
+        return batch != nullptr && batch->seal;
+    }
+
+    std::optional<LogError> mark(const platform::KeyValue &last)
+    {
+        const auto written = m_service.write(last.key, encodeBatch("removed", {}), last.version, std::nullopt);
+        if (const auto *lost = std::get_if<platform::PlatformUnavailable>(&written)) {
+            return LogError{lost->reason};
+        }
+        return std::nullopt;
+    }
+
+    KeyValueT &m_service;
+};
+
+}
--- /dev/null
+++ b/tests/memorykeyvalue.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include "platform/keyvalue.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace briarhinge::tests
+{
+
+/** A key-value service in memory whose faults a test drives. */
+class MemoryKeyValue
+{
+public:
+    /** Fails every call without an effect while set. */
+    void setOutage(bool isOut)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isOut = isOut;
+    }
+
+    /** Loses the answers of the next writes, which take effect. */
+    void loseAnswers(int count)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_losses = count;
+    }
+
+    /** Holds writes back while set, as a slow service does. */
+    void holdWrites(bool isHeld)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isHeld = isHeld;
+        m_changed.notify_all();
+    }
+
+    /** Lets a lease lapse with its keys, whoever keeps it. */
+    void lapse(const std::string &key)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_leases.erase(m_leaseOf[key].value());
+        m_keys.erase(key);
+    }
+
+    /** @return writes that reached the service */
+    int writes() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_writes;
+    }
+
+    std::map<std::string, std::string> snapshot() const
+    {
+        const std::lock_guard lock(m_mutex);
+        std::map<std::string, std::string> values;
+        for (const auto &[key, held] : m_keys) {
+            values[key] = held.value;
+        }
+        return values;
+    }
+
+    platform::ReadResult read(const std::string &key)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isOut) {
+            return platform::PlatformUnavailable{"outage"};
+        }
+        const auto found = m_keys.find(key);
+        if (found == m_keys.end()) {
+            return platform::KeyMissing{};
+        }
+        return found->second;
+    }
+
+    platform::WriteResult write(const std::string &key, const std::string &value, platform::KeyVersion expected,
+                                std::optional<platform::LeaseId> lease)
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait(lock, [this] {
+            return !m_isHeld;
+        });
+        if (m_isOut) {
+            return platform::PlatformUnavailable{"outage"};
+        }
+        ++m_writes;
+        const auto found = m_keys.find(key);
+        const platform::KeyVersion present = found == m_keys.end() ? platform::KeyVersion(0) : found->second.version;
+        if (present == expected) {
+            m_keys[key] = {key, value, platform::KeyVersion(++m_version)};
+        }
+        if (lease) {
+            m_leaseOf[key] = *lease;
+        }
+        if (m_losses > 0) {
+            --m_losses;
+            return platform::PlatformUnavailable{"answer lost"};
+        }
+        if (present != expected) {
+            return platform::VersionConflict{present};
+        }
+        return platform::KeyVersion(m_version);
+    }
+
+    platform::WriteResult remove(const std::string &key)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isOut) {
+            return platform::PlatformUnavailable{"outage"};
+        }
+        ++m_writes;
+        m_keys.erase(key);
+        return platform::KeyVersion(m_version);
+    }
+
+    platform::ListResult list(const std::string &prefix, const std::string &after, std::size_t limit)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isOut) {
+            return platform::PlatformUnavailable{"outage"};
+        }
+        std::vector<platform::KeyValue> found;
+        for (const auto &[key, held] : m_keys) {
+            if (key.starts_with(prefix) && key > after && found.size() < limit) {
+                found.push_back(held);
+            }
+        }
+        return found;
+    }
+
+    platform::LeaseResult openLease(base::Milliseconds)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isOut) {
+            return platform::PlatformUnavailable{"outage"};
+        }
+        m_leases.insert(++m_lastLease);
+        return platform::LeaseId(m_lastLease);
+    }
+
+    platform::LeaseResult keepLease(platform::LeaseId lease)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isOut) {
+            return platform::PlatformUnavailable{"outage"};
+        }
+        if (!m_leases.contains(lease.value())) {
+            return platform::KeyMissing{};
+        }
+        return lease;
+    }
+
+    platform::WatchResult watch(const std::string &prefix, platform::KeyVersion after, base::Milliseconds)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isOut) {
+            return platform::PlatformUnavailable{"outage"};
+        }
+        platform::Changes changes{{}, platform::KeyVersion(m_version)};
+        for (const auto &[key, held] : m_keys) {
+            if (key.starts_with(prefix) && held.version > after) {
+                changes.changed.push_back(held);
+            }
+        }
+        return changes;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, platform::KeyValue> m_keys;
+    std::map<std::string, platform::LeaseId> m_leaseOf;
+    std::set<std::uint64_t> m_leases;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_lastLease = 0;
+    int m_losses = 0;
+    int m_writes = 0;
+    bool m_isOut = false;
+    bool m_isHeld = false;
+};
+
+}
