Runner: Decisions are classes of their own; holds are leases; calls run once

Cause: the runner process decided inside its shell, held nothing between turns, forgot what became of a non-idempotent call, let a queued one that was dropped block its repeat, and left an idempotent one running when its entry was gone.

Now CallRegister (at most once, terms, joining), CallQueue, ConcurrencyLimit, DrainRate, CrashRegister and HoldTable decide, free of clocks and locks; RunnerService adds the lock, the frames and the upstream.

--- a/src/briarhinged/main.cpp
+++ b/src/briarhinged/main.cpp
@@ -30,17 +30,36 @@
     return signals;
 }
 
+/** Whether a stopping process still has, or may still get, something to answer. */
+template <class ProcessT>
+bool hasWork(const ProcessT &process)
+{
+    if constexpr (requires { process.isQuiet(); }) {
+        return process.inProgress() > 0 || !process.isQuiet();
+    }
+    return process.inProgress() > 0;
+}
+
+template <class ProcessT>
+void logLeft(const ProcessT &process, logging::EventLog &log)
+{
+    log.write(logging::events::stoppedEarly, {{"left", process.inProgress()}});
+    if constexpr (requires { process.logLeft(); }) {
+        process.logLeft();
+    }
+}
+
 /** Waits until nothing is in progress, the limit has passed or a second signal comes. */
 template <class ProcessT>
 void waitForWork(const ProcessT &process, base::Milliseconds limit, logging::EventLog &log)
 {
     const auto signals = stopSignals();
     const auto end = std::chrono::steady_clock::now() + limit;
-    while (process.inProgress() > 0) {
+    while (hasWork(process)) {
         const timespec poll{0, std::chrono::nanoseconds(drainPoll).count()};
         const bool hurried = sigtimedwait(&signals, nullptr, &poll) > 0;
         if (hurried || std::chrono::steady_clock::now() > end) {
-            log.write(logging::events::stoppedEarly, {{"left", process.inProgress()}});
+            logLeft(process, log);
             return;
         }
     }
--- a/src/briarhinged/runnerprocess.h
+++ b/src/briarhinged/runnerprocess.h
@@ -10,6 +10,8 @@
 
 #include <atomic>
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace briarhinge::daemon
 {
 
@@ -22,7 +24,8 @@
     RunnerProcess(const settings::Settings &settings, logging::EventLog &log, UpstreamT &upstream)
         : m_settings(settings)
         , m_threads(settings.ioThreads)
-        , m_service(upstream, log, settings.concurrency)
+        , m_service(upstream, m_clock, log, policyOf(settings))
+        , m_ticker(m_threads.context())
         , m_server(
               m_threads.context(), log,
               [this](const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame) {
@@ -59,6 +62,7 @@
         if (const auto *error = std::get_if<wire::ListenError>(&listening)) {
             return error->reason;
         }
+        scheduleTick();
         return m_endpoint.start();
     }
 
@@ -69,17 +73,57 @@
         m_service.drain();
     }
 
-    /** @return calls that wait or run */
+    /** @return calls that wait or run, and answers that have not left yet */
     std::size_t inProgress() const
     {
-        return m_service.inProgress();
+        return m_service.inProgress() + m_server.unsent();
+    }
+
+    /** @return whether a draining process gets no calls to refuse any more */
+    bool isQuiet() const
+    {
+        return m_service.isQuiet();
+    }
+
+    /** Logs what a stop cuts off. */
+    void logLeft() const
+    {
+        m_service.logLeft();
     }
 
 private:
+    static constexpr base::Milliseconds tickInterval{20};
+
+    static runner::RunnerPolicy policyOf(const settings::Settings &settings)
+    {
+        runner::RunnerPolicy policy;
+        policy.concurrency.most = settings.concurrency;
+        policy.queueWaitLimit = settings.queueWaitLimit;
+        policy.callTimeout = settings.callTimeout;
+        policy.toolTimeouts = settings.toolTimeouts;
+        policy.orphanGrace = settings.orphanGrace;
+        policy.holds.longest = settings.holdLimit;
+        policy.engineCacheTokens = settings.engineCacheTokens;
+        return policy;
+    }
+
+    void scheduleTick()
+    {
+        m_ticker.expires_after(tickInterval);
+        m_ticker.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                m_service.tick();
+                scheduleTick();
+            }
+        });
+    }
+
     const settings::Settings &m_settings;
     wire::IoThreads m_threads;
     metrics::Metrics m_metrics;
+    base::MonotonicClock m_clock;
     runner::RunnerService<UpstreamT> m_service;
+    boost::asio::steady_timer m_ticker;
     wire::FrameServer m_server;
     http::CallerEndpoint m_endpoint;
     std::atomic<bool> m_draining{false};
--- a/src/libbriarhinge/base/clock.h
+++ b/src/libbriarhinge/base/clock.h
@@ -27,4 +27,16 @@
     }
 };
 
+/** A clock that never jumps, also when the wall clock is set. Only differences of its times mean anything. */
+class MonotonicClock
+{
+public:
+    /** @return the time since an unknown but fixed moment */
+    Timestamp now() const
+    {
+        const auto elapsed = std::chrono::steady_clock::now().time_since_epoch();
+        return Timestamp(std::chrono::duration_cast<Milliseconds>(elapsed));
+    }
+};
+
 }
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -41,12 +41,19 @@
 inline constexpr EventKind callRetried{402, "call-retried", Level::Info};
 inline constexpr EventKind upstreamFailed{500, "upstream-failed", Level::Warning};
 inline constexpr EventKind upstreamDraining{501, "upstream-draining", Level::Info};
+inline constexpr EventKind callRepeated{510, "call-repeated", Level::Info};
+inline constexpr EventKind callShed{511, "call-shed", Level::Warning};
+inline constexpr EventKind upstreamSilent{512, "upstream-silent", Level::Warning};
+inline constexpr EventKind requestSuspected{513, "request-suspected", Level::Warning};
+inline constexpr EventKind requestQuarantined{514, "request-quarantined", Level::Error};
+inline constexpr EventKind callCutOff{515, "call-cut-off", Level::Warning};
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
 inline constexpr std::array all{
-    processStarted, processStopping, processStopped,      settingsRefused,   stoppedEarly,   badFrame,
-    peerConnected,  peerLost,        platformUnavailable, platformAvailable, requestRefused, callFinished,
-    callRetried,    upstreamFailed,  upstreamDraining,    invariantViolated,
+    processStarted,   processStopping,    processStopped,      settingsRefused,   stoppedEarly,   badFrame,
+    peerConnected,    peerLost,           platformUnavailable, platformAvailable, requestRefused, callFinished,
+    callRetried,      upstreamFailed,     upstreamDraining,    callRepeated,      callShed,       upstreamSilent,
+    requestSuspected, requestQuarantined, callCutOff,          invariantViolated,
 };
 
 }
--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -154,6 +154,21 @@
     {
     }
 
+    /** Sends an order about held prefixes. A lost one does no harm: each hold is a lease. */
+    void post(const std::string &path, const json &body)
+    {
+        web::http::http_request request(web::http::methods::POST);
+        request.set_request_uri(path);
+        request.set_body(body.dump(-1, ' ', false, json::error_handler_t::replace), "application/json");
+        client.request(request).then([](const pplx::task<http_response> &task) {
+            try {
+                task.get();
+            } catch (const std::exception &) {
+                return;
+            }
+        });
+    }
+
     web::http::client::http_client client;
 
 private:
@@ -207,16 +222,21 @@
 
 void EngineUpstream::release(const base::ProgramId &program)
 {
-    web::http::http_request request(web::http::methods::POST);
-    request.set_request_uri("/v1/cache/release");
-    request.set_body(json{{"user", program.value()}}.dump(), "application/json");
-    d->client.request(request).then([](const pplx::task<http_response> &task) {
-        try {
-            task.get();
-        } catch (const std::exception &) {
-            // The hold is a lease: the engine lets go by itself.
-        }
-    });
+    d->post("/v1/cache/release", json{{"user", program.value()}});
+}
+
+void EngineUpstream::hold(const base::ProgramId &program, const std::string &prefix, base::Milliseconds lease)
+{
+    d->post("/v1/cache/hold", json{{"user", program.value()}, {"prompt", prefix}, {"ttl_ms", lease.count()}});
+}
+
+void EngineUpstream::renew(const std::vector<base::ProgramId> &programs, base::Milliseconds lease)
+{
+    json users = json::array();
+    for (const base::ProgramId &program : programs) {
+        users.push_back(program.value());
+    }
+    d->post("/v1/cache/renew", json{{"users", std::move(users)}, {"ttl_ms", lease.count()}});
 }
 
 }
--- a/src/libbriarhinge/runner/engineupstream.h
+++ b/src/libbriarhinge/runner/engineupstream.h
@@ -22,6 +22,12 @@
     /** Lets go of what the engine holds for a program. @param program the program */
     void release(const base::ProgramId &program);
 
+    /** Keeps a program's prefix. @param program the program @param prefix its text @param lease ends by itself after */
+    void hold(const base::ProgramId &program, const std::string &prefix, base::Milliseconds lease);
+
+    /** Keeps prefixes longer that are held still. @param programs their programs @param lease the new lease */
+    void renew(const std::vector<base::ProgramId> &programs, base::Milliseconds lease);
+
 private:
     class Private;
     std::unique_ptr<Private> d;
--- a/src/libbriarhinge/runner/runnerservice.h
+++ b/src/libbriarhinge/runner/runnerservice.h
@@ -1,7 +1,16 @@
 #pragma once
 
+#include "base/clock.h"
 #include "logging/eventlog.h"
 #include "runner/callqueue.h"
+#include "runner/callregister.h"
+#include "runner/concurrencylimit.h"
+#include "runner/crashregister.h"
+#include "runner/drainrate.h"
+#include "runner/enginepace.h"
+#include "runner/holdtable.h"
+#include "runner/job.h"
+#include "runner/runnerpolicy.h"
 #include "runner/upstream.h"
 #include "wire/convert.h"
 #include "wire/framesession.h"
@@ -11,6 +20,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace briarhinge::runner
 {
@@ -19,49 +29,103 @@
  * Stands beside one upstream: takes calls from entries, queues them, and gives them to the upstream a few at a time.
  *
  * It is the one place that sees all that happens to its upstream, and so the authority on draining and on calls that
- * may run only once.
+ * may run only once. The decisions are those of the classes that it holds; it adds the lock, the frames and the
+ * upstream. What has to be done at the upstream is gathered under the lock and done after it.
  */
-template <Upstream UpstreamT>
+template <Upstream UpstreamT, base::Clock ClockT = base::MonotonicClock, class SessionT = wire::FrameSession>
 class RunnerService
 {
 public:
+    using SessionPointer = std::shared_ptr<SessionT>;
+
     /**
      * @param upstream the upstream
+     * @param clock the time
      * @param log gets the events
-     * @param concurrency calls given to the upstream at once
+     * @param policy limits and times
      */
-    RunnerService(UpstreamT &upstream, logging::EventLog &log, std::size_t concurrency)
+    RunnerService(UpstreamT &upstream, const ClockT &clock, logging::EventLog &log, const RunnerPolicy &policy)
         : m_upstream(upstream)
+        , m_clock(clock)
         , m_log(log)
-        , m_concurrency(concurrency)
+        , m_policy(policy)
+        , m_queue(policy.queue)
+        , m_register(policy.keepTime)
+        , m_crashes(policy.keepTime)
+        , m_limit(policy.concurrency)
+        , m_holds(policy.holds)
     {
     }
 
     /** Takes in a frame. @param session where it came from @param frame the frame */
-    void received(const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame)
+    void received(const SessionPointer &session, const wire::FrameT &frame)
     {
         const wire::MessageUnion &message = frame.message;
+        const ListenerT listener{session, frame.request_id};
         if (const auto *execute = message.AsExecuteCall()) {
-            accept(session, frame.request_id, *execute);
+            accept(listener, *execute);
         } else if (message.AsProbe() != nullptr) {
-            reply(session, frame.request_id, loadReport());
+            reply(listener, loadReport());
         } else if (message.AsCancelCall() != nullptr) {
-            cancel(session, frame.request_id);
+            giveUp(listener);
         } else if (const auto *release = message.AsReleaseProgram()) {
-            m_upstream.release(base::ProgramId(release->program));
-            reply(session, frame.request_id, wire::DoneT{});
+            releaseProgram(base::ProgramId(release->program));
+            reply(listener, wire::DoneT{});
+        } else if (const auto *quarantine = message.AsQuarantine()) {
+            takeQuarantine(*quarantine);
+            reply(listener, wire::DoneT{});
         } else if (message.AsHello() == nullptr) {
             session->close("bad frame: a message that a runner does not take");
         }
     }
 
-    /** Drops what waits for an entry whose connection is gone. @param session the connection */
-    void sessionClosed(const std::shared_ptr<wire::FrameSession> &session)
+    /**
+     * An entry's connection is gone: drops what waits for it alone.
+     *
+     * A call that runs goes on: a non-idempotent one to its end, an idempotent one for a grace.
+     *
+     * @param session the connection
+     */
+    void sessionClosed(const SessionPointer &session)
     {
-        const std::lock_guard lock(m_mutex);
-        m_queue.remove([&](const std::shared_ptr<Job> &job) {
-            return job->session == session;
-        });
+        const auto isOfSession = [&](const ListenerT &listener) {
+            return listener.session == session;
+        };
+        Work work;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_holds.ownerGone(session.get());
+            for (const JobPointer &job : m_running) {
+                if (std::erase_if(job->listeners, isOfSession) > 0) {
+                    job->orphanedAt = m_clock.now();
+                }
+            }
+            const std::vector<JobPointer> dropped = m_queue.remove([&](const JobPointer &job) {
+                return std::erase_if(job->listeners, isOfSession) > 0 && job->listeners.empty();
+            });
+            for (const JobPointer &job : dropped) {
+                end(job, core::NotRun{"the entry that asked is gone", std::nullopt}, work);
+            }
+        }
+        perform(work);
+    }
+
+    /** Does what is due by the time. Call it every few tens of milliseconds. */
+    void tick()
+    {
+        Work work;
+        {
+            const std::lock_guard lock(m_mutex);
+            const base::Timestamp now = m_clock.now();
+            m_register.expire(now);
+            m_crashes.expire(now);
+            stopOrphansAndSilent(now, work);
+            const DueHolds due = m_holds.due(now);
+            work.renew = due.renew;
+            work.release.insert(work.release.end(), due.release.begin(), due.release.end());
+            startWaiting(work);
+        }
+        perform(work);
     }
 
     /** Takes no new calls from now on. */
@@ -70,6 +134,32 @@
         m_log.write(logging::events::upstreamDraining, {});
         const std::lock_guard lock(m_mutex);
         m_draining = true;
+        m_drainingSince = m_clock.now();
+        m_lastRefusal = m_drainingSince;
+    }
+
+    /**
+     * @return whether entries have stopped sending to the draining runner, or had the time to
+     *
+     * A runner that leaves while a call is on its way to it would turn a refusal into Unknown.
+     */
+    bool isQuiet() const
+    {
+        const std::lock_guard lock(m_mutex);
+        const base::Timestamp now = m_clock.now();
+        return m_draining && (m_lastRefusal + quietTime < now || m_drainingSince + longestRefusing < now);
+    }
+
+    /** Logs each call that waits or runs; for a stop that cuts them off. */
+    void logLeft() const
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[key, job] : m_jobs) {
+            m_log.write(logging::events::callCutOff,
+                        {{"program", key.first.value()},
+                         {"call", key.second.value()},
+                         {"running", job->state == JobState::Running}});
+        }
     }
 
     /** @return calls that wait or run */
@@ -81,112 +171,376 @@
 
 private:
     static constexpr base::Milliseconds retryWhenDraining{200};
+    /** Without a refusal for so long, entries know that the runner drains. */
+    static constexpr base::Milliseconds quietTime{500};
+    static constexpr base::Milliseconds longestRefusing{3000};
 
-    struct Job
+    using JobT = Job<SessionT>;
+    using JobPointer = std::shared_ptr<JobT>;
+    using ListenerT = Listener<SessionT>;
+
+    struct PendingHold
     {
-        std::shared_ptr<wire::FrameSession> session;
-        std::uint64_t requestId = 0;
-        UpstreamCall call;
-        std::shared_ptr<Cancellation> cancellation;
+        base::ProgramId program;
+        std::string prefix;
+        base::Milliseconds lease;
     };
 
-    using OnceKey = std::pair<base::ProgramId, base::CallNumber>;
+    /** What to do at the upstream once the lock is free. */
+    struct Work
+    {
+        std::vector<JobPointer> start;
+        std::vector<std::shared_ptr<Cancellation>> cancel;
+        std::vector<PendingHold> hold;
+        std::vector<base::ProgramId> renew;
+        std::vector<base::ProgramId> release;
+    };
 
-    void accept(const std::shared_ptr<wire::FrameSession> &session, std::uint64_t requestId,
-                const wire::ExecuteCallT &execute)
+    JobPointer makeJob(const ListenerT &listener, const wire::ExecuteCallT &execute) const
     {
-        auto job = std::make_shared<Job>();
-        job->session = session;
-        job->requestId = requestId;
+        auto job = std::make_shared<JobT>();
         job->call = {wire::fromWire(execute), execute.partial};
+        job->digest = execute.body_digest;
+        job->suspect = execute.suspect;
+        job->answer = execute.partial;
+        job->timeout = timeoutOf(execute);
+        job->listeners.push_back(listener);
+        return job;
+    }
+
+    base::Milliseconds timeoutOf(const wire::ExecuteCallT &execute) const
+    {
+        if (execute.timeout_ms > 0) {
+            return base::Milliseconds(execute.timeout_ms);
+        }
+        const auto tool = m_policy.toolTimeouts.find(base::TargetName(execute.target));
+        return tool == m_policy.toolTimeouts.end() ? m_policy.callTimeout : tool->second;
+    }
+
+    void accept(const ListenerT &listener, const wire::ExecuteCallT &execute)
+    {
+        Work work;
         {
             const std::lock_guard lock(m_mutex);
-            const auto refusal = refuse(job->call.call);
-            if (refusal) {
-                replyResult(*job, *refusal);
-                return;
+            const JobPointer job = makeJob(listener, execute);
+            const CallArrival arrival{job->key(), job->digest, base::Term(execute.term), execute.idempotent};
+            const ArrivalVerdict verdict = m_register.arrive(arrival, m_clock.now());
+            if (const auto *answered = std::get_if<AnsweredAlready>(&verdict)) {
+                m_log.write(logging::events::callRepeated, {{"program", execute.program}, {"call", execute.number}});
+                answer(*job, answered->outcome);
+            } else if (std::holds_alternative<JoinsRunning>(verdict)) {
+                join(listener, job);
+            } else {
+                admit(job, work);
             }
-            m_queue.push({job->call.call.priority, job->call.call.attained}, job);
+            startWaiting(work);
         }
-        startWaiting();
+        perform(work);
     }
 
-    /** Decides under the lock whether a call is refused. */
-    std::optional<core::Outcome> refuse(const core::DispatchCall &call)
+    /** Lets a second asker follow a call that waits or runs. */
+    void join(const ListenerT &listener, const JobPointer &asked)
     {
+        const auto found = m_jobs.find(asked->key());
+        const JobPointer &job = found->second;
+        const std::string &known = asked->call.partial;
+        if (!job->answer.starts_with(known)) {
+            answer(*asked, core::Unknown{"the call runs already, with another beginning of its answer"});
+            return;
+        }
+        if (job->add(listener) && job->answer.size() > known.size()) {
+            sendChunk(listener, known.size(), job->answer.substr(known.size()));
+        }
+    }
+
+    /** Queues a new call or refuses it. */
+    void admit(const JobPointer &job, Work &work)
+    {
+        m_jobs[job->key()] = job;
+        job->suspect = job->suspect || m_crashes.isSuspect(job->digest);
         if (m_draining) {
-            return core::NotRun{"the runner is draining", retryWhenDraining};
+            m_lastRefusal = m_clock.now();
+            end(job, core::NotRun{"the runner is draining", retryWhenDraining}, work);
+            return;
         }
-        if (!call.request.idempotent && !m_ranOnce.insert({call.program, call.request.number}).second) {
-            return core::Unknown{"the runner was given this call before"};
+        if (m_crashes.isQuarantined(job->digest)) {
+            end(job, core::NotRun{"the request is quarantined: it crashed its upstream twice", std::nullopt}, work);
+            return;
         }
-        return std::nullopt;
+        enqueue(job, work);
     }
 
-    void startWaiting()
+    /** Queues a call; when calls would wait too long, the one of lowest rank is refused at once. */
+    void enqueue(const JobPointer &job, Work &work)
     {
-        while (true) {
-            std::shared_ptr<Job> job;
-            {
-                const std::lock_guard lock(m_mutex);
-                if (m_running.size() >= m_concurrency) {
-                    return;
-                }
-                auto next = m_queue.pop();
-                if (!next) {
-                    return;
-                }
-                job = std::move(*next);
-                m_running.insert(job);
-            }
+        const base::Timestamp now = m_clock.now();
+        const core::DispatchCall &call = job->call.call;
+        const QueueRank rank{call.priority, core::parentOf(call.program).has_value(), call.attained, {}};
+        m_queue.push(rank, job, now);
+        const base::Milliseconds wait = m_drainRate.expectedWait(m_queue.size(), m_limit.limit());
+        if (wait <= m_policy.queueWaitLimit || m_running.size() < m_limit.limit()) {
+            return;
+        }
+        const JobPointer refused = *m_queue.popLast();
+        m_log.write(logging::events::callShed,
+                    {{"program", refused->call.call.program.value()},
+                     {"call", refused->call.call.request.number.value()},
+                     {"priority", refused->call.call.priority},
+                     {"expectedWaitMs", wait.count()}});
+        end(refused, core::NotRun{"the upstream is overloaded", wait}, work);
+    }
+
+    /** Starts what may start, under the lock. */
+    void startWaiting(Work &work)
+    {
+        const base::Timestamp now = m_clock.now();
+        while (mayStartNext(now)) {
+            JobPointer job = *m_queue.pop(now);
+            job->state = JobState::Running;
+            job->startedAt = now;
+            job->lastSign = now;
+            m_holds.turnStarted(job->call.call.program, now);
+            m_running.insert(job);
+            work.start.push_back(std::move(job));
+        }
+    }
+
+    bool mayStartNext(base::Timestamp now) const
+    {
+        const JobPointer *next = m_queue.first(now);
+        if (next == nullptr || m_running.size() >= m_limit.limit()) {
+            return false;
+        }
+        const bool suspectRuns = !m_running.empty() && (*m_running.begin())->suspect;
+        return m_running.empty() || (!suspectRuns && !(*next)->suspect);
+    }
+
+    /** Does at the upstream what was decided under the lock. */
+    void perform(const Work &work)
+    {
+        for (const auto &cancellation : work.cancel) {
+            cancellation->cancel();
+        }
+        for (const PendingHold &hold : work.hold) {
+            m_upstream.hold(hold.program, hold.prefix, hold.lease);
+        }
+        if (!work.renew.empty()) {
+            m_upstream.renew(work.renew, m_policy.holds.lease);
+        }
+        for (const base::ProgramId &program : work.release) {
+            m_upstream.release(program);
+        }
+        for (const JobPointer &job : work.start) {
             start(job);
         }
     }
 
-    void start(const std::shared_ptr<Job> &job)
+    void start(const JobPointer &job)
     {
         UpstreamObserver observer;
         observer.chunk = [this, job](std::uint64_t offset, const std::string &text) {
-            wire::CallChunkT chunk;
-            chunk.offset = offset;
-            chunk.text = text;
-            reply(job->session, job->requestId, std::move(chunk), false);
+            chunkArrived(job, offset, text);
         };
         observer.ended = [this, job](const core::Outcome &outcome) {
-            {
-                const std::lock_guard lock(m_mutex);
-                m_running.erase(job);
-                replyResult(*job, outcome);
-            }
-            startWaiting();
+            upstreamEnded(job, outcome);
         };
-        auto cancellation = m_upstream.execute(job->call, observer);
+        const auto cancellation = m_upstream.execute(job->call, observer);
+        bool cancelNow = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            job->cancellation = cancellation;
+            cancelNow = job->cancelled;
+        }
+        if (cancelNow) {
+            cancellation->cancel();
+        }
+    }
+
+    void chunkArrived(const JobPointer &job, std::uint64_t offset, const std::string &text)
+    {
         const std::lock_guard lock(m_mutex);
-        job->cancellation = std::move(cancellation);
+        if (job->state == JobState::Ended) {
+            return;
+        }
+        const base::Timestamp now = m_clock.now();
+        const base::Milliseconds gap = now - job->lastSign;
+        if (job->hasFirstToken) {
+            m_pace.tokenArrived(gap);
+            m_limit.tokenArrived(gap, m_queue.size() > 0, now);
+        } else {
+            job->hasFirstToken = true;
+            job->firstTokenAfter = gap;
+        }
+        job->lastSign = now;
+        job->answer += text;
+        for (const ListenerT &listener : job->listeners) {
+            sendChunk(listener, offset, text);
+        }
     }
 
-    void cancel(const std::shared_ptr<wire::FrameSession> &session, std::uint64_t requestId)
+    void upstreamEnded(const JobPointer &job, const core::Outcome &outcome)
     {
-        std::shared_ptr<Cancellation> cancellation;
+        Work work;
         {
             const std::lock_guard lock(m_mutex);
-            for (const auto &job : m_running) {
-                if (job->session == session && job->requestId == requestId) {
-                    cancellation = job->cancellation;
-                }
+            if (job->state == JobState::Ended) {
+                endedLate(*job, outcome);
+                return;
             }
+            const bool died = std::holds_alternative<core::Unknown>(outcome);
+            if (died) {
+                upstreamDied(job, outcome, work);
+            } else {
+                measure(*job, outcome);
+                m_crashes.survived(job->digest);
+                end(job, outcome, work);
+            }
+            startWaiting(work);
         }
-        if (cancellation) {
-            cancellation->cancel();
+        perform(work);
+    }
+
+    /** A call that was answered before ends: a second asker of a non-idempotent one gets its true outcome. */
+    void endedLate(const JobT &job, const core::Outcome &outcome)
+    {
+        if (!job.call.call.request.idempotent) {
+            m_register.ended(job.key(), outcome, m_clock.now());
+        }
+    }
+
+    void measure(const JobT &job, const core::Outcome &outcome)
+    {
+        const auto *completed = std::get_if<core::Completed>(&outcome);
+        if (completed == nullptr) {
+            return;
+        }
+        m_drainRate.callEnded(m_clock.now() - job.startedAt);
+        if (job.hasFirstToken) {
+            const std::uint64_t uncached = completed->usage.prompt.value() - completed->usage.cached.value();
+            m_pace.promptRead(base::Tokens(uncached), job.firstTokenAfter);
+        }
+    }
+
+    /** The upstream died while a call ran: the call is a suspect, or quarantined when it ran alone. */
+    void upstreamDied(const JobPointer &job, const core::Outcome &outcome, Work &work)
+    {
+        const bool quarantined = m_crashes.crashed(job->digest, job->suspect, m_clock.now());
+        m_log.write(quarantined ? logging::events::requestQuarantined : logging::events::requestSuspected,
+                    {{"program", job->call.call.program.value()},
+                     {"call", job->call.call.request.number.value()},
+                     {"digest", job->digest}});
+        const bool isFinal = quarantined && job->call.call.request.idempotent;
+        end(job, isFinal ? core::Failed{"the request crashed its upstream twice and is quarantined"} : outcome, work,
+            true);
+    }
+
+    /** Ends a call towards everyone who waits for it, under the lock. */
+    void end(const JobPointer &job, const core::Outcome &outcome, Work &work, bool died = false)
+    {
+        const bool ran = job->state == JobState::Running;
+        job->state = JobState::Ended;
+        m_running.erase(job);
+        m_jobs.erase(job->key());
+        m_register.ended(job->key(), outcome, m_clock.now());
+        if (ran) {
+            holdPrefix(*job, outcome, work);
+        }
+        answer(*job, outcome, died);
+        job->listeners.clear();
+    }
+
+    void answer(const JobT &job, const core::Outcome &outcome, bool died = false)
+    {
+        for (const ListenerT &listener : job.listeners) {
+            wire::CallResultT result = wire::toWire(outcome);
+            result.load = std::make_unique<wire::LoadReportT>(loadReportLocked());
+            result.suspect = died;
+            result.quarantined = m_crashes.isQuarantined(job.digest);
+            reply(listener, std::move(result));
+        }
+    }
+
+    void holdPrefix(const JobT &job, const core::Outcome &outcome, Work &work)
+    {
+        const core::DispatchCall &call = job.call.call;
+        const auto *completed = std::get_if<core::Completed>(&outcome);
+        if (completed == nullptr || job.listeners.empty() || call.request.kind != core::CallKind::Model) {
+            return;
+        }
+        const double refillMs = m_pace.prefillMsPerToken() * static_cast<double>(m_policy.engineCacheTokens.value());
+        const auto lease = m_holds.turnEnded(call.program, job.listeners.front().session.get(),
+                                             base::Milliseconds(static_cast<std::int64_t>(refillMs)), m_clock.now());
+        if (lease) {
+            work.hold.push_back({call.program, call.prompt + completed->answer, *lease});
         }
     }
 
-    /** Ends a call towards its entry, under the lock. */
-    void replyResult(const Job &job, const core::Outcome &outcome)
+    /** An entry gives a call up: it is answered at once. */
+    void giveUp(const ListenerT &listener)
     {
-        wire::CallResultT result = wire::toWire(outcome);
-        result.load = std::make_unique<wire::LoadReportT>(loadReportLocked());
-        reply(job.session, job.requestId, std::move(result));
+        const auto waits = [&](const JobPointer &job) {
+            return std::find(job->listeners.begin(), job->listeners.end(), listener) != job->listeners.end();
+        };
+        Work work;
+        {
+            const std::lock_guard lock(m_mutex);
+            for (const JobPointer &job : m_queue.remove(waits)) {
+                end(job, core::NotRun{"given up while it waited", std::nullopt}, work);
+            }
+            const auto running = std::find_if(m_running.begin(), m_running.end(), waits);
+            if (running != m_running.end()) {
+                stop(*running, core::Unknown{"given up while it ran"}, work);
+            }
+            startWaiting(work);
+        }
+        perform(work);
+    }
+
+    /** Ends a running call before its upstream does. */
+    void stop(const JobPointer &running, const core::Outcome &outcome, Work &work)
+    {
+        const JobPointer job = running;
+        job->cancelled = true;
+        if (job->cancellation) {
+            work.cancel.push_back(job->cancellation);
+        }
+        end(job, outcome, work);
+    }
+
+    void stopOrphansAndSilent(base::Timestamp now, Work &work)
+    {
+        const std::vector<JobPointer> running(m_running.begin(), m_running.end());
+        for (const JobPointer &job : running) {
+            const bool orphaned = job->listeners.empty() && job->call.call.request.idempotent
+                && job->orphanedAt + m_policy.orphanGrace < now;
+            if (orphaned) {
+                stop(job, core::Unknown{"the entry that asked is gone"}, work);
+            } else if (job->lastSign + job->timeout < now) {
+                m_log.write(logging::events::upstreamSilent,
+                            {{"program", job->call.call.program.value()},
+                             {"call", job->call.call.request.number.value()},
+                             {"limitMs", job->timeout.count()}});
+                stop(job, core::Unknown{"the upstream was silent for " + std::to_string(job->timeout.count()) + " ms"},
+                     work);
+            }
+        }
+    }
+
+    void releaseProgram(const base::ProgramId &program)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_holds.programEnded(program, m_clock.now());
+        }
+        m_upstream.release(program);
+    }
+
+    void takeQuarantine(const wire::QuarantineT &quarantine)
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const std::string &digest : quarantine.digests) {
+            m_crashes.quarantine(digest, m_clock.now());
+        }
     }
 
     wire::LoadReportT loadReport() const
@@ -200,30 +554,49 @@
         wire::LoadReportT report;
         report.running = static_cast<std::uint32_t>(m_running.size());
         report.queued = static_cast<std::uint32_t>(m_queue.size());
-        report.limit = static_cast<std::uint32_t>(m_concurrency);
+        report.limit = static_cast<std::uint32_t>(m_limit.limit());
         report.draining = m_draining;
+        report.decode_ms_per_token = m_pace.decodeMsPerToken();
+        report.prefill_ms_per_token = m_pace.prefillMsPerToken();
         return report;
     }
 
+    void sendChunk(const ListenerT &listener, std::uint64_t offset, const std::string &text)
+    {
+        wire::CallChunkT chunk;
+        chunk.offset = offset;
+        chunk.text = text;
+        reply(listener, std::move(chunk), false);
+    }
+
     template <class MessageT>
-    void reply(const std::shared_ptr<wire::FrameSession> &session, std::uint64_t requestId, MessageT message,
-               bool last = true)
+    void reply(const ListenerT &listener, MessageT message, bool last = true)
     {
         wire::FrameT frame;
-        frame.request_id = requestId;
+        frame.request_id = listener.requestId;
         frame.last = last;
         frame.message.Set(std::move(message));
-        session->send(frame);
+        listener.session->send(frame);
     }
 
     UpstreamT &m_upstream;
+    const ClockT &m_clock;
     logging::EventLog &m_log;
-    const std::size_t m_concurrency;
+    const RunnerPolicy m_policy;
     mutable std::mutex m_mutex;
-    CallQueue<std::shared_ptr<Job>> m_queue;
-    std::set<std::shared_ptr<Job>> m_running;
-    std::set<OnceKey> m_ranOnce;
+    CallQueue<JobPointer> m_queue;
+    std::set<JobPointer> m_running;
+    /** The calls that wait or run. */
+    std::map<CallKey, JobPointer> m_jobs;
+    CallRegister m_register;
+    CrashRegister m_crashes;
+    ConcurrencyLimit m_limit;
+    DrainRate m_drainRate;
+    EnginePace m_pace;
+    HoldTable m_holds;
     bool m_draining = false;
+    base::Timestamp m_drainingSince;
+    base::Timestamp m_lastRefusal;
 };
 
 }
--- a/src/libbriarhinge/runner/toolupstream.cpp
+++ b/src/libbriarhinge/runner/toolupstream.cpp
@@ -82,4 +82,12 @@
 {
 }
 
+void ToolUpstream::hold(const base::ProgramId &, const std::string &, base::Milliseconds)
+{
+}
+
+void ToolUpstream::renew(const std::vector<base::ProgramId> &, base::Milliseconds)
+{
+}
+
 }
--- a/src/libbriarhinge/runner/toolupstream.h
+++ b/src/libbriarhinge/runner/toolupstream.h
@@ -21,6 +21,12 @@
     /** Tools hold nothing for programs. */
     void release(const base::ProgramId &program);
 
+    /** Tools hold nothing for programs. */
+    void hold(const base::ProgramId &program, const std::string &prefix, base::Milliseconds lease);
+
+    /** Tools hold nothing for programs. */
+    void renew(const std::vector<base::ProgramId> &programs, base::Milliseconds lease);
+
 private:
     const std::string m_url;
     const base::Milliseconds m_timeout;
--- a/src/libbriarhinge/runner/upstream.h
+++ b/src/libbriarhinge/runner/upstream.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace briarhinge::runner
 {
@@ -46,6 +47,8 @@
         upstream.execute(call, observer)
         } -> std::convertible_to<std::shared_ptr<Cancellation>>;
     upstream.release(program);
+    upstream.hold(program, std::string(), base::Milliseconds());
+    upstream.renew(std::vector<base::ProgramId>(), base::Milliseconds());
 };
 
 }
--- a/src/libbriarhinge/settings/settings.cpp
+++ b/src/libbriarhinge/settings/settings.cpp
@@ -40,7 +40,13 @@
     {"upstream-kind", "engine", "runner: engine or tool"},
     {"pool", "", "runner: the pool that the upstream belongs to"},
     {"serves", "", "runner: models or tools of the upstream, separated by commas"},
-    {"concurrency", "8", "runner: calls given to the upstream at once"},
+    {"concurrency", "8", "runner: most calls given to the upstream at once"},
+    {"queue-wait-limit", "10000", "runner: milliseconds of expected wait past which the lowest calls are refused"},
+    {"call-timeout", "60000", "runner: milliseconds that the upstream may be silent about a call"},
+    {"tool-timeouts", "", "runner: the same for single tools, as charge=5000,search=2000"},
+    {"orphan-grace", "3000", "runner: milliseconds that an idempotent call runs on when its entry is gone"},
+    {"hold-limit", "30000", "runner: milliseconds after which an absent program's prefix is let go"},
+    {"engine-cache-tokens", "200000", "runner: tokens that fit into the engine's prefix cache"},
 };
 
 std::string variableOf(std::string_view flag)
@@ -137,6 +143,27 @@
         return list;
     }
 
+    std::map<base::TargetName, base::Milliseconds> timeouts(const std::string &flag)
+    {
+        std::map<base::TargetName, base::Milliseconds> limits;
+        std::string rest = m_values.at(flag);
+        while (!rest.empty()) {
+            const std::size_t comma = std::min(rest.find(','), rest.size());
+            const std::string item = rest.substr(0, comma);
+            const std::size_t equals = std::min(item.find('='), item.size());
+            std::uint64_t milliseconds = 0;
+            const char *end = item.data() + item.size();
+            const char *begin = item.data() + std::min(equals + 1, item.size());
+            const auto [last, error] = std::from_chars(begin, end, milliseconds);
+            if (equals == 0 || error != std::errc{} || last != end || milliseconds == 0) {
+                fault(flag, fmt::format("must name tools with milliseconds such as \"charge=5000\", has \"{}\"", item));
+            }
+            limits[base::TargetName(item.substr(0, equals))] = base::Milliseconds(milliseconds);
+            rest = comma == rest.size() ? "" : rest.substr(comma + 1);
+        }
+        return limits;
+    }
+
     std::vector<std::string> takeFaults()
     {
         return std::move(m_faults);
@@ -156,6 +183,7 @@
 {
     constexpr std::uint64_t maxThreads = 256;
     constexpr std::uint64_t maxConcurrency = 4096;
+    constexpr std::uint64_t maxCacheTokens = 1'000'000'000;
     Checker checker(values);
     Settings settings;
     settings.role = checker.choice<Role>("role", {{"entry", Role::Entry}, {"runner", Role::Runner}});
@@ -178,6 +206,12 @@
         settings.pool = base::PoolName(checker.text("pool"));
         settings.serves = checker.names("serves");
         settings.concurrency = checker.number("concurrency", 1, maxConcurrency);
+        settings.queueWaitLimit = checker.milliseconds("queue-wait-limit");
+        settings.callTimeout = checker.milliseconds("call-timeout");
+        settings.toolTimeouts = checker.timeouts("tool-timeouts");
+        settings.orphanGrace = checker.milliseconds("orphan-grace");
+        settings.holdLimit = checker.milliseconds("hold-limit");
+        settings.engineCacheTokens = base::Tokens(checker.number("engine-cache-tokens", 1, maxCacheTokens));
     }
     std::vector<std::string> faults = checker.takeFaults();
     if (!faults.empty()) {
--- a/src/libbriarhinge/settings/settings.h
+++ b/src/libbriarhinge/settings/settings.h
@@ -5,6 +5,7 @@
 #include "wire/address.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -56,6 +57,18 @@
     std::vector<base::TargetName> serves;
     /** Runner only: calls given to the upstream at once. */
     std::size_t concurrency = 0;
+    /** Runner only: when calls would wait longer, the lowest ones are refused. */
+    base::Milliseconds queueWaitLimit{0};
+    /** Runner only: longest silence of the upstream about a call. */
+    base::Milliseconds callTimeout{0};
+    /** Runner only: the same for single tools. */
+    std::map<base::TargetName, base::Milliseconds> toolTimeouts;
+    /** Runner only: how long an idempotent call runs on without an entry. */
+    base::Milliseconds orphanGrace{0};
+    /** Runner only: a program that stays away longer is taken for abandoned, its prefix let go. */
+    base::Milliseconds holdLimit{0};
+    /** Runner only: tokens that fit into the engine's prefix cache. */
+    base::Tokens engineCacheTokens;
 };
 
 /** Every fault of the given settings. */
--- a/src/libbriarhinge/wire/frameserver.cpp
+++ b/src/libbriarhinge/wire/frameserver.cpp
@@ -44,6 +44,16 @@
     return m_acceptor.local_endpoint().port();
 }
 
+std::size_t FrameServer::unsent() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t frames = 0;
+    for (const auto &session : m_sessions) {
+        frames += session->unsent();
+    }
+    return frames;
+}
+
 void FrameServer::stop()
 {
     error_code ignored;
--- a/src/libbriarhinge/wire/frameserver.h
+++ b/src/libbriarhinge/wire/frameserver.h
@@ -47,6 +47,9 @@
     /** @param address where to listen; port 0 takes a free one @return the port, or why it can't be had */
     std::variant<std::uint16_t, ListenError> listen(const Address &address);
 
+    /** @return frames that were given to open connections and have not left yet */
+    std::size_t unsent() const;
+
     /** Stops accepting and closes every connection. */
     void stop();
 
@@ -59,7 +62,7 @@
     FrameSession::FrameHandler m_onFrame;
     FrameSession::CloseHandler m_onClose;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::set<std::shared_ptr<FrameSession>> m_sessions;
 };
 
--- a/src/libbriarhinge/wire/framesession.cpp
+++ b/src/libbriarhinge/wire/framesession.cpp
@@ -28,6 +28,7 @@
 
 void FrameSession::send(const FrameT &frame)
 {
+    ++m_unsent;
     asio::post(m_socket.get_executor(), [self = shared_from_this(), bytes = encodeFrame(frame)]() mutable {
         if (self->m_closed) {
             return;
@@ -46,6 +47,11 @@
     });
 }
 
+std::size_t FrameSession::unsent() const
+{
+    return m_unsent;
+}
+
 void FrameSession::readLength()
 {
     asio::async_read(m_socket, asio::buffer(m_length), [self = shared_from_this()](error_code error, std::size_t) {
@@ -96,6 +102,7 @@
                               return;
                           }
                           self->m_outgoing.pop_front();
+                          --self->m_unsent;
                           if (!self->m_outgoing.empty()) {
                               self->writeNext();
                           }
--- a/src/libbriarhinge/wire/framesession.h
+++ b/src/libbriarhinge/wire/framesession.h
@@ -3,6 +3,7 @@
 #include "wire/framecodec.h"
 
 #include <array>
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -39,6 +40,9 @@
     /** Closes the connection. @param reason told to the close handler */
     void close(std::string reason);
 
+    /** @return frames that were given to send and have not left yet */
+    std::size_t unsent() const;
+
 private:
     void readLength();
     void readBody(std::size_t length);
@@ -53,6 +57,7 @@
     std::vector<std::uint8_t> m_body;
     std::deque<std::vector<std::uint8_t>> m_outgoing;
     bool m_closed = false;
+    std::atomic<std::size_t> m_unsent{0};
 };
 
 }
--- a/standins/engine/batcher.cpp
+++ b/standins/engine/batcher.cpp
@@ -55,6 +55,13 @@
     m_cache.hold(user, blocksOf(prompt), std::chrono::steady_clock::now() + time);
 }
 
+void Batcher::renew(const std::string &user, std::chrono::milliseconds time)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = std::chrono::steady_clock::now();
+    m_cache.renew(user, now, now + time);
+}
+
 void Batcher::release(const std::string &user)
 {
     const std::lock_guard lock(m_mutex);
--- a/standins/engine/batcher.h
+++ b/standins/engine/batcher.h
@@ -68,6 +68,9 @@
     /** Keeps a program's prefix for a time. */
     void hold(const std::string &user, const std::string &prompt, std::chrono::milliseconds time);
 
+    /** Keeps a program's prefix longer, if it is held still. */
+    void renew(const std::string &user, std::chrono::milliseconds time);
+
     /** Lets go of a program's prefix. */
     void release(const std::string &user);
 
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -53,6 +53,8 @@
             complete(request);
         } else if (path == "/v1/cache/hold" || path == "/v1/cache/release") {
             changeHold(request, path.ends_with("hold"));
+        } else if (path == "/v1/cache/renew") {
+            renewHolds(request);
         } else if (path == "/v1/orders") {
             order(request);
         } else if (path == "/v1/load") {
@@ -160,6 +162,16 @@
         replyJson(request, status_codes::OK, json::object());
     }
 
+    void renewHolds(const http_request &request)
+    {
+        const json body = json::parse(bodyOf(request));
+        const json users = body.value("users", json::array());
+        for (const json &user : users) {
+            m_batcher.renew(user.get<std::string>(), std::chrono::milliseconds(body.value("ttl_ms", 1000)));
+        }
+        replyJson(request, status_codes::OK, json::object());
+    }
+
     void order(const http_request &request)
     {
         const json body = json::parse(bodyOf(request));
--- a/standins/engine/prefixcache.cpp
+++ b/standins/engine/prefixcache.cpp
@@ -80,19 +80,35 @@
     }
 }
 
+void PrefixCache::renew(const std::string &program, Time now, Time until)
+{
+    dropExpired(now);
+    const auto found = m_holds.find(program);
+    if (found != m_holds.end()) {
+        found->second.until = until;
+    }
+}
+
 std::map<std::string, std::uint64_t> PrefixCache::held(Time now)
 {
+    dropExpired(now);
     std::map<std::string, std::uint64_t> tokens;
+    for (const auto &[program, hold] : m_holds) {
+        tokens[program] = hold.blocks.size() * tokensPerBlock;
+    }
+    return tokens;
+}
+
+void PrefixCache::dropExpired(Time now)
+{
     for (auto hold = m_holds.begin(); hold != m_holds.end();) {
         if (hold->second.until <= now) {
             dropHold(hold->second);
             hold = m_holds.erase(hold);
-            continue;
+        } else {
+            ++hold;
         }
-        tokens[hold->first] = hold->second.blocks.size() * tokensPerBlock;
-        ++hold;
     }
-    return tokens;
 }
 
 void PrefixCache::evict()
--- a/standins/engine/prefixcache.h
+++ b/standins/engine/prefixcache.h
@@ -37,6 +37,9 @@
     /** Keeps the blocks of a program until a time. */
     void hold(const std::string &program, const std::vector<std::uint64_t> &blocks, Time until);
 
+    /** Keeps what is held for a program until a later time; does nothing when nothing is held any more. */
+    void renew(const std::string &program, Time now, Time until);
+
     /** Ends the hold of a program. */
     void release(const std::string &program);
 
@@ -56,6 +59,7 @@
         Time until;
     };
 
+    void dropExpired(Time now);
     void evict();
     void dropHold(const Hold &hold);
 
--- a/tests/system/stack.py
+++ b/tests/system/stack.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -82,6 +83,20 @@
             self.popen.wait()
 
 
+class Background(threading.Thread):
+    """Calls a function on a thread of its own and keeps what it returned."""
+
+    def __init__(self, function):
+        super().__init__(daemon=True)
+        self.function = function
+        self.result = None
+        self.start()
+
+    def run(self):
+        """Calls the function."""
+        self.result = self.function()
+
+
 class Stack:
     """A deployment of stand-ins and daemons."""
 
@@ -201,6 +216,28 @@
         self.processes[name].kill()
         self.entries.pop(name, None)
 
+    def restart(self, name):
+        """Starts a process that has ended again, with the same command line."""
+        self.processes[name].wait()
+        self.processes[name].start()
+
+    def requests(self, name):
+        """Returns the requests that reached an engine, a line each."""
+        path = self.path(name + ".requests")
+        if not os.path.exists(path):
+            return []
+        with open(path, encoding="utf-8") as lines:
+            return lines.read().splitlines()
+
+    def held(self, name):
+        """Returns the tokens that an engine holds, by program."""
+        return json.loads(ask("GET", self.engines[name] + "/v1/account")[1])["held"]
+
+    def log(self, name):
+        """Returns the log events of a daemon."""
+        with open(self.path(name + ".log"), encoding="utf-8") as lines:
+            return [json.loads(line) for line in lines if line.startswith("{")]
+
     def terminate(self, name):
         """Asks a process to stop; returns its exit code."""
         self.processes[name].signal(signal.SIGTERM)
