--- /dev/null
+++ b/tests/system/test_runner.py
@@ -0,0 +1,100 @@
+"""What a runner process does with calls that hang, crash their upstream, or are asked for twice."""
+
+import time
+import unittest
+
+import stack
+
+HANG_MS = 1500
+TOOL_LIMIT_MS = 300
+
+
+class HungToolTest(unittest.TestCase):
+    """Tools that are silent for longer than their limit."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.stack = stack.small_stack(engines=1, runner_flags=("--tool-timeouts",
+                                                               f"charge={TOOL_LIMIT_MS},search={TOOL_LIMIT_MS}"))
+        cls.entries = list(cls.stack.entries.values())
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.stack.close()
+
+    def test_hung_charge_is_unknown_and_takes_effect_once(self):
+        caller = stack.Caller(self.entries[0], "hung-1")
+        caller.open()
+        _, reply = caller.tool(f"12 pouches hang={HANG_MS}", number=1)
+        self.assertEqual(reply["outcome"], "unknown")
+        # The answer came at the limit, before the effect.
+        self.assertEqual(self.stack.effects("orders").count("charge hung-1 1"), 0)
+        stack.wait_until(lambda: self.stack.effects("orders").count("charge hung-1 1") == 1, "the late effect")
+        again = stack.Caller(self.entries[1], "hung-1")
+        _, reply = again.tool(f"12 pouches hang={HANG_MS}", number=1)
+        self.assertNotEqual(reply["outcome"], "notRun")
+        time.sleep(2 * HANG_MS / 1000)
+        self.assertEqual(self.stack.effects("orders").count("charge hung-1 1"), 1)
+
+    def test_hung_search_ends_at_its_limit(self):
+        caller = stack.Caller(self.entries[0], "hung-2")
+        caller.open()
+        _, reply = caller.tool(f"carrots hang={HANG_MS}", tool="search", idempotent=True)
+        self.assertNotIn(reply["outcome"], ("notRun", "completed"))
+        self.assertEqual(self.stack.effects("orders").count("search hung-2 1"), 0)
+
+
+class CrashIsolationTest(unittest.TestCase):
+    """A request that crashes the engine that runs it."""
+
+    def setUp(self):
+        self.stack = stack.small_stack(entries=1, engines=1)
+        self.entry = list(self.stack.entries.values())[0]
+
+    def tearDown(self):
+        self.stack.close()
+
+    def ask_from(self, name, text):
+        """Opens a program and makes its first call; returns the reply."""
+        caller = stack.Caller(self.entry, name)
+        caller.open()
+        return caller.model(text)[1]
+
+    def crashes(self):
+        """Returns how often the crashing request reached the engine."""
+        return sum(line.startswith("crash-") for line in self.stack.requests("engine-0"))
+
+    def restart_engine(self):
+        """Starts the crashed engine again."""
+        self.stack.restart("engine-0")
+        stack.wait_until(lambda: stack.answers(self.stack.engines["engine-0"] + "/v1/account"), "the engine")
+
+    def test_second_crash_quarantines_the_request(self):
+        crashing = "CRASH-ENGINE please"
+        self.assertNotEqual(self.ask_from("crash-1", crashing)["outcome"], "notRun")
+        self.restart_engine()
+        self.assertEqual(self.ask_from("crash-2", crashing)["outcome"], "failed")
+        self.restart_engine()
+        for number in range(3, 8):
+            self.assertEqual(self.ask_from(f"crash-{number}", crashing)["outcome"], "notRun")
+        self.assertEqual(self.crashes(), 2)
+        self.assertEqual(self.ask_from("innocent-1", "a carrot")["outcome"], "completed")
+
+    def test_calls_that_ran_beside_the_crash_complete_later(self):
+        names = [f"beside-{i}" for i in range(4)]
+        before = len(self.stack.requests("engine-0"))
+        calls = [stack.Background(lambda name=name: self.ask_from(name, f"{name} answer=250")) for name in names]
+        stack.wait_until(lambda: len(self.stack.requests("engine-0")) == before + len(names), "the calls")
+        self.ask_from("crash-1", "CRASH-ENGINE beside others")
+        for call in calls:
+            call.join()
+            self.assertNotEqual(call.result["outcome"], "notRun")
+        self.restart_engine()
+        for name in names:
+            reply = self.ask_from(name + "-again", f"{name} answer=250")
+            self.assertEqual((reply["outcome"], reply["usage"]["completion"]), ("completed", 250))
+        self.assertEqual(self.crashes(), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_runnerlimits.cpp
@@ -0,0 +1,154 @@
+#include "runner/concurrencylimit.h"
+#include "runner/crashregister.h"
+#include "runner/drainrate.h"
+#include "runner/holdtable.h"
+
+#include <algorithm>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace briarhinge;
+using namespace briarhinge::runner;
+
+namespace
+{
+
+const base::Timestamp start{base::Milliseconds(10'000)};
+constexpr base::Milliseconds second{1000};
+constexpr base::Milliseconds keepTime{60'000};
+constexpr base::Milliseconds breakEven{20'000};
+
+/** An engine whose tokens come slower the more calls it has. */
+base::Milliseconds gapAt(std::size_t calls, std::size_t callsAtTarget)
+{
+    return base::Milliseconds(static_cast<std::int64_t>(40 * calls / callsAtTarget));
+}
+
+}
+
+TEST_GROUP(ConcurrencyLimit){};
+
+TEST(ConcurrencyLimit, settlesWhereTheTargetIsKept)
+{
+    const bool held = rc::check("limit near the engine's capacity", [] {
+        const auto capacity = *rc::gen::inRange<std::size_t>(4, 30);
+        ConcurrencyLimit limit({32, base::Milliseconds(40), 50});
+        base::Timestamp now = start;
+        for (int token = 0; token < 20'000; ++token) {
+            now += base::Milliseconds(1);
+            limit.tokenArrived(gapAt(limit.limit(), capacity), true, now);
+            RC_ASSERT(limit.limit() >= 1U);
+            RC_ASSERT(limit.limit() <= 32U);
+        }
+        RC_ASSERT(limit.limit() <= capacity + 1);
+        RC_ASSERT(limit.limit() + 3 >= std::min<std::size_t>(32, capacity) * 8 / 10);
+    });
+    CHECK(held);
+}
+
+TEST(ConcurrencyLimit, neverLeavesItsBounds)
+{
+    const bool held = rc::check("bounds", [] {
+        ConcurrencyLimit limit({8, base::Milliseconds(40), 5});
+        base::Timestamp now = start;
+        for (int token = 0; token < 500; ++token) {
+            now += base::Milliseconds(*rc::gen::inRange(0, 100));
+            limit.tokenArrived(base::Milliseconds(*rc::gen::inRange(0, 100)), *rc::gen::arbitrary<bool>(), now);
+            RC_ASSERT(limit.limit() >= 1U && limit.limit() <= 8U);
+        }
+    });
+    CHECK(held);
+}
+
+TEST_GROUP(DrainRate){};
+
+TEST(DrainRate, waitFollowsTheMeasuredTimeOfCalls)
+{
+    DrainRate rate;
+    CHECK(rate.expectedWait(10, 2) == base::Milliseconds(0));
+    rate.callEnded(base::Milliseconds(200));
+    CHECK(rate.expectedWait(10, 2) == base::Milliseconds(1000));
+    CHECK(rate.expectedWait(0, 2) == base::Milliseconds(0));
+}
+
+TEST_GROUP(CrashRegister)
+{
+    CrashRegister crashes{keepTime};
+};
+
+TEST(CrashRegister, secondCrashAloneQuarantines)
+{
+    CHECK(!crashes.crashed("a", false, start));
+    CHECK(crashes.isSuspect("a"));
+    CHECK(!crashes.isQuarantined("a"));
+    CHECK(crashes.crashed("a", true, start));
+    CHECK(crashes.isQuarantined("a"));
+    crashes.survived("a");
+    CHECK(crashes.isQuarantined("a"));
+}
+
+TEST(CrashRegister, innocentRequestIsClearedWhenTheUpstreamOutlivesIt)
+{
+    crashes.crashed("b", false, start);
+    crashes.survived("b");
+    CHECK(!crashes.isSuspect("b"));
+}
+
+TEST(CrashRegister, quarantineFromElsewhereHoldsUntilItIsTooOld)
+{
+    crashes.quarantine("c", start);
+    CHECK(crashes.isQuarantined("c"));
+    crashes.expire(start + 2 * keepTime);
+    CHECK(!crashes.isQuarantined("c"));
+}
+
+TEST_GROUP(HoldTable)
+{
+    const base::ProgramId program{"order-1"};
+    const int owner = 0;
+    HoldTable holds{HoldTimes{}};
+};
+
+TEST(HoldTable, holdIsAShortLeaseThatIsRenewed)
+{
+    CHECK(holds.turnEnded(program, &owner, breakEven, start) == HoldTimes{}.lease);
+    CHECK(holds.due(start).renew.empty());
+    CHECK_EQUAL(1U, holds.due(start + HoldTimes{}.renewal).renew.size());
+    CHECK(holds.due(start + HoldTimes{}.renewal).renew.empty());
+}
+
+TEST(HoldTable, absentProgramIsLetGoAtTheBreakEven)
+{
+    holds.turnEnded(program, &owner, breakEven, start);
+    CHECK(holds.due(start + breakEven - second).release.empty());
+    CHECK_EQUAL(1U, holds.due(start + breakEven).release.size());
+    CHECK_EQUAL(0U, holds.size());
+}
+
+TEST(HoldTable, longExpectedPausesAreNotHeldFor)
+{
+    holds.turnEnded(program, &owner, breakEven, start);
+    holds.turnStarted(program, start + breakEven + second);
+    CHECK(!holds.turnEnded(program, &owner, breakEven, start + breakEven + second));
+}
+
+TEST(HoldTable, endOfProgramAndOfOwnerStopTheRenewal)
+{
+    const base::ProgramId other{"order-2"};
+    const int otherOwner = 0;
+    holds.turnEnded(program, &owner, breakEven, start);
+    holds.turnEnded(other, &otherOwner, breakEven, start);
+    holds.programEnded(program, start);
+    CHECK_EQUAL(1U, holds.size());
+    holds.ownerGone(&otherOwner);
+    CHECK_EQUAL(0U, holds.size());
+}
+
+TEST(HoldTable, turnThatEndsBehindItsProgramIsNotHeldFor)
+{
+    holds.turnStarted(program, start);
+    holds.programEnded(program, start);
+    CHECK(!holds.turnEnded(program, &owner, breakEven, start));
+}
--- /dev/null
+++ b/tests/test_runnerservice.cpp
@@ -0,0 +1,360 @@
+#include "runner/runnerservice.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace briarhinge;
+using namespace briarhinge::runner;
+
+namespace
+{
+
+class ManualClock
+{
+public:
+    base::Timestamp now() const
+    {
+        return m_now;
+    }
+
+    void pass(base::Milliseconds time)
+    {
+        m_now += time;
+    }
+
+private:
+    base::Timestamp m_now{base::Milliseconds(1'000'000)};
+};
+
+class FakeSession
+{
+public:
+    void send(const wire::FrameT &frame)
+    {
+        if (const auto *result = frame.message.AsCallResult()) {
+            results[frame.request_id].push_back(result->outcome);
+            retryAfter[frame.request_id] = result->retry_after_ms;
+            texts[frame.request_id] = result->text;
+        } else if (const auto *chunk = frame.message.AsCallChunk()) {
+            chunks[frame.request_id].push_back({chunk->offset, chunk->text});
+        }
+    }
+
+    void close(const std::string &)
+    {
+    }
+
+    std::map<std::uint64_t, std::vector<wire::OutcomeKind>> results;
+    std::map<std::uint64_t, std::uint64_t> retryAfter;
+    std::map<std::uint64_t, std::string> texts;
+    std::map<std::uint64_t, std::vector<std::pair<std::uint64_t, std::string>>> chunks;
+};
+
+class FakeCancellation : public Cancellation
+{
+public:
+    explicit FakeCancellation(int &count)
+        : m_count(count)
+    {
+    }
+
+    void cancel() override
+    {
+        ++m_count;
+    }
+
+private:
+    int &m_count;
+};
+
+class FakeUpstream
+{
+public:
+    struct Running
+    {
+        UpstreamCall call;
+        UpstreamObserver observer;
+    };
+
+    std::shared_ptr<Cancellation> execute(const UpstreamCall &call, const UpstreamObserver &observer)
+    {
+        running.push_back({call, observer});
+        return std::make_shared<FakeCancellation>(cancelled);
+    }
+
+    void release(const base::ProgramId &)
+    {
+        ++released;
+    }
+
+    void hold(const base::ProgramId &, const std::string &, base::Milliseconds)
+    {
+        ++held;
+    }
+
+    void renew(const std::vector<base::ProgramId> &, base::Milliseconds)
+    {
+    }
+
+    std::vector<Running> running;
+    int cancelled = 0;
+    int released = 0;
+    int held = 0;
+};
+
+using Service = RunnerService<FakeUpstream, ManualClock, FakeSession>;
+
+RunnerPolicy policy()
+{
+    RunnerPolicy limits;
+    limits.concurrency.most = 1;
+    limits.queueWaitLimit = base::Milliseconds(1000);
+    limits.callTimeout = base::Milliseconds(5000);
+    limits.toolTimeouts[base::TargetName("charge")] = base::Milliseconds(300);
+    limits.orphanGrace = base::Milliseconds(500);
+    return limits;
+}
+
+wire::ExecuteCallT model(const std::string &program)
+{
+    wire::ExecuteCallT call;
+    call.program = program;
+    call.number = 1;
+    call.kind = wire::CallKind::Model;
+    call.target = "small";
+    call.idempotent = true;
+    call.body_digest = "digest of " + program;
+    return call;
+}
+
+wire::ExecuteCallT charge(const std::string &program)
+{
+    wire::ExecuteCallT call = model(program);
+    call.kind = wire::CallKind::Tool;
+    call.target = "charge";
+    call.idempotent = false;
+    return call;
+}
+
+}
+
+TEST_GROUP(RunnerService)
+{
+    ManualClock clock;
+    FakeUpstream upstream;
+    logging::EventLog log{"runner-test"};
+    Service service{upstream, clock, log, policy()};
+    std::shared_ptr<FakeSession> session = std::make_shared<FakeSession>();
+    std::shared_ptr<FakeSession> other = std::make_shared<FakeSession>();
+
+    template <class MessageT>
+    void send(const std::shared_ptr<FakeSession> &from, std::uint64_t requestId, MessageT message)
+    {
+        wire::FrameT frame;
+        frame.request_id = requestId;
+        frame.message.Set(std::move(message));
+        service.received(from, frame);
+    }
+
+    void complete(std::size_t index, const std::string &answer = "done")
+    {
+        upstream.running.at(index).observer.ended(core::Completed{answer, {}});
+    }
+
+    void checkOutcome(const std::shared_ptr<FakeSession> &at, std::uint64_t requestId, wire::OutcomeKind kind)
+    {
+        CHECK_EQUAL(1U, at->results[requestId].size());
+        CHECK(at->results[requestId].front() == kind);
+    }
+};
+
+TEST(RunnerService, secondAskerOfARunningChargeGetsItsOutcome)
+{
+    send(session, 1, charge("a"));
+    service.sessionClosed(session);
+    send(other, 7, charge("a"));
+    CHECK_EQUAL(1U, upstream.running.size());
+    complete(0);
+    checkOutcome(other, 7, wire::OutcomeKind::Completed);
+    send(other, 8, charge("a"));
+    checkOutcome(other, 8, wire::OutcomeKind::Completed);
+    CHECK_EQUAL(1U, upstream.running.size());
+}
+
+TEST(RunnerService, queuedChargeOfALostEntryIsDroppedAndMayComeAgain)
+{
+    send(other, 1, model("a"));
+    send(session, 2, charge("b"));
+    service.sessionClosed(session);
+    complete(0);
+    CHECK_EQUAL(1U, upstream.running.size());
+    send(other, 3, charge("b"));
+    CHECK_EQUAL(2U, upstream.running.size());
+}
+
+TEST(RunnerService, duplicatedFrameIsAnsweredOnce)
+{
+    send(session, 1, charge("a"));
+    send(session, 1, charge("a"));
+    complete(0);
+    checkOutcome(session, 1, wire::OutcomeKind::Completed);
+    CHECK_EQUAL(1U, upstream.running.size());
+}
+
+TEST(RunnerService, newOwnerJoinsAStreamBehindWhatItHas)
+{
+    send(session, 1, model("a"));
+    upstream.running[0].observer.chunk(0, "kari");
+    service.sessionClosed(session);
+    clock.pass(base::Milliseconds(400));
+    service.tick();
+    wire::ExecuteCallT again = model("a");
+    again.partial = "ka";
+    send(other, 2, again);
+    upstream.running[0].observer.chunk(4, "mo");
+    complete(0, "karimo");
+    CHECK(other->chunks[2] == (std::vector<std::pair<std::uint64_t, std::string>>{{2, "ri"}, {4, "mo"}}));
+    checkOutcome(other, 2, wire::OutcomeKind::Completed);
+    STRCMP_EQUAL("karimo", other->texts[2].c_str());
+    CHECK_EQUAL(0, upstream.cancelled);
+}
+
+TEST(RunnerService, orphanedModelCallIsStoppedAfterItsGraceAndAChargeNever)
+{
+    send(session, 1, model("a"));
+    service.sessionClosed(session);
+    clock.pass(base::Milliseconds(501));
+    service.tick();
+    CHECK_EQUAL(1, upstream.cancelled);
+    CHECK_EQUAL(0U, service.inProgress());
+    send(session, 2, charge("b"));
+    service.sessionClosed(session);
+    clock.pass(base::Milliseconds(250));
+    service.tick();
+    CHECK_EQUAL(1U, service.inProgress());
+}
+
+TEST(RunnerService, hungChargeIsUnknownAtItsLimitAndItsTrueOutcomeKept)
+{
+    send(session, 1, charge("a"));
+    clock.pass(base::Milliseconds(301));
+    service.tick();
+    checkOutcome(session, 1, wire::OutcomeKind::Unknown);
+    complete(0);
+    checkOutcome(session, 1, wire::OutcomeKind::Unknown);
+    send(session, 2, charge("a"));
+    checkOutcome(session, 2, wire::OutcomeKind::Completed);
+    CHECK_EQUAL(1U, upstream.running.size());
+}
+
+TEST(RunnerService, timeLimitOfTheCallGoesBeforeTheSetting)
+{
+    wire::ExecuteCallT call = charge("a");
+    call.timeout_ms = 2000;
+    send(session, 1, call);
+    clock.pass(base::Milliseconds(1999));
+    service.tick();
+    CHECK(session->results.empty());
+    clock.pass(base::Milliseconds(2));
+    service.tick();
+    checkOutcome(session, 1, wire::OutcomeKind::Unknown);
+}
+
+TEST(RunnerService, drainingRefusesNewWorkAndFinishesTheRest)
+{
+    send(session, 1, model("a"));
+    send(session, 2, model("b"));
+    service.drain();
+    send(session, 3, model("c"));
+    checkOutcome(session, 3, wire::OutcomeKind::NotRun);
+    CHECK(session->retryAfter[3] > 0);
+    complete(0);
+    complete(1);
+    checkOutcome(session, 1, wire::OutcomeKind::Completed);
+    checkOutcome(session, 2, wire::OutcomeKind::Completed);
+    CHECK_EQUAL(0U, service.inProgress());
+    CHECK(!service.isQuiet());
+    clock.pass(base::Milliseconds(501));
+    CHECK(service.isQuiet());
+}
+
+TEST(RunnerService, overloadRefusesTheLowestPriorityAtOnce)
+{
+    send(session, 1, model("a"));
+    clock.pass(base::Milliseconds(600));
+    complete(0);
+    send(session, 2, model("b"));
+    send(session, 3, model("c"));
+    wire::ExecuteCallT high = model("d");
+    high.priority = 5;
+    send(session, 4, high);
+    checkOutcome(session, 3, wire::OutcomeKind::NotRun);
+    CHECK_EQUAL(1200U, session->retryAfter[3]);
+    CHECK(session->results[4].empty());
+    send(session, 5, model("e"));
+    checkOutcome(session, 5, wire::OutcomeKind::NotRun);
+}
+
+TEST(RunnerService, callThatIsGivenUpIsAnsweredAtOnce)
+{
+    send(session, 1, model("a"));
+    send(session, 2, model("b"));
+    send(session, 2, wire::CancelCallT{});
+    checkOutcome(session, 2, wire::OutcomeKind::NotRun);
+    send(session, 1, wire::CancelCallT{});
+    checkOutcome(session, 1, wire::OutcomeKind::Unknown);
+    CHECK_EQUAL(1, upstream.cancelled);
+}
+
+TEST(RunnerService, suspectRunsAloneAndItsSecondCrashIsFinal)
+{
+    RunnerPolicy wide = policy();
+    wide.concurrency.most = 4;
+    Service runner(upstream, clock, log, wide);
+    const auto sendTo = [&](std::uint64_t requestId, const wire::ExecuteCallT &call) {
+        wire::FrameT frame;
+        frame.request_id = requestId;
+        frame.message.Set(wire::ExecuteCallT(call));
+        runner.received(session, frame);
+    };
+    sendTo(1, model("a"));
+    sendTo(2, model("b"));
+    upstream.running[0].observer.ended(core::Unknown{"the engine died"});
+    upstream.running[1].observer.ended(core::Unknown{"the engine died"});
+    sendTo(3, model("c"));
+    sendTo(4, model("a"));
+    sendTo(5, model("d"));
+    CHECK_EQUAL(3U, upstream.running.size());
+    complete(2);
+    CHECK_EQUAL(4U, upstream.running.size());
+    upstream.running[3].observer.ended(core::Unknown{"the engine died"});
+    checkOutcome(session, 4, wire::OutcomeKind::Failed);
+    CHECK_EQUAL(5U, upstream.running.size());
+    sendTo(6, model("a"));
+    checkOutcome(session, 6, wire::OutcomeKind::NotRun);
+}
+
+TEST(RunnerService, quarantineFromElsewhereIsKept)
+{
+    wire::QuarantineT quarantine;
+    quarantine.digests.push_back(model("a").body_digest);
+    send(session, 1, quarantine);
+    send(session, 2, model("a"));
+    checkOutcome(session, 2, wire::OutcomeKind::NotRun);
+    CHECK(upstream.running.empty());
+}
+
+TEST(RunnerService, prefixIsHeldBetweenTurnsAndLetGoAtTheEnd)
+{
+    send(session, 1, model("a"));
+    complete(0);
+    CHECK_EQUAL(1, upstream.held);
+    wire::ReleaseProgramT release;
+    release.program = "a";
+    send(session, 2, release);
+    CHECK_EQUAL(1, upstream.released);
+}
