--- a/src/libbriarhinge/runner/runnerservice.h
+++ b/src/libbriarhinge/runner/runnerservice.h
@@ -15,6 +15,7 @@
 #include "wire/convert.h"
 #include "wire/framesession.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -452,14 +453,19 @@
     void answer(const JobT &job, const core::Outcome &outcome, bool died = false)
     {
         for (const ListenerT &listener : job.listeners) {
-            wire::CallResultT result = wire::toWire(outcome);
-            result.load = std::make_unique<wire::LoadReportT>(loadReportLocked());
-            result.suspect = died;
-            result.quarantined = m_crashes.isQuarantined(job.digest);
-            reply(listener, std::move(result));
+            answer(listener, job, outcome, died);
         }
     }
 
+    void answer(const ListenerT &listener, const JobT &job, const core::Outcome &outcome, bool died)
+    {
+        wire::CallResultT result = wire::toWire(outcome);
+        result.load = std::make_unique<wire::LoadReportT>(loadReportLocked());
+        result.suspect = died;
+        result.quarantined = m_crashes.isQuarantined(job.digest);
+        reply(listener, std::move(result));
+    }
+
     void holdPrefix(const JobT &job, const core::Outcome &outcome, Work &work)
     {
         const core::DispatchCall &call = job.call.call;
@@ -475,31 +481,51 @@
         }
     }
 
-    /** An entry gives a call up: it is answered at once. */
+    /** An entry gives a call up: it is answered at once, and the call stops unless somebody else waits for it. */
     void giveUp(const ListenerT &listener)
     {
-        const auto waits = [&](const JobPointer &job) {
-            return std::find(job->listeners.begin(), job->listeners.end(), listener) != job->listeners.end();
-        };
         Work work;
         {
             const std::lock_guard lock(m_mutex);
-            for (const JobPointer &job : m_queue.remove(waits)) {
+            const JobPointer job = jobOf(listener);
+            if (job && job->state == JobState::Queued && job->listeners.size() == 1) {
+                m_queue.remove([&](const JobPointer &queued) {
+                    return queued == job;
+                });
                 end(job, core::NotRun{"given up while it waited", std::nullopt}, work);
-            }
-            const auto running = std::find_if(m_running.begin(), m_running.end(), waits);
-            if (running != m_running.end()) {
-                stop(*running, core::Unknown{"given up while it ran"}, work);
+            } else if (job) {
+                giveUpShared(listener, job, work);
             }
             startWaiting(work);
         }
         perform(work);
     }
 
+    /** Gives up a call that runs, or that will run for somebody else. */
+    void giveUpShared(const ListenerT &listener, const JobPointer &job, Work &work)
+    {
+        const core::Unknown outcome{"given up"};
+        answer(listener, *job, outcome, false);
+        std::erase(job->listeners, listener);
+        if (job->listeners.empty() && job->call.call.request.idempotent) {
+            stop(job, outcome, work);
+        }
+    }
+
+    /** @return the call that an entry waits for, or nothing */
+    JobPointer jobOf(const ListenerT &listener) const
+    {
+        for (const auto &[key, job] : m_jobs) {
+            if (std::find(job->listeners.begin(), job->listeners.end(), listener) != job->listeners.end()) {
+                return job;
+            }
+        }
+        return nullptr;
+    }
+
     /** Ends a running call before its upstream does. */
-    void stop(const JobPointer &running, const core::Outcome &outcome, Work &work)
+    void stop(const JobPointer &job, const core::Outcome &outcome, Work &work)
     {
-        const JobPointer job = running;
         job->cancelled = true;
         if (job->cancellation) {
             work.cancel.push_back(job->cancellation);
--- a/tests/test_runnerservice.cpp
+++ b/tests/test_runnerservice.cpp
@@ -310,6 +310,28 @@
     CHECK_EQUAL(1, upstream.cancelled);
 }
 
+TEST(RunnerService, callThatOneAskerGivesUpRunsOnForTheOther)
+{
+    send(session, 1, model("a"));
+    send(other, 2, model("a"));
+    send(session, 1, wire::CancelCallT{});
+    checkOutcome(session, 1, wire::OutcomeKind::Unknown);
+    complete(0);
+    checkOutcome(other, 2, wire::OutcomeKind::Completed);
+    CHECK_EQUAL(0, upstream.cancelled);
+}
+
+TEST(RunnerService, chargeThatIsGivenUpRunsOnAndItsOutcomeIsKept)
+{
+    send(session, 1, charge("a"));
+    send(session, 1, wire::CancelCallT{});
+    checkOutcome(session, 1, wire::OutcomeKind::Unknown);
+    complete(0);
+    send(session, 2, charge("a"));
+    checkOutcome(session, 2, wire::OutcomeKind::Completed);
+    CHECK_EQUAL(1U, upstream.running.size());
+}
+
 TEST(RunnerService, suspectRunsAloneAndItsSecondCrashIsFinal)
 {
     RunnerPolicy wide = policy();
