--- /dev/null
+++ b/util/measurement/bench.py
@@ -0,0 +1,185 @@
+"""Runs one deployment of real processes under one load and gathers the figures."""
+
+import asyncio
+import dataclasses
+import json
+import os
+import resource
+import time
+
+import stack
+from measurement import client, workload
+
+POLL_S = 0.25
+HELD_GRACE_S = 2.0
+ENGINE_FLAGS = ("--step-us", "15000", "--sequence-us", "1000", "--prefill-ns", "100000", "--batch", "8",
+                "--cache-tokens", "24000", "--threads", "24")
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """What is started for one run."""
+
+    engines: int = 4
+    entries: int = 2
+    entry_flags: tuple = ()
+    runner_flags: tuple = ("--concurrency", "8", "--io-threads", "1", "--http-threads", "4")
+    fault: str = ""
+
+
+def start(deployment):
+    """Starts the processes of a deployment over two zones."""
+    running = stack.Stack()
+    try:
+        for i in range(deployment.engines):
+            url = running.engine(f"engine-{i}", *ENGINE_FLAGS)
+            running.runner(f"runner-{i}", "rwc-" + "ab"[i % 2], url, "engine", "chat", ["small"],
+                           *deployment.runner_flags)
+        tool = running.tool("orders")
+        running.runner("runner-orders", "rwc-a", tool, "tool", "orders", ["charge"], *deployment.runner_flags)
+        for i in range(deployment.entries):
+            running.entry(f"entry-{i}", "rwc-" + "ab"[i % 2], *deployment.entry_flags)
+        running.publish()
+        running.wait_ready()
+    except BaseException:
+        running.close()
+        raise
+    return running
+
+
+def _usage_of(process):
+    """Returns seconds of processor time and megabytes of memory of a process."""
+    with open(f"/proc/{process.popen.pid}/stat", encoding="ascii") as stat:
+        fields = stat.read().rsplit(")", 1)[1].split()
+    with open(f"/proc/{process.popen.pid}/statm", encoding="ascii") as statm:
+        pages = int(statm.read().split()[1])
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S, pages * resource.getpagesize() / 1e6
+
+
+def usage(running, prefix):
+    """Returns processor seconds and megabytes summed over the processes whose name has a prefix."""
+    found = [_usage_of(process) for name, process in running.processes.items()
+             if name.startswith(prefix) and process.popen.poll() is None]
+    return sum(cpu for cpu, _ in found), sum(memory for _, memory in found)
+
+
+class HeldCache:
+    """Sums the tokens that engines hold for ended programs, over time."""
+
+    def __init__(self, running, tally):
+        self.running = running
+        self.tally = tally
+        self.token_seconds = 0.0
+        self.late_token_seconds = 0.0
+
+    async def poll(self):
+        """Asks the engines again and again until it is cancelled."""
+        while True:
+            await asyncio.sleep(POLL_S)
+            now = time.monotonic()
+            for url in self.running.engines.values():
+                try:
+                    _, text = await client.exchange("GET", url + "/v1/account", "")
+                except (OSError, asyncio.IncompleteReadError):
+                    continue
+                for user, tokens in json.loads(text)["held"].items():
+                    self._count(user, tokens, now)
+
+    def _count(self, user, tokens, now):
+        ended = self.tally.ended_at.get(user)
+        if ended is None:
+            return
+        self.token_seconds += tokens * POLL_S
+        if now - ended > HELD_GRACE_S:
+            self.late_token_seconds += tokens * POLL_S
+
+
+async def _inject(running, fault, at_s):
+    """Causes a fault in the middle of a run."""
+    await asyncio.sleep(at_s)
+    if fault == "engine-killed":
+        running.kill("engine-0")
+    elif fault == "engine-frozen":
+        running.pause("engine-0")
+    elif fault == "zone-cut":
+        for name in ("runner-1", "engine-1", "runner-3", "engine-3"):
+            running.pause(name)
+    elif fault == "key-value-down":
+        await asyncio.to_thread(running.faults, outage=True)
+
+
+async def _drive(running, deployment, plans, seconds, drain_s):
+    tally = client.Tally()
+    held = HeldCache(running, tally)
+    poller = asyncio.create_task(held.poll())
+    injector = asyncio.create_task(_inject(running, deployment.fault, seconds / 3))
+    entries = list(running.entries.values())
+    began = time.monotonic()
+    tasks = [asyncio.create_task(client.run_plan(entries, plan, tally, began)) for plan in plans]
+    _, unfinished = await asyncio.wait(tasks, timeout=seconds + drain_s)
+    ended = time.monotonic()
+    for task in unfinished:
+        task.cancel()
+    poller.cancel()
+    injector.cancel()
+    await asyncio.gather(poller, injector, *unfinished, return_exceptions=True)
+    for program in tally.programs:
+        if not program.ended:
+            program.ended = ended
+    return tally, held, began, ended
+
+
+def percentile(values, share):
+    """Returns a percentile by nearest rank, or 0 when there is no value."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
+
+
+def _latencies(row, tally):
+    for group in ("all", "high", "normal", "low"):
+        chosen = [program for program in tally.programs if group in ("all", program.group)]
+        done = [program for program in chosen if program.complete]
+        calls = [call for call in tally.calls if group in ("all", call.group)]
+        row[f"programs_{group}"] = len(chosen)
+        row[f"complete_{group}"] = len(done)
+        for share in (50, 95, 99):
+            row[f"p{share}_{group}"] = percentile([program.calls_s for program in done], share / 100)
+            row[f"with_pauses_p{share}_{group}"] = percentile([program.ended - program.began for program in done],
+                                                              share / 100)
+            row[f"first_token_p{share}_{group}"] = percentile([call.first_token_s for call in calls], share / 100)
+
+
+def run(deployment, seed, rate, seconds, drain_s):
+    """Runs one load on one deployment; returns a row of figures."""
+    plans = workload.plans(seed, rate, seconds)
+    running = start(deployment)
+    try:
+        counted = sum(value for value in running.counts().values() if isinstance(value, int))
+        before = {prefix: usage(running, prefix)[0] for prefix in ("entry", "runner", "engine")}
+        own = time.process_time()
+        tally, held, began, ended = asyncio.run(_drive(running, deployment, plans, seconds, drain_s))
+        own = time.process_time() - own
+        row = {"seed": seed, "rate": rate, "fault": deployment.fault, "duration_s": ended - began}
+        _latencies(row, tally)
+        prompt = max(1, sum(call.prompt for call in tally.calls))
+        row["cached_share"] = sum(call.cached for call in tally.calls) / prompt
+        row["wasted_share"] = sum(call.wasted for call in tally.calls) / prompt
+        row["wasted_tokens"] = sum(call.wasted for call in tally.calls)
+        row["held_ended_token_s"] = held.token_seconds
+        row["held_ended_past_2s_token_s"] = held.late_token_seconds
+        in_window = [call for call in tally.calls if call.ended <= began + seconds]
+        row["calls_per_s"] = len(in_window) / seconds
+        row["refusals"] = tally.refusals
+        row["outcomes"] = " ".join(f"{name}:{count}" for name, count in sorted(tally.outcomes.items()))
+        for prefix, cpu in before.items():
+            after, memory = usage(running, prefix)
+            row[f"{prefix}_cores"] = (after - cpu) / (ended - began)
+            row[f"{prefix}_mb"] = memory
+        row["load_tool_cores"] = own / (ended - began)
+        counted = sum(value for value in running.counts().values() if isinstance(value, int)) - counted
+        row["key_value_per_s"] = counted / (ended - began)
+        row["machine_load"] = os.getloadavg()[0]
+        return row
+    finally:
+        running.close()
