Placement: Expected time, retry budget, suspects, runner health and limits decide where calls go

RunDispatcher is split: Placer (policy, homes, prefix index), RunnerHealth, RetryBudget, SuspectTable, CallLimits.

--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -9,6 +9,35 @@
 constexpr base::Milliseconds platformTimeout{2000};
 constexpr base::Milliseconds retryWhenDraining{200};
 
+placement::ChosenPolicy policyOf(const settings::Settings &settings)
+{
+    switch (settings.placement) {
+    case settings::Placement::RoundRobin:
+        return placement::RoundRobin{};
+    case settings::Placement::LeastOutstanding:
+        return placement::LeastOutstanding{};
+    case settings::Placement::Sticky:
+        return placement::Sticky{};
+    case settings::Placement::Expected:
+        break;
+    }
+    return placement::ExpectedTime{};
+}
+
+placement::DispatchSettings dispatchSettings(const settings::Settings &settings)
+{
+    constexpr double percent = 100;
+    placement::DispatchSettings dispatch;
+    dispatch.zone = settings.zone;
+    dispatch.probes = settings.placementProbes;
+    dispatch.retryShare = static_cast<double>(settings.retryPercent) / percent;
+    dispatch.stallLimit = settings.stallLimit;
+    dispatch.callTimeLimit = settings.callTimeLimit;
+    dispatch.ordersByService = settings.callOrder == settings::CallOrder::Service;
+    dispatch.bounds = {settings.accountCalls, settings.programCalls, settings.entryCalls};
+    return dispatch;
+}
+
 bool startsWork(api::Verb verb)
 {
     return verb == api::Verb::OpenProgram || verb == api::Verb::MakeCall;
@@ -24,7 +53,7 @@
     , m_directory([this](const wire::Address &address) {
         return makeChannel(address);
     })
-    , m_dispatcher(m_directory, log, settings.zone)
+    , m_dispatcher(m_threads.context(), m_directory, log, policyOf(settings), dispatchSettings(settings))
     , m_service(m_clock, m_recordLog, m_dispatcher, m_policies)
     , m_router(
           settings.name, m_owners,
--- a/src/libbriarhinge/core/step.cpp
+++ b/src/libbriarhinge/core/step.cpp
@@ -90,7 +90,7 @@
 DispatchCall dispatch(const ProgramTree &tree, const ProgramState &program, const CallRequest &request)
 {
     const std::string prompt = request.kind == CallKind::Model ? promptOf(program, request.number) : request.input;
-    return {program.spec.id, request, prompt, tree.policy.priority, tree.budget.spent().tokens};
+    return {program.spec.id, request, prompt, tree.policy.priority, tree.budget.spent().tokens, program.spec.account};
 }
 
 Actions on(ProgramTree &tree, const OpenProgram &event, base::Timestamp now)
--- a/src/libbriarhinge/core/step.h
+++ b/src/libbriarhinge/core/step.h
@@ -125,6 +125,8 @@
     std::int32_t priority = 0;
     /** Tokens that the whole tree has used so far. */
     base::Tokens attained;
+    /** The client account that the call counts for. */
+    base::AccountId account;
 };
 
 /** Stops a call that is under way, if that is still possible. */
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -41,12 +41,16 @@
 inline constexpr EventKind callRetried{402, "call-retried", Level::Info};
 inline constexpr EventKind upstreamFailed{500, "upstream-failed", Level::Warning};
 inline constexpr EventKind upstreamDraining{501, "upstream-draining", Level::Info};
+inline constexpr EventKind callStalled{540, "call-stalled", Level::Warning};
+inline constexpr EventKind callSuspected{541, "call-suspected", Level::Warning};
+inline constexpr EventKind callLimited{542, "call-limited", Level::Info};
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
 inline constexpr std::array all{
-    processStarted, processStopping, processStopped,      settingsRefused,   stoppedEarly,   badFrame,
-    peerConnected,  peerLost,        platformUnavailable, platformAvailable, requestRefused, callFinished,
-    callRetried,    upstreamFailed,  upstreamDraining,    invariantViolated,
+    processStarted, processStopping, processStopped, settingsRefused,     stoppedEarly,
+    badFrame,       peerConnected,   peerLost,       platformUnavailable, platformAvailable,
+    requestRefused, callFinished,    callRetried,    upstreamFailed,      upstreamDraining,
+    callStalled,    callSuspected,   callLimited,    invariantViolated,
 };
 
 }
--- a/src/libbriarhinge/placement/rundispatcher.cpp
+++ b/src/libbriarhinge/placement/rundispatcher.cpp
@@ -4,6 +4,7 @@
 #include "wire/convert.h"
 
 #include <algorithm>
+#include <atomic>
 
 namespace briarhinge::placement
 {
@@ -11,59 +12,125 @@
 namespace
 {
 
-constexpr std::size_t maxAttempts = 3;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t maxAttempts = 4;
+constexpr std::size_t maxSuspects = 4096;
+constexpr double retryBurst = 20;
 constexpr base::Milliseconds retryWhenNoRunner{1000};
+constexpr base::Milliseconds retryWhenLimited{250};
+constexpr base::Milliseconds firstBackoff{20};
+constexpr base::Milliseconds tickInterval{100};
+/** Longest wait for the loads that are asked for before a program is placed. */
+constexpr base::Milliseconds probeLimit{20};
+/** Expected times are rough: standing still begins at this many of them. */
+constexpr int expectedTimesUntilStall = 4;
+
+PlacementSubject subjectOf(const core::DispatchCall &call)
+{
+    const bool isModelCall = call.request.kind == core::CallKind::Model;
+    return {call.program, isModelCall, base::Tokens(call.prompt.size() / bytesPerToken),
+            isModelCall ? prefixChain(call.prompt) : PrefixChain{}};
+}
+
+/** The prompt counts, not the program: a crashing request may be sent again as another program. */
+base::Digest digestOf(const core::DispatchCall &call)
+{
+    if (call.request.kind == core::CallKind::Tool) {
+        return core::bodyDigest(call.request);
+    }
+    return base::digestOf({call.request.target.value(), call.prompt});
+}
+
+base::Milliseconds millisecondsBetween(SteadyTime from, SteadyTime to)
+{
+    return std::chrono::duration_cast<base::Milliseconds>(to - from);
+}
 
-std::uint32_t busy(const RunnerView &view)
+bool hasCompleted(const core::Outcome &outcome)
 {
-    return std::max(view.outstanding, view.reportedBusy);
+    return std::holds_alternative<core::Completed>(outcome);
 }
 
+/** Loads that were asked for before a call is placed; the first of all answers and the time limit goes on. */
+struct ProbeRound
+{
+    std::atomic<std::size_t> missing;
+    std::atomic<bool> over{false};
+};
+
 }
 
-RunDispatcher::RunDispatcher(RunnerDirectory &directory, logging::EventLog &log, base::ZoneName zone)
-    : m_directory(directory)
+RunDispatcher::RunDispatcher(boost::asio::io_context &context, RunnerDirectory &directory, logging::EventLog &log,
+                             ChosenPolicy policy, DispatchSettings settings)
+    : m_context(context)
+    , m_directory(directory)
     , m_log(log)
-    , m_zone(std::move(zone))
+    , m_settings(std::move(settings))
+    , m_placer(std::move(policy), m_settings.zone)
+    , m_timer(context)
+    , m_suspects(maxSuspects)
+    , m_retries(m_settings.retryShare, retryBurst)
+    , m_limits(m_settings.bounds)
 {
+    scheduleTick();
 }
 
 void RunDispatcher::dispatch(const core::DispatchCall &call, const service::DispatchObserver &observer)
 {
-    auto attempt = std::make_shared<Attempt>();
-    attempt->call = call;
-    attempt->observer = observer;
-    send(attempt);
+    const CallSource source{call.account, core::rootOf(call.program), call.priority};
+    const auto run = std::make_shared<CallRun>(call, observer, subjectOf(call), digestOf(call), source, Clock::now());
+    std::optional<std::string> refusal;
+    {
+        const std::lock_guard lock(m_mutex);
+        refusal = m_limits.admit(source);
+        if (!refusal) {
+            m_retries.callStarted();
+            m_runs[{call.program, call.request.number}] = run;
+        }
+    }
+    if (refusal) {
+        m_log.write(logging::events::callLimited,
+                    {{"program", call.program.value()}, {"call", call.request.number.value()}, {"reason", *refusal}});
+        observer.ended(core::NotRun{*refusal, retryWhenLimited});
+        return;
+    }
+    start(run);
 }
 
 void RunDispatcher::cancel(const base::ProgramId &program, base::CallNumber number)
 {
-    Running running;
+    RunPtr run;
     {
         const std::lock_guard lock(m_mutex);
-        const auto found = m_running.find({program, number});
-        if (found == m_running.end()) {
+        const auto found = m_runs.find({program, number});
+        if (found == m_runs.end()) {
             return;
         }
-        running = found->second;
+        run = found->second;
+    }
+    bool isSent = false;
+    {
+        const std::lock_guard lock(run->mutex);
+        run->cancelled = true;
+        isSent = run->attempt != nullptr;
+        if (isSent) {
+            run->attempt->channel->cancel(run->attempt->requestId);
+        }
+    }
+    if (!isSent) {
+        finish(run, core::NotRun{"the call was cancelled", std::nullopt});
     }
-    running.channel->cancel(running.requestId);
 }
 
 void RunDispatcher::release(const base::ProgramId &program)
 {
-    std::string home;
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto found = m_home.find(program);
-        if (found == m_home.end()) {
-            return;
-        }
-        home = found->second;
-        m_home.erase(found);
+    const auto home = m_placer.release(program);
+    if (!home) {
+        return;
     }
     for (const Candidate &runner : m_directory.all()) {
-        if (runner.view.name == home) {
+        if (runner.view.name == *home) {
             wire::MessageUnion message;
             wire::ReleaseProgramT release;
             release.program = program.value();
@@ -73,131 +140,486 @@
     }
 }
 
-std::optional<Candidate> RunDispatcher::choose(const Attempt &attempt) const
+void RunDispatcher::start(const RunPtr &run)
+{
+    SuspectVerdict verdict = SuspectVerdict::Clear;
+    {
+        const std::scoped_lock lock(run->mutex, m_mutex);
+        verdict = m_suspects.judge(run->digest);
+        run->isOnTrial = verdict == SuspectVerdict::RunAlone;
+        if (verdict == SuspectVerdict::Wait) {
+            m_waiting[run->digest].push_back(run);
+        }
+    }
+    if (verdict == SuspectVerdict::Quarantined) {
+        finish(run, core::Failed{"this request crashed two upstreams and is not run again"});
+    } else if (verdict != SuspectVerdict::Wait) {
+        place(run);
+    }
+}
+
+void RunDispatcher::place(const RunPtr &run)
+{
+    const std::vector<Candidate> candidates = eligible(*run);
+    const auto asked = m_placer.worthAsking(run->subject, candidates, m_settings.probes);
+    if (asked.empty()) {
+        placeNow(run);
+    } else {
+        askAndPlace(run, asked);
+    }
+}
+
+void RunDispatcher::askAndPlace(const RunPtr &run, const std::vector<Candidate> &asked)
 {
-    std::vector<Candidate> candidates = m_directory.candidates(attempt.call.request.target);
-    std::erase_if(candidates, [&](const Candidate &candidate) {
-        return attempt.tried.contains(candidate.view.name);
+    auto round = std::make_shared<ProbeRound>();
+    round->missing = asked.size();
+    const auto goOn = [this, run, round] {
+        if (!round->over.exchange(true)) {
+            placeNow(run);
+        }
+    };
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, probeLimit);
+    timer->async_wait([goOn](boost::system::error_code cancelled) {
+        if (!cancelled) {
+            goOn();
+        }
     });
+    for (const Candidate &candidate : asked) {
+        wire::MessageUnion message;
+        wire::ProbeT probe;
+        probe.program = run->call.program.value();
+        message.Set(std::move(probe));
+        candidate.channel->ask(std::move(message),
+                               [this, name = candidate.view.name, round, goOn, timer](const wire::ChannelReply &reply) {
+                                   if (const auto *frame = std::get_if<wire::FrameT>(&reply)) {
+                                       if (const auto *load = frame->message.AsLoadReport()) {
+                                           m_directory.loadReported(name, *load);
+                                       }
+                                   } else {
+                                       m_directory.failed(name, Clock::now());
+                                   }
+                                   if (--round->missing == 0) {
+                                       boost::asio::post(m_context, [timer] {
+                                           timer->cancel();
+                                       });
+                                       goOn();
+                                   }
+                               });
+    }
+}
+
+void RunDispatcher::placeNow(const RunPtr &run)
+{
+    const std::vector<Candidate> candidates = eligible(*run);
     if (candidates.empty()) {
-        return std::nullopt;
+        noRunnerLeft(run);
+        return;
     }
-    const auto home = m_home.find(attempt.call.program);
-    if (home != m_home.end()) {
-        for (const Candidate &candidate : candidates) {
-            if (candidate.view.name == home->second) {
-                return candidate;
-            }
+    send(run, m_placer.place(run->subject, candidates));
+}
+
+void RunDispatcher::placeLater(const RunPtr &run, base::Milliseconds delay)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
+    timer->async_wait([this, run, timer](boost::system::error_code) {
+        place(run);
+    });
+}
+
+std::vector<Candidate> RunDispatcher::eligible(CallRun &run) const
+{
+    std::vector<Candidate> candidates = m_directory.candidates(run.call.request.target, Clock::now());
+    {
+        const std::lock_guard lock(run.mutex);
+        if (run.tried.size() >= maxAttempts) {
+            return {};
         }
+        std::erase_if(candidates, [&](const Candidate &candidate) {
+            return run.tried.contains(candidate.view.name);
+        });
     }
-    return *std::min_element(candidates.begin(), candidates.end(), [&](const auto &left, const auto &right) {
-        return std::tuple(busy(left.view), left.view.zone != m_zone, left.view.name)
-            < std::tuple(busy(right.view), right.view.zone != m_zone, right.view.name);
-    });
+    const auto isUnfit = [&](const Candidate &candidate) {
+        return candidate.view.avoided || (candidate.view.onProbation && !run.call.request.idempotent);
+    };
+    if (!std::all_of(candidates.begin(), candidates.end(), isUnfit)) {
+        std::erase_if(candidates, isUnfit);
+    }
+    return candidates;
 }
 
-void RunDispatcher::send(const std::shared_ptr<Attempt> &attempt)
+void RunDispatcher::send(const RunPtr &run, const Placement &placement)
 {
-    std::optional<Candidate> chosen;
+    bool wasCancelled = false;
     {
-        const std::lock_guard lock(m_mutex);
-        chosen = choose(*attempt);
-        if (chosen && attempt->call.request.kind == core::CallKind::Model) {
-            m_home[attempt->call.program] = chosen->view.name;
+        const std::lock_guard lock(run->mutex);
+        if (run->finished) {
+            return;
+        }
+        wasCancelled = run->cancelled;
+        if (!wasCancelled) {
+            const auto attempt = std::make_shared<Attempt>();
+            attempt->runner = placement.runner.view.name;
+            attempt->channel = placement.runner.channel;
+            attempt->sentAt = Clock::now();
+            attempt->lastProgress = attempt->sentAt;
+            attempt->expectedCached = placement.expectedCached;
+            attempt->expectedTime = placement.expectedTime;
+            run->attempt = attempt;
+            run->tried.insert(attempt->runner);
+            m_directory.callSent(attempt->runner);
+            m_placer.sent(run->subject, attempt->runner);
+            wire::MessageUnion message;
+            message.Set(frameOf(*run));
+            attempt->requestId =
+                attempt->channel->ask(std::move(message), [this, run, attempt](const wire::ChannelReply &reply) {
+                    replied(run, attempt, reply);
+                });
         }
     }
-    if (!chosen) {
-        finish(
-            attempt,
-            core::NotRun{"no runner serves \"" + attempt->call.request.target.value() + "\" now", retryWhenNoRunner});
-        return;
+    if (wasCancelled) {
+        finish(run, core::NotRun{"the call was cancelled", std::nullopt});
     }
-    attempt->runner = chosen->view.name;
-    attempt->channel = chosen->channel;
-    attempt->tried.insert(attempt->runner);
-    m_directory.callSent(attempt->runner);
-    wire::ExecuteCallT execute = wire::toWire(attempt->call);
-    execute.partial = attempt->answerSoFar;
-    wire::MessageUnion message;
-    message.Set(std::move(execute));
-    const std::uint64_t requestId =
-        chosen->channel->ask(std::move(message), [this, attempt](const wire::ChannelReply &reply) {
-            replied(attempt, reply);
-        });
-    const std::lock_guard lock(m_mutex);
-    if (!attempt->finished) {
-        m_running[{attempt->call.program, attempt->call.request.number}] = {chosen->channel, requestId};
+}
+
+wire::ExecuteCallT RunDispatcher::frameOf(const CallRun &run) const
+{
+    wire::ExecuteCallT execute = wire::toWire(run.call);
+    execute.body_digest = run.digest.value();
+    execute.partial = run.answerSoFar;
+    execute.suspect = run.isOnTrial;
+    if (!m_settings.ordersByService) {
+        execute.priority = 0;
+        execute.attained_tokens = 0;
     }
+    return execute;
 }
 
-void RunDispatcher::replied(const std::shared_ptr<Attempt> &attempt, const wire::ChannelReply &reply)
+void RunDispatcher::replied(const RunPtr &run, const AttemptPtr &attempt, const wire::ChannelReply &reply)
 {
     if (const auto *error = std::get_if<wire::ChannelError>(&reply)) {
-        m_directory.callEnded(attempt->runner);
-        lost(attempt, *error);
+        m_directory.callEnded(attempt->runner, base::Milliseconds(0));
+        m_directory.failed(attempt->runner, Clock::now());
+        lost(run, attempt, *error);
         return;
     }
     const wire::MessageUnion &message = std::get<wire::FrameT>(reply).message;
     if (const auto *chunk = message.AsCallChunk()) {
-        if (chunk->offset == attempt->answerSoFar.size()) {
-            attempt->answerSoFar += chunk->text;
-        }
-        attempt->observer.chunk(chunk->offset, chunk->text);
+        chunkArrived(run, attempt, *chunk);
     } else if (const auto *result = message.AsCallResult()) {
-        m_directory.callEnded(attempt->runner);
-        resultArrived(attempt, *result);
+        countResult(*attempt, *result);
+        resultArrived(run, attempt, *result);
+    }
+}
+
+void RunDispatcher::chunkArrived(const RunPtr &run, const AttemptPtr &attempt, const wire::CallChunkT &chunk)
+{
+    const SteadyTime now = Clock::now();
+    m_directory.progressed(attempt->runner, now);
+    {
+        const std::lock_guard lock(run->mutex);
+        if (run->attempt != attempt || run->finished) {
+            return;
+        }
+        attempt->lastProgress = now;
+        if (!attempt->firstPiece) {
+            attempt->firstPiece = now;
+        }
+        if (chunk.offset == run->answerSoFar.size()) {
+            run->answerSoFar += chunk.text;
+        }
     }
+    run->observer.chunk(chunk.offset, chunk.text);
 }
 
-void RunDispatcher::resultArrived(const std::shared_ptr<Attempt> &attempt, const wire::CallResultT &result)
+void RunDispatcher::countResult(const Attempt &attempt, const wire::CallResultT &result)
 {
+    const SteadyTime now = Clock::now();
+    // The wait before the first piece belongs to the queue, not to the call.
+    const SteadyTime from = attempt.firstPiece.value_or(attempt.sentAt);
+    const bool completed = result.outcome == wire::OutcomeKind::Completed;
+    m_directory.callEnded(attempt.runner, completed ? millisecondsBetween(from, now) : base::Milliseconds(0));
     if (result.load) {
-        m_directory.loadReported(attempt->runner, *result.load);
+        m_directory.loadReported(attempt.runner, *result.load);
+    }
+    if (completed) {
+        m_directory.progressed(attempt.runner, now);
+        m_placer.observed(attempt.runner, attempt.expectedCached, base::Tokens(result.cached_tokens));
     }
+}
+
+void RunDispatcher::resultArrived(const RunPtr &run, const AttemptPtr &attempt, const wire::CallResultT &result)
+{
     const core::Outcome outcome = wire::fromWire(result);
-    attempt->mayHaveRun = attempt->mayHaveRun || !std::holds_alternative<core::NotRun>(outcome);
-    const bool mayGoElsewhere = std::holds_alternative<core::NotRun>(outcome)
-        || (std::holds_alternative<core::Unknown>(outcome) && attempt->call.request.idempotent);
-    if (mayGoElsewhere && attempt->tried.size() < maxAttempts) {
-        m_log.write(logging::events::callRetried,
-                    {{"program", attempt->call.program.value()},
-                     {"call", attempt->call.request.number.value()},
-                     {"runner", attempt->runner},
-                     {"reason", core::historyText(outcome)}});
-        send(attempt);
+    bool wasCancelled = false;
+    {
+        const std::lock_guard lock(run->mutex);
+        if (run->attempt != attempt || run->finished) {
+            return;
+        }
+        run->mayHaveRun = run->mayHaveRun || !std::holds_alternative<core::NotRun>(outcome);
+        wasCancelled = run->cancelled;
+    }
+    if (wasCancelled) {
+        finish(run, outcome);
+    } else if (result.quarantined) {
+        quarantined(run, outcome);
+    } else if (result.suspect) {
+        upstreamCrashed(run, attempt, outcome);
+    } else {
+        tryElsewhere(run, attempt, outcome);
+    }
+}
+
+void RunDispatcher::tryElsewhere(const RunPtr &run, const AttemptPtr &attempt, const core::Outcome &outcome)
+{
+    const auto *refusal = std::get_if<core::NotRun>(&outcome);
+    const bool isUnknown = std::holds_alternative<core::Unknown>(outcome);
+    if (refusal != nullptr && refusal->retryAfter) {
+        m_directory.refused(attempt->runner, *refusal->retryAfter, Clock::now());
+        const std::lock_guard lock(run->mutex);
+        run->retryAfter = std::min(run->retryAfter.value_or(*refusal->retryAfter), *refusal->retryAfter);
+    }
+    const bool mayGoElsewhere = (refusal != nullptr && refusal->retryAfter)
+        || (isUnknown && run->mayRunAgain() && !eligible(*run).empty() && takeRetry());
+    if (!mayGoElsewhere) {
+        finish(run, outcome);
         return;
     }
-    finish(attempt, outcome);
+    if (refusal != nullptr && eligible(*run).empty()) {
+        finish(run, core::NotRun{refusal->reason, run->retryAfter});
+        return;
+    }
+    m_log.write(logging::events::callRetried,
+                {{"program", run->call.program.value()},
+                 {"call", run->call.request.number.value()},
+                 {"runner", attempt->runner},
+                 {"reason", core::historyText(outcome)}});
+    if (isUnknown) {
+        placeLater(run, firstBackoff * (1U << run->tried.size()));
+    } else {
+        place(run);
+    }
 }
 
-void RunDispatcher::lost(const std::shared_ptr<Attempt> &attempt, const wire::ChannelError &error)
+void RunDispatcher::lost(const RunPtr &run, const AttemptPtr &attempt, const wire::ChannelError &error)
 {
     m_log.write(logging::events::upstreamFailed, {{"runner", attempt->runner}, {"reason", error.reason}});
-    attempt->mayHaveRun = attempt->mayHaveRun || error.mayHaveLeft;
-    const bool mayGoElsewhere = !error.mayHaveLeft || attempt->call.request.idempotent;
-    if (mayGoElsewhere && attempt->tried.size() < maxAttempts) {
-        send(attempt);
-        return;
+    {
+        const std::lock_guard lock(run->mutex);
+        if (run->attempt != attempt || run->finished) {
+            return;
+        }
+        run->mayHaveRun = run->mayHaveRun || error.mayHaveLeft;
     }
     if (!error.mayHaveLeft) {
-        finish(attempt, core::NotRun{error.reason, retryWhenNoRunner});
+        tryElsewhere(run, attempt, core::NotRun{error.reason, retryWhenNoRunner});
         return;
     }
-    finish(attempt, core::Unknown{"the connection to runner \"" + attempt->runner + "\" was lost: " + error.reason});
+    tryElsewhere(run, attempt,
+                 core::Unknown{"the connection to runner \"" + attempt->runner + "\" was lost: " + error.reason});
 }
 
-void RunDispatcher::finish(const std::shared_ptr<Attempt> &attempt, const core::Outcome &outcome)
+void RunDispatcher::upstreamCrashed(const RunPtr &run, const AttemptPtr &attempt, const core::Outcome &outcome)
 {
+    m_placer.cacheLost(attempt->runner);
+    m_directory.failed(attempt->runner, Clock::now());
+    bool isQuarantined = false;
     {
         const std::lock_guard lock(m_mutex);
-        attempt->finished = true;
-        m_running.erase({attempt->call.program, attempt->call.request.number});
+        isQuarantined = m_suspects.crashed(run->digest);
     }
-    if (attempt->mayHaveRun && std::holds_alternative<core::NotRun>(outcome)) {
-        attempt->observer.ended(core::Unknown{"an earlier attempt may have run; " + core::historyText(outcome)});
-        return;
+    m_log.write(logging::events::callSuspected,
+                {{"program", run->call.program.value()},
+                 {"call", run->call.request.number.value()},
+                 {"runner", attempt->runner},
+                 {"digest", run->digest.value()},
+                 {"quarantined", isQuarantined}});
+    if (isQuarantined) {
+        quarantined(run, core::Failed{"this request crashed two upstreams and is not run again"});
+    } else if (run->mayRunAgain()) {
+        start(run);
+    } else {
+        finish(run, outcome);
+    }
+}
+
+void RunDispatcher::quarantined(const RunPtr &run, const core::Outcome &outcome)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_suspects.quarantine(run->digest);
+    }
+    for (const Candidate &runner : m_directory.all()) {
+        wire::QuarantineT quarantine;
+        quarantine.digests.push_back(run->digest.value());
+        wire::MessageUnion message;
+        message.Set(std::move(quarantine));
+        runner.channel->ask(std::move(message), [](const wire::ChannelReply &) {});
+    }
+    finish(run, run->call.request.idempotent ? outcome : core::Outcome{core::Unknown{"its upstream crashed"}});
+}
+
+bool RunDispatcher::takeRetry()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_retries.take();
+}
+
+void RunDispatcher::noRunnerLeft(const RunPtr &run)
+{
+    std::optional<base::Milliseconds> retryAfter;
+    {
+        const std::lock_guard lock(run->mutex);
+        retryAfter = run->retryAfter;
+    }
+    finish(run,
+           core::NotRun{"no runner serves \"" + run->call.request.target.value() + "\" now",
+                        retryAfter.value_or(retryWhenNoRunner)});
+}
+
+void RunDispatcher::finish(const RunPtr &run, core::Outcome outcome)
+{
+    {
+        const std::scoped_lock lock(run->mutex, m_mutex);
+        if (run->finished) {
+            return;
+        }
+        run->finished = true;
+        m_runs.erase({run->call.program, run->call.request.number});
+        m_limits.ended(run->source);
+        if (run->isOnTrial) {
+            endTrial(*run, outcome);
+        }
+        if (run->mayHaveRun && std::holds_alternative<core::NotRun>(outcome)) {
+            outcome = core::Unknown{"an earlier attempt may have run; " + core::historyText(outcome)};
+        }
+    }
+    run->observer.ended(outcome);
+    wake(run->digest);
+}
+
+void RunDispatcher::endTrial(const CallRun &run, const core::Outcome &outcome)
+{
+    m_suspects.trialEnded(run.digest, hasCompleted(outcome));
+}
+
+void RunDispatcher::wake(const base::Digest &digest)
+{
+    std::vector<RunPtr> woken;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_waiting.find(digest);
+        if (found == m_waiting.end()) {
+            return;
+        }
+        woken = std::move(found->second);
+        m_waiting.erase(found);
+    }
+    for (const RunPtr &run : woken) {
+        start(run);
+    }
+}
+
+void RunDispatcher::scheduleTick()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](boost::system::error_code cancelled) {
+        if (!cancelled) {
+            tick();
+            scheduleTick();
+        }
+    });
+}
+
+void RunDispatcher::tick()
+{
+    const SteadyTime now = Clock::now();
+    std::vector<RunPtr> runs;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[key, run] : m_runs) {
+            runs.push_back(run);
+        }
+    }
+    for (const RunPtr &run : runs) {
+        checkProgress(run, now);
+    }
+    askDraining(now);
+}
+
+void RunDispatcher::checkProgress(const RunPtr &run, SteadyTime now)
+{
+    AttemptPtr attempt;
+    bool isPastLimit = false;
+    {
+        const std::lock_guard lock(run->mutex);
+        isPastLimit = now - run->startedAt > m_settings.callTimeLimit;
+        if (run->attempt == nullptr || run->finished || (!isPastLimit && !standsStill(*run, now))) {
+            return;
+        }
+        attempt = run->attempt;
+    }
+    if (!isPastLimit) {
+        const auto others = eligible(*run);
+        const bool mayMove = std::any_of(others.begin(), others.end(), [](const Candidate &candidate) {
+            return !candidate.view.avoided;
+        });
+        if (!mayMove || !takeRetry()) {
+            return;
+        }
+        m_directory.failed(attempt->runner, now);
+    }
+    m_log.write(logging::events::callStalled,
+                {{"program", run->call.program.value()},
+                 {"call", run->call.request.number.value()},
+                 {"runner", attempt->runner},
+                 {"pastTimeLimit", isPastLimit}});
+    {
+        const std::lock_guard lock(run->mutex);
+        if (run->attempt != attempt || run->finished) {
+            return;
+        }
+        // What the old attempt still sends is not looked at any more.
+        run->attempt.reset();
+        run->mayHaveRun = true;
+    }
+    attempt->channel->cancel(attempt->requestId);
+    if (isPastLimit) {
+        finish(run,
+               core::Unknown{"the call took longer than its limit of "
+                             + std::to_string(m_settings.callTimeLimit.count()) + " ms"});
+    } else {
+        place(run);
+    }
+}
+
+bool RunDispatcher::standsStill(const CallRun &run, SteadyTime now) const
+{
+    if (!run.mayRunAgain() || run.isOnTrial) {
+        return false;
+    }
+    const Attempt &attempt = *run.attempt;
+    const bool started = attempt.firstPiece.has_value();
+    const base::Milliseconds expected = started ? base::Milliseconds(0) : attempt.expectedTime;
+    const auto limit = m_settings.stallLimit + expectedTimesUntilStall * expected;
+    return now - attempt.lastProgress > limit && now - m_directory.lastProgress(attempt.runner) > m_settings.stallLimit;
+}
+
+void RunDispatcher::askDraining(SteadyTime now)
+{
+    for (const Candidate &runner : m_directory.draining(now)) {
+        wire::MessageUnion message;
+        message.Set(wire::ProbeT{});
+        runner.channel->ask(std::move(message), [this, name = runner.view.name](const wire::ChannelReply &reply) {
+            if (const auto *frame = std::get_if<wire::FrameT>(&reply)) {
+                if (const auto *load = frame->message.AsLoadReport()) {
+                    m_directory.loadReported(name, *load);
+                }
+            } else {
+                m_directory.failed(name, Clock::now());
+            }
+        });
     }
-    attempt->observer.ended(outcome);
 }
 
 }
--- a/src/libbriarhinge/placement/rundispatcher.h
+++ b/src/libbriarhinge/placement/rundispatcher.h
@@ -1,13 +1,17 @@
 #pragma once
 
-#include "placement/runnerdirectory.h"
-#include "service/concepts.h"
+#include "placement/callrun.h"
+#include "placement/retrybudget.h"
+#include "placement/suspecttable.h"
 
 #include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace briarhinge::logging
 {
@@ -17,12 +21,36 @@
 namespace briarhinge::placement
 {
 
+/** How calls are dispatched. */
+struct DispatchSettings
+{
+    base::ZoneName zone;
+    /** Runners that are asked for their load before a new program is placed; 0 or 1 asks none. */
+    std::size_t probes = 2;
+    /** Retries that each call allows on average. */
+    double retryShare = 0.1;
+    /** An idempotent call that stands still for longer, as its runner does, goes to another. */
+    base::Milliseconds stallLimit{2000};
+    /** Longest time of a call. */
+    base::Milliseconds callTimeLimit{600'000};
+    /** Whether the runners order calls by priority and attained service, or as they come. */
+    bool ordersByService = true;
+    CallBounds bounds;
+};
+
 /** Places calls on runner processes, follows them, and tries idempotent ones again elsewhere. */
 class RunDispatcher
 {
 public:
-    /** @param directory the runners @param log gets retries and failures @param zone where this entry is */
-    RunDispatcher(RunnerDirectory &directory, logging::EventLog &log, base::ZoneName zone);
+    /**
+     * @param context runs the timers
+     * @param directory the runners
+     * @param log gets retries and failures
+     * @param policy chooses runners
+     * @param settings how calls are dispatched
+     */
+    RunDispatcher(boost::asio::io_context &context, RunnerDirectory &directory, logging::EventLog &log,
+                  ChosenPolicy policy, DispatchSettings settings);
 
     /** Runs a call. @param call what to run @param observer is told of each piece and of the end */
     void dispatch(const core::DispatchCall &call, const service::DispatchObserver &observer);
@@ -35,41 +63,51 @@
 
 private:
     using CallKey = std::pair<base::ProgramId, base::CallNumber>;
+    using RunPtr = std::shared_ptr<CallRun>;
+    using AttemptPtr = std::shared_ptr<Attempt>;
+
+    void start(const RunPtr &run);
+    void place(const RunPtr &run);
+    void askAndPlace(const RunPtr &run, const std::vector<Candidate> &asked);
+    void placeNow(const RunPtr &run);
+    void placeLater(const RunPtr &run, base::Milliseconds delay);
+    std::vector<Candidate> eligible(CallRun &run) const;
+    void send(const RunPtr &run, const Placement &placement);
+    wire::ExecuteCallT frameOf(const CallRun &run) const;
+
+    void replied(const RunPtr &run, const AttemptPtr &attempt, const wire::ChannelReply &reply);
+    void chunkArrived(const RunPtr &run, const AttemptPtr &attempt, const wire::CallChunkT &chunk);
+    void resultArrived(const RunPtr &run, const AttemptPtr &attempt, const wire::CallResultT &result);
+    void countResult(const Attempt &attempt, const wire::CallResultT &result);
+    void lost(const RunPtr &run, const AttemptPtr &attempt, const wire::ChannelError &error);
+    void upstreamCrashed(const RunPtr &run, const AttemptPtr &attempt, const core::Outcome &outcome);
+    void quarantined(const RunPtr &run, const core::Outcome &outcome);
+    void tryElsewhere(const RunPtr &run, const AttemptPtr &attempt, const core::Outcome &outcome);
+    bool takeRetry();
+    void noRunnerLeft(const RunPtr &run);
+    void finish(const RunPtr &run, core::Outcome outcome);
+    void endTrial(const CallRun &run, const core::Outcome &outcome);
+    void wake(const base::Digest &digest);
 
-    /** One call on its way through attempts. */
-    struct Attempt
-    {
-        core::DispatchCall call;
-        service::DispatchObserver observer;
-        std::set<std::string> tried;
-        std::string answerSoFar;
-        std::string runner;
-        std::shared_ptr<wire::FrameChannel> channel;
-        /** Whether an attempt so far may have reached an upstream: NotRun is no honest end any more. */
-        bool mayHaveRun = false;
-        bool finished = false;
-    };
-
-    struct Running
-    {
-        std::shared_ptr<wire::FrameChannel> channel;
-        std::uint64_t requestId = 0;
-    };
-
-    void send(const std::shared_ptr<Attempt> &attempt);
-    void replied(const std::shared_ptr<Attempt> &attempt, const wire::ChannelReply &reply);
-    void resultArrived(const std::shared_ptr<Attempt> &attempt, const wire::CallResultT &result);
-    void lost(const std::shared_ptr<Attempt> &attempt, const wire::ChannelError &error);
-    void finish(const std::shared_ptr<Attempt> &attempt, const core::Outcome &outcome);
-    std::optional<Candidate> choose(const Attempt &attempt) const;
+    void scheduleTick();
+    void tick();
+    void checkProgress(const RunPtr &run, SteadyTime now);
+    bool standsStill(const CallRun &run, SteadyTime now) const;
+    void askDraining(SteadyTime now);
 
+    boost::asio::io_context &m_context;
     RunnerDirectory &m_directory;
     logging::EventLog &m_log;
-    const base::ZoneName m_zone;
+    const DispatchSettings m_settings;
+    Placer m_placer;
+    boost::asio::steady_timer m_timer;
     std::mutex m_mutex;
-    std::map<CallKey, Running> m_running;
-    /** The runner that ran the last model call of a program. */
-    std::map<base::ProgramId, std::string> m_home;
+    std::map<CallKey, RunPtr> m_runs;
+    /** Calls that wait for the trial of another of the same digest. */
+    std::map<base::Digest, std::vector<RunPtr>> m_waiting;
+    SuspectTable m_suspects;
+    RetryBudget m_retries;
+    CallLimits m_limits;
 };
 
 }
--- a/src/libbriarhinge/placement/runnerdirectory.cpp
+++ b/src/libbriarhinge/placement/runnerdirectory.cpp
@@ -6,6 +6,19 @@
 namespace briarhinge::placement
 {
 
+namespace
+{
+
+/** Weight of the newest call in the smoothed mean. */
+constexpr double newestWeight = 0.1;
+
+bool serves(const platform::Vm &vm, const base::TargetName &target)
+{
+    return std::find(vm.serves.begin(), vm.serves.end(), target) != vm.serves.end();
+}
+
+}
+
 RunnerDirectory::RunnerDirectory(ChannelFactory makeChannel)
     : m_makeChannel(std::move(makeChannel))
 {
@@ -22,28 +35,32 @@
         listed.insert(vm.name);
         Runner &runner = m_runners[vm.name];
         if (!runner.channel || runner.vm.address != vm.address) {
+            runner = Runner{};
             runner.channel = m_makeChannel(vm.address);
         }
         runner.vm = vm;
         runner.view.name = vm.name;
         runner.view.zone = vm.zone;
-        runner.view.leaving = vm.leaving;
     }
     std::erase_if(m_runners, [&](const auto &item) {
         return !listed.contains(item.first);
     });
 }
 
-std::vector<Candidate> RunnerDirectory::candidates(const base::TargetName &target) const
+std::vector<Candidate> RunnerDirectory::candidates(const base::TargetName &target, SteadyTime now) const
 {
-    const std::lock_guard lock(m_mutex);
     std::vector<Candidate> found;
-    for (const auto &[name, runner] : m_runners) {
-        const auto &serves = runner.vm.serves;
-        if (!runner.view.leaving && std::find(serves.begin(), serves.end(), target) != serves.end()) {
-            found.push_back({runner.view, runner.channel});
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[name, runner] : m_runners) {
+            if (!runner.vm.leaving && !runner.draining && serves(runner.vm, target)) {
+                found.push_back(candidateOf(runner, now));
+            }
         }
     }
+    std::sort(found.begin(), found.end(), [](const Candidate &left, const Candidate &right) {
+        return left.view.name < right.view.name;
+    });
     return found;
 }
 
@@ -52,37 +69,93 @@
     const std::lock_guard lock(m_mutex);
     std::vector<Candidate> found;
     for (const auto &[name, runner] : m_runners) {
-        found.push_back({runner.view, runner.channel});
+        found.push_back(candidateOf(runner, {}));
     }
     return found;
 }
 
-void RunnerDirectory::callSent(const std::string &name)
+std::vector<Candidate> RunnerDirectory::draining(SteadyTime now) const
 {
     const std::lock_guard lock(m_mutex);
-    const auto found = m_runners.find(name);
-    if (found != m_runners.end()) {
-        ++found->second.view.outstanding;
+    std::vector<Candidate> found;
+    for (const auto &[name, runner] : m_runners) {
+        if (runner.draining) {
+            found.push_back(candidateOf(runner, now));
+        }
     }
+    return found;
 }
 
-void RunnerDirectory::callEnded(const std::string &name)
+void RunnerDirectory::callSent(const std::string &name)
 {
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_runners.find(name);
-    if (found != m_runners.end() && found->second.view.outstanding > 0) {
-        --found->second.view.outstanding;
-    }
+    change(name, [](Runner &runner) {
+        ++runner.view.outstanding;
+        ++runner.view.sentSinceReport;
+    });
+}
+
+void RunnerDirectory::callEnded(const std::string &name, base::Milliseconds took)
+{
+    change(name, [&](Runner &runner) {
+        RunnerView &view = runner.view;
+        view.outstanding -= std::min<std::uint32_t>(view.outstanding, 1);
+        const auto tookMs = static_cast<double>(took.count());
+        if (tookMs > 0) {
+            view.meanCallMs =
+                view.meanCallMs == 0 ? tookMs : view.meanCallMs + newestWeight * (tookMs - view.meanCallMs);
+        }
+    });
 }
 
 void RunnerDirectory::loadReported(const std::string &name, const wire::LoadReportT &report)
+{
+    change(name, [&](Runner &runner) {
+        runner.view.reportedBusy = report.running + report.queued;
+        runner.view.sentSinceReport = 0;
+        runner.view.limit = report.limit;
+        runner.view.prefillMsPerToken = report.prefill_ms_per_token;
+        runner.draining = report.draining;
+    });
+}
+
+void RunnerDirectory::failed(const std::string &name, SteadyTime now)
+{
+    change(name, [&](Runner &runner) {
+        runner.health.failed(now);
+        // A process that starts again at this address is not draining.
+        runner.draining = false;
+    });
+}
+
+void RunnerDirectory::refused(const std::string &name, base::Milliseconds retryAfter, SteadyTime now)
+{
+    change(name, [&](Runner &runner) {
+        runner.health.refused(now, retryAfter);
+    });
+}
+
+void RunnerDirectory::progressed(const std::string &name, SteadyTime now)
+{
+    change(name, [&](Runner &runner) {
+        runner.health.progressed();
+        runner.lastProgress = now;
+    });
+}
+
+SteadyTime RunnerDirectory::lastProgress(const std::string &name) const
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_runners.find(name);
-    if (found != m_runners.end()) {
-        found->second.view.reportedBusy = report.running + report.queued;
-        found->second.view.leaving = found->second.vm.leaving || report.draining;
-    }
+    return found == m_runners.end() ? SteadyTime{} : found->second.lastProgress;
+}
+
+Candidate RunnerDirectory::candidateOf(const Runner &runner, SteadyTime now)
+{
+    Candidate candidate{runner.view, runner.channel};
+    candidate.view.leaving = runner.vm.leaving || runner.draining;
+    candidate.view.avoided = runner.health.isAvoided(now, runner.view.outstanding);
+    candidate.view.onProbation = runner.health.isOnProbation();
+    return candidate;
 }
 
 }
--- /dev/null
+++ b/src/libbriarhinge/placement/suspecttable.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "base/digest.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace briarhinge::placement
+{
+
+/** What may be done with a request of a digest. */
+enum class SuspectVerdict {
+    /** It may run like any other. */
+    Clear,
+    /** It may run once, alone; the table counts it as on trial from now on. */
+    RunAlone,
+    /** One of the same digest is on trial: wait for its end. */
+    Wait,
+    /** It has crashed two upstreams and must not run. */
+    Quarantined,
+};
+
+/**
+ * The requests that were in flight when an upstream crashed, by digest. Bounded; not synchronised.
+ *
+ * One crash makes a digest a suspect: one request of it at a time is tried, alone. The second crash quarantines it.
+ */
+class SuspectTable
+{
+public:
+    /** @param maxDigests digests that are remembered; the oldest is forgotten first */
+    explicit SuspectTable(std::size_t maxDigests);
+
+    /** @param digest a request @return what may be done with it now */
+    SuspectVerdict judge(const base::Digest &digest);
+
+    /** An upstream crashed while the request ran. @param digest the request @return whether it is quarantined now */
+    bool crashed(const base::Digest &digest);
+
+    /** The trial of a request ended without a crash. @param digest the request @param survived whether it ran whole */
+    void trialEnded(const base::Digest &digest, bool survived);
+
+    /** Quarantines a request that another process found out. @param digest the request */
+    void quarantine(const base::Digest &digest);
+
+    /** @return every quarantined digest */
+    std::vector<base::Digest> quarantined() const;
+
+private:
+    static constexpr std::uint32_t crashesUntilQuarantine = 2;
+
+    struct Suspect
+    {
+        std::uint32_t crashes = 0;
+        bool onTrial = false;
+        std::list<base::Digest>::iterator age;
+    };
+
+    Suspect &suspectOf(const base::Digest &digest);
+
+    const std::size_t m_maxDigests;
+    std::unordered_map<base::Digest, Suspect> m_suspects;
+    /** Oldest first. */
+    std::list<base::Digest> m_ages;
+};
+
+}
--- a/src/libbriarhinge/settings/settings.cpp
+++ b/src/libbriarhinge/settings/settings.cpp
@@ -41,6 +41,15 @@
     {"pool", "", "runner: the pool that the upstream belongs to"},
     {"serves", "", "runner: models or tools of the upstream, separated by commas"},
     {"concurrency", "8", "runner: calls given to the upstream at once"},
+    {"placement", "expected", "entry: expected, round-robin, least-outstanding or sticky"},
+    {"call-order", "service", "entry: service (priority, then least service) or arrival"},
+    {"placement-probes", "2", "entry: runners asked for their load before a new program is placed, 0 for none"},
+    {"retry-percent", "10", "entry: retries that each hundred calls allow"},
+    {"stall-limit", "2000", "entry: milliseconds of silence after which an idempotent call goes to another runner"},
+    {"call-time-limit", "600000", "entry: milliseconds that a call may take"},
+    {"account-calls", "512", "entry: calls of one account under way at once"},
+    {"program-calls", "64", "entry: calls of one root program under way at once"},
+    {"entry-calls", "2048", "entry: calls under way at once; the lowest priority is refused first"},
 };
 
 std::string variableOf(std::string_view flag)
@@ -152,6 +161,27 @@
     std::vector<std::string> m_faults;
 };
 
+void checkEntry(Checker &checker, Settings &settings)
+{
+    constexpr std::uint64_t maxProbes = 8;
+    constexpr std::uint64_t maxPercent = 100;
+    constexpr std::uint64_t maxCalls = 1'000'000;
+    settings.placement = checker.choice<Placement>("placement",
+                                                   {{"expected", Placement::Expected},
+                                                    {"round-robin", Placement::RoundRobin},
+                                                    {"least-outstanding", Placement::LeastOutstanding},
+                                                    {"sticky", Placement::Sticky}});
+    settings.callOrder =
+        checker.choice<CallOrder>("call-order", {{"service", CallOrder::Service}, {"arrival", CallOrder::Arrival}});
+    settings.placementProbes = checker.number("placement-probes", 0, maxProbes);
+    settings.retryPercent = checker.number("retry-percent", 0, maxPercent);
+    settings.stallLimit = checker.milliseconds("stall-limit");
+    settings.callTimeLimit = checker.milliseconds("call-time-limit");
+    settings.accountCalls = checker.number("account-calls", 1, maxCalls);
+    settings.programCalls = checker.number("program-calls", 1, maxCalls);
+    settings.entryCalls = checker.number("entry-calls", 1, maxCalls);
+}
+
 std::variant<Settings, SettingsErrors> check(const Values &values)
 {
     constexpr std::uint64_t maxThreads = 256;
@@ -171,6 +201,7 @@
     settings.drainLimit = checker.milliseconds("drain-limit");
     settings.flushInterval = checker.milliseconds("flush-interval");
     settings.leaseTime = checker.milliseconds("lease-time");
+    checkEntry(checker, settings);
     if (settings.role == Role::Runner) {
         settings.upstreamUrl = checker.url("upstream");
         settings.upstreamKind = checker.choice<UpstreamKind>(
--- a/src/libbriarhinge/settings/settings.h
+++ b/src/libbriarhinge/settings/settings.h
@@ -27,6 +27,24 @@
     Tool,
 };
 
+/** How an entry chooses the runner of a call. */
+enum class Placement {
+    /** Where the call is expected to be done first; programs move only for a large gain. */
+    Expected,
+    RoundRobin,
+    LeastOutstanding,
+    /** Where the program's last call ran. */
+    Sticky,
+};
+
+/** In which order runners give calls to their upstreams. */
+enum class CallOrder {
+    /** By priority, then by the service that programs have had. */
+    Service,
+    /** As they come. */
+    Arrival,
+};
+
 /** The settings of the daemon, checked. */
 struct Settings
 {
@@ -56,6 +74,22 @@
     std::vector<base::TargetName> serves;
     /** Runner only: calls given to the upstream at once. */
     std::size_t concurrency = 0;
+    /** Entry only: how runners are chosen. */
+    Placement placement = Placement::Expected;
+    /** Entry only: how runners order the calls of this entry. */
+    CallOrder callOrder = CallOrder::Service;
+    /** Entry only: runners asked for their load before a new program is placed. */
+    std::size_t placementProbes = 0;
+    /** Entry only: retries that each hundred calls allow. */
+    std::size_t retryPercent = 0;
+    /** Entry only: silence after which an idempotent call goes to another runner. */
+    base::Milliseconds stallLimit{0};
+    /** Entry only: longest time of a call. */
+    base::Milliseconds callTimeLimit{0};
+    /** Entry only: calls under way at once for an account, a root program, and all together. */
+    std::size_t accountCalls = 0;
+    std::size_t programCalls = 0;
+    std::size_t entryCalls = 0;
 };
 
 /** Every fault of the given settings. */
