--- /dev/null
+++ b/tests/test_placement.cpp
@@ -0,0 +1,307 @@
+#include "placement/calllimits.h"
+#include "placement/placer.h"
+#include "placement/retrybudget.h"
+#include "placement/runnerhealth.h"
+#include "placement/suspecttable.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace briarhinge;
+using namespace briarhinge::placement;
+
+namespace
+{
+
+const base::ZoneName here("rwc-a");
+const base::ZoneName there("rwc-b");
+constexpr std::size_t manyBlocks = 1000;
+
+PlacementOption optionIn(const base::ZoneName &zone, std::uint32_t busy, std::uint64_t cached = 0, bool isHome = false)
+{
+    PlacementOption option;
+    option.view.zone = zone;
+    option.view.reportedBusy = busy;
+    option.view.limit = 8;
+    option.view.meanCallMs = 400;
+    option.view.prefillMsPerToken = 0.1;
+    option.cached = base::Tokens(cached);
+    option.isHome = isHome;
+    return option;
+}
+
+PlacementRequest modelCall(std::uint64_t promptTokens)
+{
+    return {here, base::Tokens(promptTokens), true};
+}
+
+std::size_t chooseExpected(const PlacementRequest &request, const std::vector<PlacementOption> &options)
+{
+    return ExpectedTime().choose(request, options);
+}
+
+Candidate candidateNamed(const std::string &name)
+{
+    Candidate candidate;
+    candidate.view.name = name;
+    candidate.view.zone = here;
+    return candidate;
+}
+
+}
+
+TEST_GROUP(ExpectedTime){};
+
+TEST(ExpectedTime, prefersTheNearZoneWhenAllElseIsEqual)
+{
+    LONGS_EQUAL(1, chooseExpected(modelCall(100), {optionIn(there, 0), optionIn(here, 0)}));
+}
+
+TEST(ExpectedTime, prefersTheRunnerThatHasTheSharedPrefix)
+{
+    LONGS_EQUAL(1, chooseExpected(modelCall(2000), {optionIn(here, 0), optionIn(there, 0, 1024)}));
+}
+
+TEST(ExpectedTime, prefersAnIdleRunnerToAQueueBeforeTheSharedPrefix)
+{
+    LONGS_EQUAL(0, chooseExpected(modelCall(1100), {optionIn(there, 0), optionIn(here, 16, 1024)}));
+}
+
+TEST(ExpectedTime, keepsAProgramAtHomeForASmallGain)
+{
+    LONGS_EQUAL(0, chooseExpected(modelCall(4000), {optionIn(here, 9, 3968, true), optionIn(here, 0)}));
+}
+
+TEST(ExpectedTime, movesAProgramWhenTheGainIsSeveralRefills)
+{
+    LONGS_EQUAL(1, chooseExpected(modelCall(4000), {optionIn(here, 64, 3968, true), optionIn(here, 0)}));
+}
+
+TEST(ExpectedTime, movesAProgramThatHasNothingCachedAtHomeForAGainAboveTheLeast)
+{
+    LONGS_EQUAL(1, chooseExpected(modelCall(4000), {optionIn(here, 14, 0, true), optionIn(here, 0)}));
+}
+
+TEST(ExpectedTime, countsOwnCallsSentSinceTheReport)
+{
+    PlacementOption sentTo = optionIn(here, 0);
+    sentTo.view.sentSinceReport = 12;
+    LONGS_EQUAL(1, chooseExpected(modelCall(100), {sentTo, optionIn(there, 8)}));
+}
+
+TEST(ExpectedTime, doesWithoutWhatRunnersDoNotReport)
+{
+    PlacementOption silent;
+    silent.view.zone = here;
+    CHECK(ExpectedTime().expectedMs(modelCall(100), silent) > 0);
+    LONGS_EQUAL(0, ExpectedTime().waitMs(silent.view));
+}
+
+TEST_GROUP(PlacementBaselines){};
+
+TEST(PlacementBaselines, roundRobinTakesTurns)
+{
+    RoundRobin policy;
+    const std::vector<PlacementOption> options{optionIn(here, 0), optionIn(here, 0)};
+    LONGS_EQUAL(0, policy.choose(modelCall(1), options));
+    LONGS_EQUAL(1, policy.choose(modelCall(1), options));
+    LONGS_EQUAL(0, policy.choose(modelCall(1), options));
+}
+
+TEST(PlacementBaselines, leastOutstandingCountsOnlyOwnCalls)
+{
+    LeastOutstanding policy;
+    PlacementOption own = optionIn(here, 0);
+    own.view.outstanding = 1;
+    LONGS_EQUAL(1, policy.choose(modelCall(1), std::vector{own, optionIn(there, 50)}));
+}
+
+TEST(PlacementBaselines, stickyStaysAtHomeWhateverTheQueue)
+{
+    Sticky policy;
+    LONGS_EQUAL(0, policy.choose(modelCall(1), std::vector{optionIn(here, 500, 0, true), optionIn(here, 0)}));
+}
+
+TEST_GROUP(PrefixIndex)
+{
+    PrefixIndex index{manyBlocks};
+    const std::string system = std::string(tokensPerBlock * bytesPerToken * 3, 's');
+};
+
+TEST(PrefixIndex, findsTheSharedBeginningOfAnotherPrompt)
+{
+    index.sent("runner-0", prefixChain(system + std::string(4000, 'a')));
+    const PrefixChain other = prefixChain(system + std::string(4000, 'b'));
+    LONGS_EQUAL(3 * tokensPerBlock, index.cached("runner-0", other).value());
+    LONGS_EQUAL(0, index.cached("runner-1", other).value());
+}
+
+TEST(PrefixIndex, forgetsTheLeastRecentPrefixesOfAnEngineThatHadLess)
+{
+    const PrefixChain old = prefixChain(std::string(tokensPerBlock * bytesPerToken * 20, 'o'));
+    const PrefixChain recent = prefixChain(std::string(tokensPerBlock * bytesPerToken * 20, 'r'));
+    index.sent("runner-0", old);
+    index.sent("runner-0", recent);
+    index.observed("runner-0", base::Tokens(20 * tokensPerBlock), base::Tokens(0));
+    CHECK(index.cached("runner-0", old) < base::Tokens(20 * tokensPerBlock));
+    LONGS_EQUAL(20 * tokensPerBlock, index.cached("runner-0", recent).value());
+}
+
+TEST(PrefixIndex, forgetsARunnerWhoseEngineCrashed)
+{
+    index.sent("runner-0", prefixChain(system));
+    index.forget("runner-0");
+    LONGS_EQUAL(0, index.cached("runner-0", prefixChain(system)).value());
+}
+
+TEST_GROUP(Placer){};
+
+TEST(Placer, asksForLoadsOnlyBeforeTheFirstCallOfAProgram)
+{
+    Placer placer(ExpectedTime{}, here);
+    const std::vector<Candidate> candidates{candidateNamed("runner-0"), candidateNamed("runner-1"),
+                                            candidateNamed("runner-2")};
+    const PlacementSubject subject{base::ProgramId("order-1"), true, base::Tokens(100), {}};
+    LONGS_EQUAL(2, placer.worthAsking(subject, candidates, 2).size());
+    placer.sent(subject, "runner-1");
+    LONGS_EQUAL(0, placer.worthAsking(subject, candidates, 2).size());
+    CHECK_EQUAL(std::string("runner-1"), placer.place(subject, candidates).runner.view.name);
+}
+
+TEST(Placer, spreadsNewProgramsOverRunners)
+{
+    Placer placer(ExpectedTime{}, here);
+    const std::vector<Candidate> candidates{candidateNamed("runner-0"), candidateNamed("runner-1")};
+    const PlacementSubject first{base::ProgramId("order-1"), true, base::Tokens(100), {}};
+    const PlacementSubject second{base::ProgramId("order-2"), true, base::Tokens(100), {}};
+    const std::string home = placer.place(first, candidates).runner.view.name;
+    placer.sent(first, home);
+    CHECK(placer.place(second, candidates).runner.view.name != home);
+    placer.release(first.program);
+    CHECK_EQUAL(home, placer.place(second, candidates).runner.view.name);
+}
+
+TEST_GROUP(RetryBudget){};
+
+TEST(RetryBudget, allowsAShareOfTheCalls)
+{
+    RetryBudget budget(0.1, 1);
+    CHECK(budget.take());
+    CHECK_FALSE(budget.take());
+    for (int call = 0; call < 9; ++call) {
+        budget.callStarted();
+    }
+    CHECK_FALSE(budget.take());
+    budget.callStarted();
+    budget.callStarted();
+    CHECK(budget.take());
+}
+
+TEST_GROUP(SuspectTable)
+{
+    SuspectTable table{2};
+    const base::Digest digest{"a"};
+};
+
+TEST(SuspectTable, quarantinesAfterTheSecondCrash)
+{
+    CHECK(SuspectVerdict::Clear == table.judge(digest));
+    CHECK_FALSE(table.crashed(digest));
+    CHECK(SuspectVerdict::RunAlone == table.judge(digest));
+    CHECK(SuspectVerdict::Wait == table.judge(digest));
+    CHECK(table.crashed(digest));
+    CHECK(SuspectVerdict::Quarantined == table.judge(digest));
+    LONGS_EQUAL(1, table.quarantined().size());
+}
+
+TEST(SuspectTable, clearsOneThatSurvivedItsTrial)
+{
+    table.crashed(digest);
+    table.judge(digest);
+    table.trialEnded(digest, true);
+    CHECK(SuspectVerdict::Clear == table.judge(digest));
+}
+
+TEST(SuspectTable, keepsOneWhoseTrialDidNotRun)
+{
+    table.crashed(digest);
+    table.judge(digest);
+    table.trialEnded(digest, false);
+    CHECK(SuspectVerdict::RunAlone == table.judge(digest));
+}
+
+TEST(SuspectTable, remembersABoundedNumber)
+{
+    table.quarantine(digest);
+    table.crashed(base::Digest("b"));
+    table.crashed(base::Digest("c"));
+    CHECK(SuspectVerdict::Clear == table.judge(digest));
+}
+
+TEST_GROUP(RunnerHealth)
+{
+    RunnerHealth health;
+    const SteadyTime start = SteadyTime(std::chrono::hours(1));
+};
+
+TEST(RunnerHealth, avoidsForATimeThenTriesOneCallAtATime)
+{
+    CHECK_FALSE(health.isAvoided(start, 5));
+    health.failed(start);
+    CHECK(health.isAvoided(start, 0));
+    const SteadyTime later = health.avoidedUntil();
+    CHECK_FALSE(health.isAvoided(later, 0));
+    CHECK(health.isAvoided(later, 1));
+    health.progressed();
+    CHECK_FALSE(health.isAvoided(later, 1));
+}
+
+TEST(RunnerHealth, avoidsLongerAfterEachFailureUpToALimit)
+{
+    health.failed(start);
+    const auto first = health.avoidedUntil();
+    health.failed(start);
+    CHECK(health.avoidedUntil() > first);
+    for (int failure = 0; failure < 100; ++failure) {
+        health.failed(start);
+    }
+    CHECK(health.avoidedUntil() <= start + std::chrono::seconds(5));
+}
+
+TEST_GROUP(CallLimits)
+{
+    CallLimits limits{{2, 2, 3}};
+
+    static CallSource source(const char *account, const char *root, std::int32_t priority = 0)
+    {
+        return {base::AccountId(account), base::ProgramId(root), priority};
+    }
+};
+
+TEST(CallLimits, boundsEachAccountAndLetsOthersIn)
+{
+    CHECK_FALSE(limits.admit(source("huye", "a")).has_value());
+    CHECK_FALSE(limits.admit(source("huye", "b")).has_value());
+    STRCMP_CONTAINS("\"huye\"", limits.admit(source("huye", "c")).value().c_str());
+    CHECK_FALSE(limits.admit(source("kigali", "d")).has_value());
+    limits.ended(source("huye", "a"));
+    CHECK_FALSE(limits.admit(source("huye", "c")).has_value());
+}
+
+TEST(CallLimits, boundsEachRootProgram)
+{
+    CallLimits wide{{10, 2, 10}};
+    wide.admit(source("huye", "a"));
+    wide.admit(source("huye", "a"));
+    STRCMP_CONTAINS("program \"a\"", wide.admit(source("huye", "a")).value().c_str());
+}
+
+TEST(CallLimits, refusesTheLowestPriorityFirst)
+{
+    CallLimits small{{10, 10, 2}};
+    small.admit(source("huye", "a", 0));
+    small.admit(source("huye", "b", 5));
+    CHECK(small.admit(source("huye", "c", 0)).has_value());
+    CHECK_FALSE(small.admit(source("huye", "d", 5)).has_value());
+    small.ended(source("huye", "a", 0));
+    CHECK(small.admit(source("huye", "e", 5)).has_value());
+}
