--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -33,6 +33,7 @@
     dispatch.retryShare = static_cast<double>(settings.retryPercent) / percent;
     dispatch.stallLimit = settings.stallLimit;
     dispatch.callTimeLimit = settings.callTimeLimit;
+    dispatch.newProgramWait = settings.newProgramWait;
     dispatch.ordersByService = settings.callOrder == settings::CallOrder::Service;
     dispatch.bounds = {settings.accountCalls, settings.programCalls, settings.entryCalls};
     return dispatch;
--- a/src/libbriarhinge/placement/calllimits.cpp
+++ b/src/libbriarhinge/placement/calllimits.cpp
@@ -43,8 +43,7 @@
         return fmt::format("program \"{}\" has {} calls under way, its limit", source.root.value(),
                            m_bounds.perProgram);
     }
-    const bool outranks = !m_priorities.empty() && m_priorities.begin()->first < source.priority;
-    if (m_total >= m_bounds.total && (!outranks || m_total >= mostOverTotal * m_bounds.total)) {
+    if (m_total >= m_bounds.total && (!outranksAny(source.priority) || m_total >= mostOverTotal * m_bounds.total)) {
         return fmt::format("the entry has {} calls under way, its limit is {}", m_total, m_bounds.total);
     }
     ++m_total;
@@ -54,6 +53,11 @@
     return std::nullopt;
 }
 
+bool CallLimits::outranksAny(std::int32_t priority) const
+{
+    return !m_priorities.empty() && m_priorities.begin()->first < priority;
+}
+
 void CallLimits::ended(const CallSource &source)
 {
     --m_total;
--- a/src/libbriarhinge/placement/calllimits.h
+++ b/src/libbriarhinge/placement/calllimits.h
@@ -43,6 +43,9 @@
     /** @param source who makes the call @return why it is refused; nothing when it is let in and counted */
     std::optional<std::string> admit(const CallSource &source);
 
+    /** @param priority a priority @return whether a call of a lower one is under way */
+    bool outranksAny(std::int32_t priority) const;
+
     /** A call that was let in has ended. @param source as given to admit */
     void ended(const CallSource &source);
 
--- a/src/libbriarhinge/placement/placer.cpp
+++ b/src/libbriarhinge/placement/placer.cpp
@@ -12,6 +12,11 @@
 /** For each runner: 4 MB at 760 runners for a tenth of an engine's cache each. */
 constexpr std::size_t maxBlocksOfRunner = 2048;
 
+base::Milliseconds rounded(double milliseconds)
+{
+    return base::Milliseconds(static_cast<std::int64_t>(std::ceil(milliseconds)));
+}
+
 }
 
 Placer::Placer(ChosenPolicy policy, base::ZoneName zone)
@@ -31,8 +36,8 @@
             return policy.choose(request, options);
         },
         m_policy);
-    const double expectedMs = std::ceil(m_estimate.expectedMs(request, options[chosen]));
-    return {candidates[chosen], options[chosen].cached, base::Milliseconds(static_cast<std::int64_t>(expectedMs))};
+    return {candidates[chosen], options[chosen].cached, rounded(m_estimate.expectedMs(request, options[chosen])),
+            rounded(m_estimate.waitMs(options[chosen].view)), subject.isModelCall && !m_homes.home(subject.program)};
 }
 
 std::vector<Candidate> Placer::worthAsking(const PlacementSubject &subject, const std::vector<Candidate> &candidates,
--- a/src/libbriarhinge/placement/placer.h
+++ b/src/libbriarhinge/placement/placer.h
@@ -27,6 +27,10 @@
     base::Tokens expectedCached;
     /** Expected time until the call makes its first token there. */
     base::Milliseconds expectedTime{0};
+    /** The part of it that the call waits in the queue. */
+    base::Milliseconds expectedWait{0};
+    /** Whether it is the first model call of its program here. */
+    bool isFirst = false;
 };
 
 /** Chooses runners by a policy and remembers where programs and their prefixes are. */
--- a/src/libbriarhinge/placement/rundispatcher.cpp
+++ b/src/libbriarhinge/placement/rundispatcher.cpp
@@ -87,6 +87,7 @@
         if (!refusal) {
             m_retries.callStarted();
             m_runs[{call.program, call.request.number}] = run;
+            ++m_equals[run->digest].count;
         }
     }
     if (refusal) {
@@ -215,7 +216,46 @@
         noRunnerLeft(run);
         return;
     }
-    send(run, m_placer.place(run->subject, candidates));
+    const Placement placement = choose(*run, candidates);
+    if (isOverloaded(*run, placement)) {
+        const std::string reason = "all runners of \"" + run->call.request.target.value() + "\" are busy";
+        m_log.write(logging::events::callLimited,
+                    {{"program", run->call.program.value()},
+                     {"call", run->call.request.number.value()},
+                     {"reason", reason},
+                     {"expectedWaitMs", placement.expectedWait.count()}});
+        finish(run, core::NotRun{reason, placement.expectedWait});
+        return;
+    }
+    send(run, placement);
+}
+
+bool RunDispatcher::isOverloaded(const CallRun &run, const Placement &placement)
+{
+    // A program that has begun holds cache and its caller's time; a new one has cost nothing yet.
+    const bool isNew = placement.isFirst && run.call.request.number.value() == 1 && !core::parentOf(run.call.program);
+    if (!isNew || placement.expectedWait <= m_settings.newProgramWait) {
+        return false;
+    }
+    const std::lock_guard lock(m_mutex);
+    return !m_limits.outranksAny(run.call.priority);
+}
+
+Placement RunDispatcher::choose(const CallRun &run, const std::vector<Candidate> &candidates)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto equals = m_equals.find(run.digest);
+    if (equals == m_equals.end()) {
+        return m_placer.place(run.subject, candidates);
+    }
+    for (const Candidate &candidate : candidates) {
+        if (candidate.view.name == equals->second.runner) {
+            return m_placer.place(run.subject, {candidate});
+        }
+    }
+    Placement placement = m_placer.place(run.subject, candidates);
+    equals->second.runner = placement.runner.view.name;
+    return placement;
 }
 
 void RunDispatcher::placeLater(const RunPtr &run, base::Milliseconds delay)
@@ -425,8 +465,8 @@
     m_directory.failed(attempt->runner, Clock::now());
     bool isQuarantined = false;
     {
-        const std::lock_guard lock(m_mutex);
-        isQuarantined = m_suspects.crashed(run->digest);
+        const std::scoped_lock lock(run->mutex, m_mutex);
+        isQuarantined = m_suspects.crashed(run->digest, attempt->runner, run->isOnTrial);
     }
     m_log.write(logging::events::callSuspected,
                 {{"program", run->call.program.value()},
@@ -487,6 +527,10 @@
         run->finished = true;
         m_runs.erase({run->call.program, run->call.request.number});
         m_limits.ended(run->source);
+        const auto equals = m_equals.find(run->digest);
+        if (--equals->second.count == 0) {
+            m_equals.erase(equals);
+        }
         if (run->isOnTrial) {
             endTrial(*run, outcome);
         }
--- a/src/libbriarhinge/placement/rundispatcher.h
+++ b/src/libbriarhinge/placement/rundispatcher.h
@@ -33,6 +33,8 @@
     base::Milliseconds stallLimit{2000};
     /** Longest time of a call. */
     base::Milliseconds callTimeLimit{600'000};
+    /** A new program is refused when it would wait longer and no call of a lower priority is under way. */
+    base::Milliseconds newProgramWait{3000};
     /** Whether the runners order calls by priority and attained service, or as they come. */
     bool ordersByService = true;
     CallBounds bounds;
@@ -66,10 +68,20 @@
     using RunPtr = std::shared_ptr<CallRun>;
     using AttemptPtr = std::shared_ptr<Attempt>;
 
+    /** The calls of one digest that are under way. */
+    struct Equals
+    {
+        std::size_t count = 0;
+        std::string runner;
+    };
+
     void start(const RunPtr &run);
     void place(const RunPtr &run);
     void askAndPlace(const RunPtr &run, const std::vector<Candidate> &asked);
     void placeNow(const RunPtr &run);
+    /** Requests of one digest run at one runner, so that one that crashes its upstream takes down only one. */
+    bool isOverloaded(const CallRun &run, const Placement &placement);
+    Placement choose(const CallRun &run, const std::vector<Candidate> &candidates);
     void placeLater(const RunPtr &run, base::Milliseconds delay);
     std::vector<Candidate> eligible(CallRun &run) const;
     void send(const RunPtr &run, const Placement &placement);
@@ -103,6 +115,7 @@
     boost::asio::steady_timer m_timer;
     std::mutex m_mutex;
     std::map<CallKey, RunPtr> m_runs;
+    std::map<base::Digest, Equals> m_equals;
     /** Calls that wait for the trial of another of the same digest. */
     std::map<base::Digest, std::vector<RunPtr>> m_waiting;
     SuspectTable m_suspects;
--- a/src/libbriarhinge/placement/suspecttable.cpp
+++ b/src/libbriarhinge/placement/suspecttable.cpp
@@ -24,11 +24,17 @@
     return SuspectVerdict::RunAlone;
 }
 
-bool SuspectTable::crashed(const base::Digest &digest)
+bool SuspectTable::crashed(const base::Digest &digest, const std::string &runner, bool wasOnTrial)
 {
     Suspect &suspect = suspectOf(digest);
-    suspect.onTrial = false;
-    return ++suspect.crashes >= crashesUntilQuarantine;
+    if (wasOnTrial) {
+        suspect.onTrial = false;
+    }
+    if (wasOnTrial || suspect.lastRunner != runner) {
+        ++suspect.crashes;
+        suspect.lastRunner = runner;
+    }
+    return suspect.crashes >= crashesUntilQuarantine;
 }
 
 void SuspectTable::trialEnded(const base::Digest &digest, bool survived)
--- a/src/libbriarhinge/placement/suspecttable.h
+++ b/src/libbriarhinge/placement/suspecttable.h
@@ -38,8 +38,15 @@
     /** @param digest a request @return what may be done with it now */
     SuspectVerdict judge(const base::Digest &digest);
 
-    /** An upstream crashed while the request ran. @param digest the request @return whether it is quarantined now */
-    bool crashed(const base::Digest &digest);
+    /**
+     * An upstream crashed while the request ran. Requests of the same digest that were lost in one crash count once.
+     *
+     * @param digest the request
+     * @param runner the runner of the upstream
+     * @param wasOnTrial whether the request ran alone
+     * @return whether it is quarantined now
+     */
+    bool crashed(const base::Digest &digest, const std::string &runner, bool wasOnTrial);
 
     /** The trial of a request ended without a crash. @param digest the request @param survived whether it ran whole */
     void trialEnded(const base::Digest &digest, bool survived);
@@ -57,6 +64,7 @@
     {
         std::uint32_t crashes = 0;
         bool onTrial = false;
+        std::string lastRunner;
         std::list<base::Digest>::iterator age;
     };
 
--- a/src/libbriarhinge/settings/settings.cpp
+++ b/src/libbriarhinge/settings/settings.cpp
@@ -47,6 +47,7 @@
     {"retry-percent", "10", "entry: retries that each hundred calls allow"},
     {"stall-limit", "2000", "entry: milliseconds of silence after which an idempotent call goes to another runner"},
     {"call-time-limit", "600000", "entry: milliseconds that a call may take"},
+    {"new-program-wait", "3000", "entry: milliseconds of expected wait beyond which new programs are refused"},
     {"account-calls", "512", "entry: calls of one account under way at once"},
     {"program-calls", "64", "entry: calls of one root program under way at once"},
     {"entry-calls", "2048", "entry: calls under way at once; the lowest priority is refused first"},
@@ -177,6 +178,7 @@
     settings.retryPercent = checker.number("retry-percent", 0, maxPercent);
     settings.stallLimit = checker.milliseconds("stall-limit");
     settings.callTimeLimit = checker.milliseconds("call-time-limit");
+    settings.newProgramWait = checker.milliseconds("new-program-wait");
     settings.accountCalls = checker.number("account-calls", 1, maxCalls);
     settings.programCalls = checker.number("program-calls", 1, maxCalls);
     settings.entryCalls = checker.number("entry-calls", 1, maxCalls);
--- a/src/libbriarhinge/settings/settings.h
+++ b/src/libbriarhinge/settings/settings.h
@@ -86,6 +86,8 @@
     base::Milliseconds stallLimit{0};
     /** Entry only: longest time of a call. */
     base::Milliseconds callTimeLimit{0};
+    /** Entry only: expected wait beyond which new programs are refused, the lowest priority first. */
+    base::Milliseconds newProgramWait{0};
     /** Entry only: calls under way at once for an account, a root program, and all together. */
     std::size_t accountCalls = 0;
     std::size_t programCalls = 0;
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -205,17 +205,24 @@
 TEST(SuspectTable, quarantinesAfterTheSecondCrash)
 {
     CHECK(SuspectVerdict::Clear == table.judge(digest));
-    CHECK_FALSE(table.crashed(digest));
+    CHECK_FALSE(table.crashed(digest, "runner-0", false));
     CHECK(SuspectVerdict::RunAlone == table.judge(digest));
     CHECK(SuspectVerdict::Wait == table.judge(digest));
-    CHECK(table.crashed(digest));
+    CHECK(table.crashed(digest, "runner-1", true));
     CHECK(SuspectVerdict::Quarantined == table.judge(digest));
     LONGS_EQUAL(1, table.quarantined().size());
 }
 
+TEST(SuspectTable, countsOneCrashOnceForAllThatItTook)
+{
+    CHECK_FALSE(table.crashed(digest, "runner-0", false));
+    CHECK_FALSE(table.crashed(digest, "runner-0", false));
+    CHECK(table.crashed(digest, "runner-1", false));
+}
+
 TEST(SuspectTable, clearsOneThatSurvivedItsTrial)
 {
-    table.crashed(digest);
+    table.crashed(digest, "runner-0", false);
     table.judge(digest);
     table.trialEnded(digest, true);
     CHECK(SuspectVerdict::Clear == table.judge(digest));
@@ -223,7 +230,7 @@
 
 TEST(SuspectTable, keepsOneWhoseTrialDidNotRun)
 {
-    table.crashed(digest);
+    table.crashed(digest, "runner-0", false);
     table.judge(digest);
     table.trialEnded(digest, false);
     CHECK(SuspectVerdict::RunAlone == table.judge(digest));
@@ -232,8 +239,8 @@
 TEST(SuspectTable, remembersABoundedNumber)
 {
     table.quarantine(digest);
-    table.crashed(base::Digest("b"));
-    table.crashed(base::Digest("c"));
+    table.crashed(base::Digest("b"), "runner-0", false);
+    table.crashed(base::Digest("c"), "runner-0", false);
     CHECK(SuspectVerdict::Clear == table.judge(digest));
 }
 
--- a/util/measurement/bench.py
+++ b/util/measurement/bench.py
@@ -170,6 +170,7 @@
         row["held_ended_past_2s_token_s"] = held.late_token_seconds
         in_window = [call for call in tally.calls if call.ended <= began + seconds]
         row["calls_per_s"] = len(in_window) / seconds
+        row["programs_per_s"] = sum(program.complete for program in tally.programs) / (ended - began)
         row["refusals"] = tally.refusals
         row["outcomes"] = " ".join(f"{name}:{count}" for name, count in sorted(tally.outcomes.items()))
         for prefix, cpu in before.items():
--- a/util/measurement/report.py
+++ b/util/measurement/report.py
@@ -5,7 +5,7 @@
 import statistics
 
 COLUMNS = ("p50_all", "p95_all", "p99_all", "p95_high", "with_pauses_p95_all", "first_token_p95_all", "cached_share",
-           "wasted_share", "calls_per_s", "held_ended_past_2s_token_s", "key_value_per_s")
+           "wasted_share", "calls_per_s", "programs_per_s", "held_ended_past_2s_token_s", "key_value_per_s")
 COLOURS = ("#1b6ca8", "#d1495b", "#66a182", "#edae49", "#8d6a9f", "#555555")
 PLOTS = (("p95_all", "p95 of program latency without pauses (s)"), ("p95_high", "p95, high priority (s)"),
          ("wasted_share", "wasted share of prompt tokens"), ("calls_per_s", "completed calls per second"))
