Placement: A quarantined request that never left is NotRun; engine calls use connections of their own

Cause: on a kept connection that a dying engine closes, cpprest sends the request again by itself: the second try meets a refused connection and was told as NotRun, so the first crash was not counted (3 crashes seen, 2 allowed, in test_calls_beside_a_crashing_one_complete). Left: the same new request sent four times at once crashed 4 engines in 1 of 7 runs.

--- a/src/libbriarhinge/placement/rundispatcher.cpp
+++ b/src/libbriarhinge/placement/rundispatcher.cpp
@@ -153,12 +153,24 @@
         }
     }
     if (verdict == SuspectVerdict::Quarantined) {
-        finish(run, core::Failed{"this request crashed two upstreams and is not run again"});
+        refuseQuarantined(run);
     } else if (verdict != SuspectVerdict::Wait) {
         place(run);
     }
 }
 
+void RunDispatcher::refuseQuarantined(const RunPtr &run)
+{
+    const std::string reason = "this request crashed two upstreams and is not run again";
+    bool mayHaveRun = false;
+    {
+        const std::lock_guard lock(run->mutex);
+        mayHaveRun = run->mayHaveRun;
+    }
+    // A request that never left for an upstream was not run, whatever others of its digest did.
+    finish(run, mayHaveRun ? core::Outcome{core::Failed{reason}} : core::Outcome{core::NotRun{reason, std::nullopt}});
+}
+
 void RunDispatcher::place(const RunPtr &run)
 {
     const std::vector<Candidate> candidates = eligible(*run);
--- a/src/libbriarhinge/placement/rundispatcher.h
+++ b/src/libbriarhinge/placement/rundispatcher.h
@@ -76,6 +76,7 @@
     };
 
     void start(const RunPtr &run);
+    void refuseQuarantined(const RunPtr &run);
     void place(const RunPtr &run);
     void askAndPlace(const RunPtr &run, const std::vector<Candidate> &asked);
     void placeNow(const RunPtr &run);
--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -139,9 +139,20 @@
 public:
     Private(const std::string &url, base::Milliseconds timeout)
         : client(url, config(timeout))
+        , m_url(url)
+        , m_timeout(timeout)
     {
     }
 
+    /**
+     * @return a client with a connection of its own: on a kept one that the engine closes, cpprest sends the request
+     * again by itself, so that one attempt crashes the engine twice, or a crash is taken for a failed connect
+     */
+    std::shared_ptr<web::http::client::http_client> freshClient() const
+    {
+        return std::make_shared<web::http::client::http_client>(m_url, config(m_timeout));
+    }
+
     /** Sends an order about held prefixes. A lost one does no harm: each hold is a lease. */
     void post(const std::string &path, const json &body)
     {
@@ -166,6 +177,9 @@
         settings.set_timeout(timeout);
         return settings;
     }
+
+    const std::string m_url;
+    const base::Milliseconds m_timeout;
 };
 
 EngineUpstream::EngineUpstream(const std::string &url, base::Milliseconds timeout)
@@ -183,7 +197,8 @@
     request.set_request_uri("/v1/chat/completions");
     request.set_body(requestBody(call), "application/json");
     request.set_response_stream(reader->sink());
-    d->client.request(request, cancellation->token())
+    const auto client = d->freshClient();
+    client->request(request, cancellation->token())
         .then([reader](const http_response &response) -> pplx::task<std::optional<core::Outcome>> {
             if (response.status_code() == web::http::status_codes::OK) {
                 return response.content_ready().then([reader](const http_response &) -> std::optional<core::Outcome> {
@@ -193,7 +208,7 @@
             const std::string reason = "the engine answered " + std::to_string(response.status_code());
             return pplx::task_from_result<std::optional<core::Outcome>>(core::Failed{reason});
         })
-        .then([observer](const pplx::task<std::optional<core::Outcome>> &task) {
+        .then([observer, client](const pplx::task<std::optional<core::Outcome>> &task) {
             try {
                 observer.ended(*task.get());
             } catch (const web::http::http_exception &error) {
