Entry: Programs now outlive their entry: takeover, handover, and requests that wait for the next owner

Cause: an owner's death lost its programs; a joining or stopping entry too. Found on the way, each seen failing first (tests/system/test_takeover.py): - A woken owner answered 409 from its old state before it knew of the takeover (test_a_paused_owner_that_wakes_steps_down: 409 instead of 200). OwnerMap::beat() now notices the pause; nothing is served until a pass confirms the table. - A stopping entry got its partitions back from the other one, five times, and was then taken over as dead: spent 21 calls instead of 1 (test_a_stopping_entry_hands_its_programs_over). It now marks itself as leaving first, and a dead entry is judged by a table read after the list of the live.

--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -15,6 +15,10 @@
 constexpr base::Milliseconds retryPlatform{200};
 /** Renewals in the time of a lease. */
 constexpr int renewalsPerLease = 3;
+/** Times that a running process is noticed in the time of a lease. */
+constexpr int beatsPerLease = 30;
+/** A request waits for the next owner while a takeover is likely: the lease lapses, and the log is read. */
+constexpr int waitsPerLease = 2;
 
 bool startsWork(api::Verb verb)
 {
@@ -38,7 +42,7 @@
     , m_threads(settings.ioThreads)
     , m_logService(settings.keyValueUrl, platformTimeout)
     , m_keeperService(settings.keyValueUrl, platformTimeout)
-    , m_owners({makeIncarnation(settings.name), settings.name, settings.listen}, settings.leaseTime + platformTimeout)
+    , m_owners({makeIncarnation(settings.name), settings.name, settings.listen}, settings.leaseTime / renewalsPerLease)
     , m_recordLog(
           m_logService, m_owners.self().incarnation, {.flushInterval = settings.flushInterval},
           [this](std::function<void()> work) {
@@ -60,12 +64,12 @@
                    return makeIncarnation(name);
                })
     , m_router(
-          m_owners,
+          m_threads.context(), m_owners, waitsPerLease * settings.leaseTime,
           [this](const wire::Address &address) {
               return makeChannel(address);
           },
           [this](const api::ClientRequest &request, const api::ClientSink &sink) {
-              handleLocal(request, sink);
+              m_service.handle(request, sink);
           })
     , m_server(
           m_threads.context(), log,
@@ -81,6 +85,14 @@
                       return m_metrics.text();
                   }},
                  [this](api::ClientRequest request, api::ClientSink sink) {
+                     if (m_draining && startsWork(request.verb)) {
+                         sink.reply(api::toReply(api::CallView{request.program,
+                                                               request.number,
+                                                               core::NotRun{"the entry is stopping", retryWhenDraining},
+                                                               {},
+                                                               false}));
+                         return;
+                     }
                      auto counted = sink;
                      counted.reply = [this, reply = std::move(sink.reply)](const api::ClientReply &answer) {
                          m_metrics.requestAnswered(answer.status);
@@ -94,6 +106,7 @@
 EntryProcess::~EntryProcess()
 {
     m_vmListThread.request_stop();
+    m_beatThread.request_stop();
     m_keeperThread.request_stop();
     m_keeperThread = {};
     m_endpoint.stop();
@@ -110,6 +123,12 @@
     m_vmListThread = std::jthread([this](const std::stop_token &stop) {
         followVmList(stop);
     });
+    m_beatThread = std::jthread([this](const std::stop_token &stop) {
+        while (!stop.stop_requested()) {
+            m_owners.beat();
+            std::this_thread::sleep_for(m_settings.leaseTime / beatsPerLease);
+        }
+    });
     m_keeperThread = std::jthread([this](const std::stop_token &stop) {
         keepOwnership(stop);
     });
@@ -132,16 +151,6 @@
     return std::make_shared<wire::FrameChannel>(m_threads.context(), address, [](wire::FrameT &) {});
 }
 
-void EntryProcess::handleLocal(const api::ClientRequest &request, const api::ClientSink &sink)
-{
-    if (m_draining && startsWork(request.verb)) {
-        sink.reply(api::toReply(api::CallView{
-            request.program, request.number, core::NotRun{"the entry is stopping", retryWhenDraining}, {}, false}));
-        return;
-    }
-    m_service.handle(request, sink);
-}
-
 void EntryProcess::followVmList(const std::stop_token &stop)
 {
     platform::VmListClient client(m_settings.vmListUrl, platformTimeout);
--- a/src/briarhinged/entryprocess.h
+++ b/src/briarhinged/entryprocess.h
@@ -43,7 +43,6 @@
     using Keeper = entry::OwnershipKeeper<platform::HttpKeyValue, Log, Service>;
 
     std::shared_ptr<wire::FrameChannel> makeChannel(const wire::Address &address);
-    void handleLocal(const api::ClientRequest &request, const api::ClientSink &sink);
     void followVmList(const std::stop_token &stop);
     void keepOwnership(const std::stop_token &stop);
 
@@ -69,6 +68,7 @@
     std::atomic<bool> m_hasVmList{false};
     std::atomic<bool> m_hasTable{false};
     std::jthread m_vmListThread;
+    std::jthread m_beatThread;
     std::jthread m_keeperThread;
 };
 
--- a/src/libbriarhinge/api/clientrequest.h
+++ b/src/libbriarhinge/api/clientrequest.h
@@ -33,6 +33,11 @@
     std::string body;
 };
 
+/** HTTP status of a call that was not run. */
+inline constexpr std::uint16_t statusNotRun = 503;
+/** Between entries only: the receiver does not own the program now, and did nothing. */
+inline constexpr std::uint16_t statusMisdirected = 421;
+
 /** The final answer to a request. */
 struct ClientReply
 {
--- a/src/libbriarhinge/api/json.cpp
+++ b/src/libbriarhinge/api/json.cpp
@@ -21,7 +21,6 @@
 constexpr std::uint16_t statusNotFound = 404;
 constexpr std::uint16_t statusConflict = 409;
 constexpr std::uint16_t statusFailed = 502;
-constexpr std::uint16_t statusNotRun = 503;
 constexpr std::uint16_t statusUnknown = 504;
 
 constexpr std::uint64_t defaultMaxTokens = 256;
@@ -302,7 +301,7 @@
     std::optional<base::Milliseconds> retryAfter;
     if (const auto *notRun = std::get_if<core::NotRun>(&view.outcome)) {
         retryAfter = notRun->retryAfter;
-    } else {
+    } else if (!view.digest.value().empty()) {
         object["history"] = view.digest.value();
         object["committed"] = view.committed;
     }
--- a/src/libbriarhinge/entry/ownermap.cpp
+++ b/src/libbriarhinge/entry/ownermap.cpp
@@ -5,10 +5,10 @@
 namespace briarhinge::entry
 {
 
-OwnerMap::OwnerMap(state::EntryInfo self, base::Milliseconds staleAfter)
-    : m_staleAfter(staleAfter)
+OwnerMap::OwnerMap(state::EntryInfo self, base::Milliseconds pauseLimit)
+    : m_pauseLimit(pauseLimit)
     , m_self(std::move(self))
-    , m_confirmedAt(SteadyClock::now())
+    , m_lastBeat(SteadyClock::now())
 {
 }
 
@@ -30,10 +30,25 @@
     });
 }
 
-void OwnerMap::confirm()
+void OwnerMap::beat()
 {
     const std::lock_guard lock(m_mutex);
-    m_confirmedAt = SteadyClock::now();
+    if (isPausedLocked()) {
+        ++m_pauses;
+    }
+    m_lastBeat = SteadyClock::now();
+}
+
+std::uint64_t OwnerMap::pauses() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_pauses;
+}
+
+void OwnerMap::confirm(std::uint64_t seenPauses)
+{
+    const std::lock_guard lock(m_mutex);
+    m_confirmedPauses = seenPauses;
 }
 
 void OwnerMap::stepDown()
@@ -87,13 +102,18 @@
 {
     const base::PartitionId partition = state::partitionOf(root);
     const std::lock_guard lock(m_mutex);
-    if (m_steppedDown || !ownsLocked(partition) || m_blocked.contains(partition)
-        || SteadyClock::now() - m_confirmedAt > m_staleAfter) {
+    if (m_steppedDown || !ownsLocked(partition) || m_blocked.contains(partition) || m_confirmedPauses != m_pauses
+        || isPausedLocked()) {
         return false;
     }
     return m_table->partitions[partition.value()].sources.empty() || m_adopted.contains(partition);
 }
 
+bool OwnerMap::isPausedLocked() const
+{
+    return SteadyClock::now() - m_lastBeat > m_pauseLimit;
+}
+
 bool OwnerMap::ownsLocked(base::PartitionId partition) const
 {
     return m_table && m_table->partitions[partition.value()].owner == m_self.incarnation;
--- a/src/libbriarhinge/entry/ownermap.h
+++ b/src/libbriarhinge/entry/ownermap.h
@@ -17,9 +17,9 @@
 public:
     /**
      * @param self this incarnation
-     * @param staleAfter without a confirmation for so long nothing is served, as after a pause of the process
+     * @param pauseLimit longest time between two beats: a longer one means that the process was paused
      */
-    OwnerMap(state::EntryInfo self, base::Milliseconds staleAfter);
+    OwnerMap(state::EntryInfo self, base::Milliseconds pauseLimit);
 
     /** Begins a new incarnation, which serves nothing yet. @param self the new incarnation */
     void restart(state::EntryInfo self);
@@ -27,8 +27,14 @@
     /** Takes in the table as it was read. @param table the table */
     void install(state::PartitionTable table);
 
-    /** Notes that this process is known to be running and in touch, or that the service is known to be away. */
-    void confirm();
+    /** Notes that the process runs. After a pause nothing is served until confirm(). */
+    void beat();
+
+    /** @return how many pauses beat() has seen */
+    std::uint64_t pauses() const;
+
+    /** Serves again after a pause. @param seenPauses the pauses that were known when the table was looked at */
+    void confirm(std::uint64_t seenPauses);
 
     /** Serves nothing until the next restart(). */
     void stepDown();
@@ -58,14 +64,17 @@
     using SteadyClock = std::chrono::steady_clock;
 
     bool ownsLocked(base::PartitionId partition) const;
+    bool isPausedLocked() const;
 
-    const base::Milliseconds m_staleAfter;
+    const base::Milliseconds m_pauseLimit;
     mutable std::mutex m_mutex;
     state::EntryInfo m_self;
     std::optional<state::PartitionTable> m_table;
     std::set<base::PartitionId> m_adopted;
     std::set<base::PartitionId> m_blocked;
-    SteadyClock::time_point m_confirmedAt;
+    SteadyClock::time_point m_lastBeat;
+    std::uint64_t m_pauses = 0;
+    std::uint64_t m_confirmedPauses = 0;
     bool m_steppedDown = false;
 };
 
--- a/src/libbriarhinge/entry/ownershipkeeper.h
+++ b/src/libbriarhinge/entry/ownershipkeeper.h
@@ -110,17 +110,14 @@
     /** Does once all that is due. @return whether the service answered */
     bool pass()
     {
-        const auto began = SteadyClock::now();
+        const std::uint64_t pauses = m_owners.pauses();
         const bool isAnswered = passOnce();
         if (!isAnswered) {
             // Every lease may have lapsed while the service was away: the others get time to come back.
             m_graceEnd = SteadyClock::now() + m_leaseTime;
             m_isTableStale = true;
         }
-        // A pass that took so long was perhaps paused, and what it saw is old.
-        if (SteadyClock::now() - began < m_leaseTime || !isAnswered) {
-            m_owners.confirm();
-        }
+        m_owners.confirm(pauses);
         return isAnswered;
     }
 
@@ -175,7 +172,8 @@
 
     bool keepRegistered()
     {
-        if (m_lease) {
+        const bool isMarked = m_leavingSince.has_value() || !m_isResigning;
+        if (m_lease && isMarked) {
             const auto kept = m_service.keepLease(*m_lease);
             if (std::holds_alternative<platform::LeaseId>(kept)) {
                 return true;
@@ -198,7 +196,8 @@
         if (lease == nullptr) {
             return false;
         }
-        const state::EntryInfo self = m_owners.self();
+        state::EntryInfo self = m_owners.self();
+        self.leaving = m_isResigning;
         const std::string key = entriesPrefix + self.name;
         const auto read = m_service.read(key);
         if (std::holds_alternative<platform::PlatformUnavailable>(read)) {
@@ -211,6 +210,9 @@
             return false;
         }
         m_lease = *lease;
+        if (self.leaving && !m_leavingSince) {
+            m_leavingSince = SteadyClock::now();
+        }
         return true;
     }
 
@@ -234,11 +236,9 @@
     std::vector<state::EntryInfo> targets() const
     {
         std::vector<state::EntryInfo> entries = m_live;
-        if (m_isResigning) {
-            std::erase_if(entries, [this](const state::EntryInfo &entry) {
-                return entry.name == m_owners.self().name;
-            });
-        }
+        std::erase_if(entries, [](const state::EntryInfo &entry) {
+            return entry.leaving;
+        });
         return entries;
     }
 
@@ -298,7 +298,23 @@
         m_programs.forget([this](const base::ProgramId &root) {
             return !m_owners.owns(state::partitionOf(root));
         });
-        m_owners.block({});
+        m_owners.block(toBlock());
+    }
+
+    /** Whether every other entry has had the time to see that this one is leaving, and gives nothing back to it. */
+    bool isLeavingKnown() const
+    {
+        return m_leavingSince && SteadyClock::now() - *m_leavingSince > m_leaseTime / 2;
+    }
+
+    /** A leaving entry starts nothing new, so that what runs comes to its end. */
+    Partitions toBlock() const
+    {
+        if (!isLeavingKnown()) {
+            return {};
+        }
+        const auto owned = state::ownedBy(m_table, m_owners.self().incarnation);
+        return {owned.begin(), owned.end()};
     }
 
     bool isLive(const base::ProcessId &incarnation) const
@@ -323,10 +339,25 @@
         return chosen != nullptr && chosen->incarnation == m_owners.self().incarnation;
     }
 
+    bool isDeadHere(const state::EntryInfo &entry) const
+    {
+        return !isLive(entry.incarnation) && !state::ownedBy(m_table, entry.incarnation).empty()
+            && isTakenOverHere(entry);
+    }
+
     bool takeOverDead()
     {
+        if (std::any_of(m_table.entries.begin(), m_table.entries.end(), [this](const auto &entry) {
+                return isDeadHere(entry.second);
+            })) {
+            // One that resigned gave its partitions away before it left the list: the table must be the later one.
+            m_isTableStale = true;
+            if (!readTable()) {
+                return false;
+            }
+        }
         for (const auto &[incarnation, entry] : std::map(m_table.entries)) {
-            if (isLive(incarnation) || state::ownedBy(m_table, incarnation).empty() || !isTakenOverHere(entry)) {
+            if (!isDeadHere(entry)) {
                 continue;
             }
             if (const auto error = m_reader.seal(incarnation, m_owners.self().incarnation)) {
@@ -471,10 +502,12 @@
                 misplaced.emplace(partition, *target);
             }
         }
-        if (!misplaced.empty()) {
+        if (!misplaced.empty() && (!m_isResigning || isLeavingKnown())) {
             handOverIdle(misplaced);
         }
-        m_isResigned = m_isResigning && (candidates.empty() || state::ownedBy(m_table, self).empty());
+        if (m_isResigning && (candidates.empty() || state::ownedBy(m_table, self).empty())) {
+            m_isResigned = m_log.flush(m_leaseTime);
+        }
         return true;
     }
 
@@ -499,7 +532,7 @@
             }
         });
         if (!withState.empty() && !m_log.flush(m_leaseTime)) {
-            m_owners.block({});
+            m_owners.block(toBlock());
             return;
         }
         state::PartitionTable changed = m_table;
@@ -508,7 +541,7 @@
             // The write may take effect late: what was to be handed over is not served before that is ruled out.
             m_isHandoverInDoubt = m_isWriteLost;
             if (!m_isHandoverInDoubt) {
-                m_owners.block({});
+                m_owners.block(toBlock());
             }
             return;
         }
@@ -595,6 +628,8 @@
     const base::Milliseconds m_leaseTime;
     std::function<base::ProcessId()> m_makeIncarnation;
     std::optional<platform::LeaseId> m_lease;
+    /** When the other entries could first see that this one is stopping. */
+    std::optional<SteadyClock::time_point> m_leavingSince;
     std::vector<state::EntryInfo> m_live;
     state::PartitionTable m_table;
     platform::KeyVersion m_tableVersion;
--- a/src/libbriarhinge/entry/requestrouter.cpp
+++ b/src/libbriarhinge/entry/requestrouter.cpp
@@ -3,6 +3,8 @@
 #include "api/json.h"
 #include "wire/convert.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace briarhinge::entry
 {
 
@@ -10,6 +12,8 @@
 {
 
 constexpr base::Milliseconds retryWhenNoOwner{1000};
+/** Time between two looks at who owns a program. */
+constexpr base::Milliseconds ownerCheck{50};
 
 /** Finds the program of a request: of one that opens a program it stands in the body. */
 std::optional<api::ClientReply> identify(api::ClientRequest &request)
@@ -47,8 +51,11 @@
 
 }
 
-RequestRouter::RequestRouter(const OwnerMap &owners, ChannelFactory makeChannel, api::ClientHandler local)
-    : m_owners(owners)
+RequestRouter::RequestRouter(boost::asio::io_context &context, const OwnerMap &owners, base::Milliseconds waitLimit,
+                             ChannelFactory makeChannel, api::ClientHandler local)
+    : m_context(context)
+    , m_owners(owners)
+    , m_waitLimit(waitLimit)
     , m_makeChannel(std::move(makeChannel))
     , m_local(std::move(local))
 {
@@ -60,16 +67,132 @@
         sink.reply(*refusal);
         return;
     }
-    const auto owner = m_owners.ownerOf(core::rootOf(request.program));
+    auto routed = std::make_shared<Routed>();
+    routed->request = std::move(request);
+    routed->sink = std::move(sink);
+    routed->deadline = SteadyClock::now() + m_waitLimit;
+    attempt(routed);
+}
+
+void RequestRouter::attempt(const RoutedPtr &routed)
+{
+    const auto owner = m_owners.ownerOf(core::rootOf(routed->request.program));
+    std::uint64_t number = 0;
+    {
+        const std::lock_guard lock(routed->mutex);
+        if (routed->isFinished) {
+            return;
+        }
+        number = ++routed->attempt;
+        routed->owner = owner ? std::optional(owner->incarnation) : std::nullopt;
+    }
     if (!owner) {
-        sink.reply(notRun(request, "no entry is known yet"));
+        lost(routed, number, false, "no owner is known yet");
+    } else if (owner->incarnation == m_owners.self().incarnation) {
+        m_local(routed->request, sinkOf(routed, number));
+    } else {
+        forward(*owner, routed, number);
+        followOwner(routed, number);
+    }
+}
+
+/** A paused owner answers nothing: the request goes on to the next one as soon as there is one. */
+void RequestRouter::followOwner(const RoutedPtr &routed, std::uint64_t attempt)
+{
+    after(ownerCheck, [this, routed, attempt] {
+        const auto owner = m_owners.ownerOf(core::rootOf(routed->request.program));
+        bool isSame = false;
+        {
+            const std::lock_guard lock(routed->mutex);
+            if (routed->isFinished || routed->attempt != attempt) {
+                return;
+            }
+            isSame = !owner || owner->incarnation == routed->owner;
+        }
+        if (isSame) {
+            followOwner(routed, attempt);
+        } else {
+            lost(routed, attempt, true, "another entry owns the program now");
+        }
+    });
+}
+
+api::ClientSink RequestRouter::sinkOf(const RoutedPtr &routed, std::uint64_t attempt)
+{
+    api::ClientSink sink;
+    sink.chunk = [routed, attempt](std::uint64_t offset, const std::string &text) {
+        const std::lock_guard lock(routed->mutex);
+        if (!routed->isFinished && routed->attempt == attempt) {
+            routed->hasChunks = true;
+            routed->sink.chunk(offset, text);
+        }
+    };
+    sink.reply = [this, routed, attempt](const api::ClientReply &reply) {
+        replied(routed, attempt, reply);
+    };
+    return sink;
+}
+
+void RequestRouter::replied(const RoutedPtr &routed, std::uint64_t attempt, const api::ClientReply &reply)
+{
+    if (reply.status == api::statusMisdirected) {
+        lost(routed, attempt, false, "the program changes its owner");
         return;
     }
-    if (owner->incarnation == m_owners.self().incarnation) {
-        m_local(std::move(request), std::move(sink));
+    bool isContradicted = false;
+    {
+        const std::lock_guard lock(routed->mutex);
+        if (routed->isFinished || routed->attempt != attempt) {
+            return;
+        }
+        // An earlier owner may have run what the present one did not.
+        isContradicted = routed->mayHaveRun && reply.status == api::statusNotRun;
+    }
+    finish(routed, isContradicted ? lostReply(routed->request, "the next owner did not run the call") : reply);
+}
+
+void RequestRouter::lost(const RoutedPtr &routed, std::uint64_t attempt, bool mayHaveRun, const std::string &reason)
+{
+    bool isOver = false;
+    {
+        const std::lock_guard lock(routed->mutex);
+        if (routed->isFinished || routed->attempt != attempt) {
+            return;
+        }
+        routed->mayHaveRun = routed->mayHaveRun || mayHaveRun;
+        mayHaveRun = routed->mayHaveRun;
+        // Another run may word its answer differently: what the caller has already must not be continued by it.
+        isOver = routed->hasChunks || SteadyClock::now() + ownerCheck > routed->deadline;
+    }
+    if (isOver) {
+        finish(routed, mayHaveRun ? lostReply(routed->request, reason) : notRun(routed->request, reason));
         return;
     }
-    forward(*owner, request, sink);
+    after(ownerCheck, [this, routed] {
+        this->attempt(routed);
+    });
+}
+
+void RequestRouter::finish(const RoutedPtr &routed, const api::ClientReply &reply)
+{
+    {
+        const std::lock_guard lock(routed->mutex);
+        if (routed->isFinished) {
+            return;
+        }
+        routed->isFinished = true;
+    }
+    routed->sink.reply(reply);
+}
+
+void RequestRouter::after(base::Milliseconds delay, std::function<void()> work)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
+    timer->async_wait([timer, work = std::move(work)](const boost::system::error_code &error) {
+        if (!error) {
+            work();
+        }
+    });
 }
 
 void RequestRouter::received(const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame)
@@ -119,14 +242,14 @@
     return channel;
 }
 
-void RequestRouter::forward(const state::EntryInfo &owner, const api::ClientRequest &request,
-                            const api::ClientSink &sink)
+void RequestRouter::forward(const state::EntryInfo &owner, const RoutedPtr &routed, std::uint64_t attempt)
 {
     wire::MessageUnion message;
-    message.Set(wire::toWire(request));
-    channelTo(owner.address)->ask(std::move(message), [request, sink](const wire::ChannelReply &reply) {
+    message.Set(wire::toWire(routed->request));
+    const api::ClientSink sink = sinkOf(routed, attempt);
+    channelTo(owner.address)->ask(std::move(message), [this, routed, attempt, sink](const wire::ChannelReply &reply) {
         if (const auto *error = std::get_if<wire::ChannelError>(&reply)) {
-            sink.reply(error->mayHaveLeft ? lostReply(request, error->reason) : notRun(request, error->reason));
+            lost(routed, attempt, error->mayHaveLeft, error->reason);
             return;
         }
         const wire::MessageUnion &answer = std::get<wire::FrameT>(reply).message;
--- a/src/libbriarhinge/entry/requestrouter.h
+++ b/src/libbriarhinge/entry/requestrouter.h
@@ -5,27 +5,39 @@
 #include "wire/framechannel.h"
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
+#include <boost/asio/io_context.hpp>
+
 namespace briarhinge::entry
 {
 
-/** Gives each request to the owner of its program: this process or another entry. */
+/**
+ * Gives each request to the owner of its program: this process or another entry.
+ *
+ * While a program changes its owner its requests wait here. A request whose owner was lost is given to the next owner:
+ * a call that is asked for again under the same number joins or gets its outcome.
+ */
 class RequestRouter
 {
 public:
     using ChannelFactory = std::function<std::shared_ptr<wire::FrameChannel>(const wire::Address &)>;
 
     /**
+     * @param context runs the timers
      * @param owners knows the owner of each program
+     * @param waitLimit longest wait for an owner
      * @param makeChannel makes the connection to another entry
      * @param local answers the requests of programs that this process owns
      */
-    RequestRouter(const OwnerMap &owners, ChannelFactory makeChannel, api::ClientHandler local);
+    RequestRouter(boost::asio::io_context &context, const OwnerMap &owners, base::Milliseconds waitLimit,
+                  ChannelFactory makeChannel, api::ClientHandler local);
 
     /** Answers a caller's request, here or at the owner. @param request what it wants @param sink gets the answer */
     void route(api::ClientRequest request, api::ClientSink sink);
@@ -37,10 +49,38 @@
     std::size_t forwardedInProgress() const;
 
 private:
+    using SteadyClock = std::chrono::steady_clock;
+
+    /** One request on its way through the attempts to reach the owner. */
+    struct Routed
+    {
+        api::ClientRequest request;
+        api::ClientSink sink;
+        SteadyClock::time_point deadline;
+        std::mutex mutex;
+        /** The attempt that counts; answers to earlier ones are dropped. */
+        std::uint64_t attempt = 0;
+        std::optional<base::ProcessId> owner;
+        bool mayHaveRun = false;
+        bool hasChunks = false;
+        bool isFinished = false;
+    };
+
+    using RoutedPtr = std::shared_ptr<Routed>;
+
     std::shared_ptr<wire::FrameChannel> channelTo(const wire::Address &address);
-    void forward(const state::EntryInfo &owner, const api::ClientRequest &request, const api::ClientSink &sink);
+    void attempt(const RoutedPtr &routed);
+    void forward(const state::EntryInfo &owner, const RoutedPtr &routed, std::uint64_t attempt);
+    void followOwner(const RoutedPtr &routed, std::uint64_t attempt);
+    api::ClientSink sinkOf(const RoutedPtr &routed, std::uint64_t attempt);
+    void replied(const RoutedPtr &routed, std::uint64_t attempt, const api::ClientReply &reply);
+    void lost(const RoutedPtr &routed, std::uint64_t attempt, bool mayHaveRun, const std::string &reason);
+    void after(base::Milliseconds delay, std::function<void()> work);
+    static void finish(const RoutedPtr &routed, const api::ClientReply &reply);
 
+    boost::asio::io_context &m_context;
     const OwnerMap &m_owners;
+    const base::Milliseconds m_waitLimit;
     ChannelFactory m_makeChannel;
     api::ClientHandler m_local;
     std::atomic<std::size_t> m_forwarded{0};
--- a/src/libbriarhinge/service/programservice.h
+++ b/src/libbriarhinge/service/programservice.h
@@ -45,7 +45,7 @@
     void handle(const api::ClientRequest &request, const api::ClientSink &sink)
     {
         if (m_serves && !m_serves(core::rootOf(request.program))) {
-            sink.reply(notServed(request.program));
+            sink.reply(notServed());
             return;
         }
         switch (request.verb) {
@@ -146,12 +146,10 @@
         }
     }
 
-    /** @return what to say about a program that this process may not serve now */
-    static api::ClientReply notServed(const base::ProgramId &program)
+    /** @return what to tell the entry that gave this process a program that it may not serve now */
+    static api::ClientReply notServed()
     {
-        constexpr base::Milliseconds retryAfter{200};
-        return api::toReply(
-            api::CallView{program, {}, core::NotRun{"the program changes its owner", retryAfter}, {}, false});
+        return {api::statusMisdirected, {}, std::nullopt};
     }
 
     Shard &shardOf(const base::ProgramId &root)
@@ -287,7 +285,7 @@
             const std::lock_guard lock(shard.mutex);
             // Asked under the lock: who stops serving a program sees every request that got in before.
             if (sink != nullptr && m_serves && !m_serves(root)) {
-                answer(sink, notServed(program), deferred);
+                answer(sink, notServed(), deferred);
             } else {
                 carryOut(shard.trees[root], event, sink, offset, generation, deferred);
             }
@@ -432,6 +430,13 @@
                 generation);
             return;
         }
+        if (m_serves && !m_serves(core::rootOf(program))) {
+            // Stored, but another owner may have read the claim since: it must not leave for an upstream any more.
+            constexpr base::Milliseconds retryAfter{200};
+            run(program, core::CallNotStored{program, number, "the program changes its owner", retryAfter}, nullptr, 0,
+                generation);
+            return;
+        }
         run(program, core::CallStored{program, number}, nullptr, 0, generation);
     }
 
--- a/src/libbriarhinge/state/partitiontable.cpp
+++ b/src/libbriarhinge/state/partitiontable.cpp
@@ -17,8 +17,10 @@
 
 json toJson(const EntryInfo &entry)
 {
-    return {
-        {"incarnation", entry.incarnation.value()}, {"name", entry.name}, {"address", wire::toString(entry.address)}};
+    return {{"incarnation", entry.incarnation.value()},
+            {"name", entry.name},
+            {"address", wire::toString(entry.address)},
+            {"leaving", entry.leaving}};
 }
 
 EntryInfo entryFrom(const json &object)
@@ -29,7 +31,7 @@
         throw std::invalid_argument(fmt::format("entry address \"{}\" is not valid", text));
     }
     return {base::ProcessId(object.at("incarnation").get<std::string>()), object.at("name").get<std::string>(),
-            *address};
+            *address, object.at("leaving").get<bool>()};
 }
 
 /** The index of an incarnation among the entries, which are written once and in their order. */
--- a/src/libbriarhinge/state/partitiontable.h
+++ b/src/libbriarhinge/state/partitiontable.h
@@ -27,6 +27,8 @@
     std::string name;
     /** Where it listens for other processes. */
     wire::Address address;
+    /** Whether it is stopping: it gets no partitions any more. */
+    bool leaving = false;
 
     bool operator==(const EntryInfo &) const = default;
 };
