--- a/src/libbriarhinge/core/budget.cpp
+++ b/src/libbriarhinge/core/budget.cpp
@@ -96,6 +96,11 @@
     return wanted - m_granted;
 }
 
+Amounts Budget::firstGrant() const
+{
+    return grantChunk(m_limit);
+}
+
 void Budget::grant(const Amounts &amounts)
 {
     // A grant whose answer was lost may be in the log twice.
