--- a/util/session.py
+++ b/util/session.py
@@ -1,7 +1,9 @@
 """Sends one program of several turns through a small deployment and prints every outcome."""
 
+import json
 import os
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "tests", "system"))
 
@@ -16,9 +18,27 @@
         raise SystemExit(f"{what}: expected {outcome}, got {body}")
 
 
+def owner_of(deployment, program):
+    """Returns the name of the entry whose log holds a program."""
+    for name in deployment.entries:
+        _, text = stack.ask("GET", f"{deployment.key_value}/v1/values?prefix=log/{name}.&limit=1000")
+        if f'\\"{program}\\"' in text:
+            return name
+    raise SystemExit(f"no log holds program {program}")
+
+
+def wait_for_owners(deployment):
+    """Waits until both entries own partitions."""
+    def are_two():
+        status, text = stack.ask("GET", deployment.key_value + "/v1/value?key=partitions")
+        return status == 200 and len({one[0] for one in json.loads(text)["partitions"]}) == 2
+    stack.wait_until(are_two, "both entries to own partitions")
+
+
 def main():
     """Runs the session."""
-    with stack.small_stack(entries=2, engines=3) as deployment:
+    with stack.small_stack(entries=2, engines=3, entry_flags=("--lease-time", "1000")) as deployment:
+        wait_for_owners(deployment)
         first, second = deployment.entries.values()
         parent = stack.Caller(first, "order-17")
         parent.open()
@@ -30,7 +50,14 @@
         child.end()
         parent.entry = second
         expect("charge", parent.tool("12 pouches"))
+        stack.wait_until(lambda: json.loads(stack.ask("GET", f"{second}/v1/programs/order-17/calls/3")[1])["committed"],
+                         "the charge to be durable")
+        owner = owner_of(deployment, "order-17")
+        deployment.kill(owner)
+        parent.entry = next(iter(deployment.entries.values()))
+        began = time.monotonic()
         expect("last call", parent.model("Thank you"))
+        print(f"killed {owner}, which owned the program; the other entry went on after {time.monotonic() - began:.1f} s")
         effects = deployment.effects("orders")
         charges = [line for line in effects if line.startswith("charge order-17 ")]
         print(f"effects of the charge: {len(charges)}")
