Runner: A crashed engine's call is never told as not run, and its load is reported

Cause: cpprest sends a request again by itself when a kept connection is closed. The engine had the request (its .requests file names it) and died; the second send could not connect, which counts as NotRun. Any second call of an engine had this fault before. Ruled out: the entry's directory (it had the runner) and the runner's own refusals (none logged).

--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -126,6 +126,22 @@
     return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+/** @return the messages of a text such as {"last":2,"events":[{"stored":true,"block":17}]}, or nothing */
+std::optional<CacheEvents> parseCacheEvents(const std::string &text, std::uint64_t after)
+{
+    const json parsed = json::parse(text, nullptr, false);
+    if (!parsed.is_object()) {
+        return std::nullopt;
+    }
+    CacheEvents events;
+    events.last = parsed.value("last", after);
+    const json list = parsed.value("events", json::array());
+    for (const json &event : list) {
+        events.events.push_back({event.at("block").get<BlockHash>(), event.at("stored").get<bool>()});
+    }
+    return events;
+}
+
 /** Whether the request surely never left: cpprest reports a failed connect as host_unreachable only. */
 bool neverConnected(const web::http::http_exception &error)
 {
@@ -139,9 +155,17 @@
 public:
     Private(const std::string &url, base::Milliseconds timeout)
         : client(url, config(timeout))
+        , m_url(url)
+        , m_timeout(timeout)
     {
     }
 
+    /** @return a client without a connection */
+    std::shared_ptr<web::http::client::http_client> makeClient() const
+    {
+        return std::make_shared<web::http::client::http_client>(m_url, config(m_timeout));
+    }
+
     /** Sends an order about held prefixes. A lost one does no harm: each hold is a lease. */
     void post(const std::string &path, const json &body)
     {
@@ -157,6 +181,7 @@
         });
     }
 
+    /** For orders about the cache, which may be sent twice. */
     web::http::client::http_client client;
 
 private:
@@ -166,6 +191,9 @@
         settings.set_timeout(timeout);
         return settings;
     }
+
+    const std::string m_url;
+    const base::Milliseconds m_timeout;
 };
 
 EngineUpstream::EngineUpstream(const std::string &url, base::Milliseconds timeout)
@@ -183,7 +211,10 @@
     request.set_request_uri("/v1/chat/completions");
     request.set_body(requestBody(call), "application/json");
     request.set_response_stream(reader->sink());
-    d->client.request(request, cancellation->token())
+    // A client of its own for each call: on a kept connection that the engine closes, cpprest sends a request again by
+    // itself. A request that crashed the engine would crash it twice, or be reported as never sent.
+    const auto client = d->makeClient();
+    client->request(request, cancellation->token())
         .then([reader](const http_response &response) -> pplx::task<std::optional<core::Outcome>> {
             if (response.status_code() == web::http::status_codes::OK) {
                 return response.content_ready().then([reader](const http_response &) -> std::optional<core::Outcome> {
@@ -193,7 +224,7 @@
             const std::string reason = "the engine answered " + std::to_string(response.status_code());
             return pplx::task_from_result<std::optional<core::Outcome>>(core::Failed{reason});
         })
-        .then([observer](const pplx::task<std::optional<core::Outcome>> &task) {
+        .then([observer, client](const pplx::task<std::optional<core::Outcome>> &task) {
             try {
                 observer.ended(*task.get());
             } catch (const web::http::http_exception &error) {
@@ -228,4 +259,19 @@
     d->post("/v1/cache/renew", json{{"users", std::move(users)}, {"ttl_ms", lease.count()}});
 }
 
+void EngineUpstream::cacheEvents(std::uint64_t after, const CacheEventsHandler &handler)
+{
+    d->client.request(web::http::methods::GET, "/v1/events?after=" + std::to_string(after))
+        .then([](const http_response &response) {
+            return response.extract_utf8string(true);
+        })
+        .then([after, handler](const pplx::task<std::string> &task) {
+            try {
+                handler(parseCacheEvents(task.get(), after));
+            } catch (const std::exception &) {
+                handler(std::nullopt);
+            }
+        });
+}
+
 }
--- a/src/libbriarhinge/runner/engineupstream.h
+++ b/src/libbriarhinge/runner/engineupstream.h
@@ -28,6 +28,9 @@
     /** Keeps prefixes longer that are held still. @param programs their programs @param lease the new lease */
     void renew(const std::vector<base::ProgramId> &programs, base::Milliseconds lease);
 
+    /** Asks for messages about the prefix cache. @param after number of the last known one @param handler gets them */
+    void cacheEvents(std::uint64_t after, const CacheEventsHandler &handler);
+
 private:
     class Private;
     std::unique_ptr<Private> d;
--- a/src/libbriarhinge/runner/job.h
+++ b/src/libbriarhinge/runner/job.h
@@ -51,6 +51,8 @@
 
     UpstreamCall call;
     std::string digest;
+    /** The blocks of its prompt. */
+    std::vector<BlockHash> blocks;
     /** The longest silence of the upstream. */
     base::Milliseconds timeout{0};
     /** Whether it runs alone, since an upstream died while it ran. */
--- a/src/libbriarhinge/runner/runnerservice.h
+++ b/src/libbriarhinge/runner/runnerservice.h
@@ -10,6 +10,7 @@
 #include "runner/enginepace.h"
 #include "runner/holdtable.h"
 #include "runner/job.h"
+#include "runner/prefixindex.h"
 #include "runner/runnerpolicy.h"
 #include "runner/upstream.h"
 #include "wire/convert.h"
@@ -55,6 +56,7 @@
         , m_crashes(policy.keepTime)
         , m_limit(policy.concurrency)
         , m_holds(policy.holds)
+        , m_prefixes(policy.engineCacheTokens)
     {
     }
 
@@ -65,8 +67,8 @@
         const ListenerT listener{session, frame.request_id};
         if (const auto *execute = message.AsExecuteCall()) {
             accept(listener, *execute);
-        } else if (message.AsProbe() != nullptr) {
-            reply(listener, loadReport());
+        } else if (const auto *probe = message.AsProbe()) {
+            reply(listener, loadReport(base::ProgramId(probe->program)));
         } else if (message.AsCancelCall() != nullptr) {
             giveUp(listener);
         } else if (const auto *release = message.AsReleaseProgram()) {
@@ -121,10 +123,16 @@
             m_register.expire(now);
             m_crashes.expire(now);
             stopOrphansAndSilent(now, work);
+            if (m_draining && m_drainingSince + startsWhileDraining < now) {
+                handBackQueued(work);
+            }
             const DueHolds due = m_holds.due(now);
             work.renew = due.renew;
             work.release.insert(work.release.end(), due.release.begin(), due.release.end());
             startWaiting(work);
+            work.askForEvents = !m_awaitsEvents && m_askForEvents <= now;
+            m_awaitsEvents = m_awaitsEvents || work.askForEvents;
+            work.eventsAfter = m_lastEvent;
         }
         perform(work);
     }
@@ -172,6 +180,9 @@
 
 private:
     static constexpr base::Milliseconds retryWhenDraining{200};
+    /** A draining runner starts the calls that it had accepted for so long; then the upstream gets no new work. */
+    static constexpr base::Milliseconds startsWhileDraining{3000};
+    static constexpr base::Milliseconds eventInterval{500};
     /** Without a refusal for so long, entries know that the runner drains. */
     static constexpr base::Milliseconds quietTime{500};
     static constexpr base::Milliseconds longestRefusing{3000};
@@ -195,6 +206,8 @@
         std::vector<PendingHold> hold;
         std::vector<base::ProgramId> renew;
         std::vector<base::ProgramId> release;
+        bool askForEvents = false;
+        std::uint64_t eventsAfter = 0;
     };
 
     JobPointer makeJob(const ListenerT &listener, const wire::ExecuteCallT &execute) const
@@ -205,6 +218,9 @@
         job->suspect = execute.suspect;
         job->answer = execute.partial;
         job->timeout = timeoutOf(execute);
+        if (execute.kind == wire::CallKind::Model) {
+            job->blocks = blocksOf(execute.prompt);
+        }
         job->listeners.push_back(listener);
         return job;
     }
@@ -221,9 +237,9 @@
     void accept(const ListenerT &listener, const wire::ExecuteCallT &execute)
     {
         Work work;
+        const JobPointer job = makeJob(listener, execute);
         {
             const std::lock_guard lock(m_mutex);
-            const JobPointer job = makeJob(listener, execute);
             const CallArrival arrival{job->key(), job->digest, base::Term(execute.term), execute.idempotent};
             const ArrivalVerdict verdict = m_register.arrive(arrival, m_clock.now());
             if (const auto *answered = std::get_if<AnsweredAlready>(&verdict)) {
@@ -276,7 +292,8 @@
     {
         const base::Timestamp now = m_clock.now();
         const core::DispatchCall &call = job->call.call;
-        const QueueRank rank{call.priority, core::parentOf(call.program).has_value(), call.attained, {}};
+        const QueueRank rank{call.priority, core::parentOf(call.program).has_value(), call.attained,
+                             m_prefixes.cachedTokens(job->blocks)};
         m_queue.push(rank, job, now);
         const base::Milliseconds wait = m_drainRate.expectedWait(m_queue.size(), m_limit.limit());
         if (wait <= m_policy.queueWaitLimit || m_running.size() < m_limit.limit()) {
@@ -334,6 +351,25 @@
         for (const JobPointer &job : work.start) {
             start(job);
         }
+        if (work.askForEvents) {
+            m_upstream.cacheEvents(work.eventsAfter, [this](const std::optional<CacheEvents> &events) {
+                eventsArrived(events);
+            });
+        }
+    }
+
+    void eventsArrived(const std::optional<CacheEvents> &events)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_awaitsEvents = false;
+        m_askForEvents = m_clock.now() + eventInterval;
+        if (!events) {
+            return;
+        }
+        m_lastEvent = events->last;
+        for (const CacheEvent &event : events->events) {
+            m_prefixes.apply(event);
+        }
     }
 
     void start(const JobPointer &job)
@@ -416,6 +452,11 @@
             return;
         }
         m_drainRate.callEnded(m_clock.now() - job.startedAt);
+        const core::DispatchCall &call = job.call.call;
+        if (call.request.kind == core::CallKind::Model) {
+            m_prefixes.correct(job.blocks, completed->usage.cached);
+            m_prefixes.turnEnded(call.program, blocksOf(call.prompt + completed->answer));
+        }
         if (job.hasFirstToken) {
             const std::uint64_t uncached = completed->usage.prompt.value() - completed->usage.cached.value();
             m_pace.promptRead(base::Tokens(uncached), job.firstTokenAfter);
@@ -552,11 +593,23 @@
         }
     }
 
+    /** Refuses what still waits, for the entries to place it elsewhere. */
+    void handBackQueued(Work &work)
+    {
+        const std::vector<JobPointer> queued = m_queue.remove([](const JobPointer &) {
+            return true;
+        });
+        for (const JobPointer &job : queued) {
+            end(job, core::NotRun{"the runner is draining", retryWhenDraining}, work);
+        }
+    }
+
     void releaseProgram(const base::ProgramId &program)
     {
         {
             const std::lock_guard lock(m_mutex);
             m_holds.programEnded(program, m_clock.now());
+            m_prefixes.forget(program);
         }
         m_upstream.release(program);
     }
@@ -569,10 +622,12 @@
         }
     }
 
-    wire::LoadReportT loadReport() const
+    wire::LoadReportT loadReport(const base::ProgramId &program) const
     {
         const std::lock_guard lock(m_mutex);
-        return loadReportLocked();
+        wire::LoadReportT report = loadReportLocked();
+        report.cached_tokens = m_prefixes.cachedTokens(program).value();
+        return report;
     }
 
     wire::LoadReportT loadReportLocked() const
@@ -580,6 +635,7 @@
         wire::LoadReportT report;
         report.running = static_cast<std::uint32_t>(m_running.size());
         report.queued = static_cast<std::uint32_t>(m_queue.size());
+        report.queued_tokens = queuedTokens();
         report.limit = static_cast<std::uint32_t>(m_limit.limit());
         report.draining = m_draining;
         report.decode_ms_per_token = m_pace.decodeMsPerToken();
@@ -587,6 +643,16 @@
         return report;
     }
 
+    /** @return prompt tokens of the calls that wait */
+    std::uint64_t queuedTokens() const
+    {
+        std::uint64_t tokens = 0;
+        for (const auto &[key, job] : m_jobs) {
+            tokens += job->state == JobState::Queued ? tokensOf(job->call.call.prompt.size()) : 0;
+        }
+        return tokens;
+    }
+
     void sendChunk(const ListenerT &listener, std::uint64_t offset, const std::string &text)
     {
         wire::CallChunkT chunk;
@@ -620,6 +686,11 @@
     DrainRate m_drainRate;
     EnginePace m_pace;
     HoldTable m_holds;
+    PrefixIndex m_prefixes;
+    /** When to ask the engine for cache events; not while an answer is awaited. */
+    base::Timestamp m_askForEvents;
+    bool m_awaitsEvents = false;
+    std::uint64_t m_lastEvent = 0;
     bool m_draining = false;
     base::Timestamp m_drainingSince;
     base::Timestamp m_lastRefusal;
--- a/src/libbriarhinge/runner/toolupstream.h
+++ b/src/libbriarhinge/runner/toolupstream.h
@@ -27,6 +27,9 @@
     /** Tools hold nothing for programs. */
     void renew(const std::vector<base::ProgramId> &programs, base::Milliseconds lease);
 
+    /** Tools have no prefix cache. */
+    void cacheEvents(std::uint64_t after, const CacheEventsHandler &handler);
+
 private:
     const std::string m_url;
     const base::Milliseconds m_timeout;
--- a/src/libbriarhinge/runner/upstream.h
+++ b/src/libbriarhinge/runner/upstream.h
@@ -2,10 +2,13 @@
 
 #include "base/units.h"
 #include "core/step.h"
+#include "runner/prefixindex.h"
 
 #include <concepts>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +41,17 @@
     std::function<void(const core::Outcome &outcome)> ended;
 };
 
+/** Messages of an engine about its prefix cache. */
+struct CacheEvents
+{
+    std::vector<CacheEvent> events;
+    /** Number of the last one; asking again starts behind it. */
+    std::uint64_t last = 0;
+};
+
+/** Called with the messages, or with nothing when the engine could not be asked. */
+using CacheEventsHandler = std::function<void(const std::optional<CacheEvents> &events)>;
+
 /** The model engine or plain service beside this process. */
 template <class T>
 concept Upstream = requires(T &upstream, const UpstreamCall &call, const UpstreamObserver &observer,
@@ -49,6 +63,7 @@
     upstream.release(program);
     upstream.hold(program, std::string(), base::Milliseconds());
     upstream.renew(std::vector<base::ProgramId>(), base::Milliseconds());
+    upstream.cacheEvents(std::uint64_t(), CacheEventsHandler());
 };
 
 }
--- a/standins/engine/batcher.cpp
+++ b/standins/engine/batcher.cpp
@@ -68,6 +68,16 @@
     m_cache.release(user);
 }
 
+std::vector<CacheChange> Batcher::changesAfter(std::uint64_t count)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::vector<CacheChange> &changes = m_cache.changes();
+    if (count >= changes.size()) {
+        return {};
+    }
+    return {changes.begin() + static_cast<std::ptrdiff_t>(count), changes.end()};
+}
+
 Account Batcher::account()
 {
     const std::lock_guard lock(m_mutex);
--- a/standins/engine/batcher.h
+++ b/standins/engine/batcher.h
@@ -74,6 +74,9 @@
     /** Lets go of a program's prefix. */
     void release(const std::string &user);
 
+    /** @return the changes of the cache behind the first so many */
+    std::vector<CacheChange> changesAfter(std::uint64_t count);
+
     /** @return what was counted so far */
     Account account();
 
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -39,6 +39,8 @@
         : m_batcher(speedOf(options))
         , m_checksFencing(options.contains("check-fencing"))
         , m_loadLag(numberOf(options, "load-lag", 0))
+        , m_eventsLag(numberOf(options, "events-lag", 0))
+        , m_eventsGap(numberOf(options, "events-gap", 0))
     {
         const auto requests = options.find("requests");
         if (requests != options.end()) {
@@ -57,6 +59,8 @@
             renewHolds(request);
         } else if (path == "/v1/orders") {
             order(request);
+        } else if (path == "/v1/events") {
+            replyJson(request, status_codes::OK, laggingEvents(numberOf(queryOf(request), "after", 0)));
         } else if (path == "/v1/load") {
             replyJson(request, status_codes::OK, laggingLoad());
         } else if (path == "/v1/account") {
@@ -185,6 +189,24 @@
         replyJson(request, status_codes::OK, {{"fence", m_fence}});
     }
 
+    /** @return the cache events that are old enough to be told, with one in so many left out */
+    json laggingEvents(std::uint64_t after)
+    {
+        const auto tellUntil = std::chrono::steady_clock::now() - m_eventsLag;
+        json events = json::array();
+        std::uint64_t last = after;
+        for (const CacheChange &change : m_batcher.changesAfter(after)) {
+            if (change.at > tellUntil) {
+                break;
+            }
+            ++last;
+            if (m_eventsGap == 0 || last % m_eventsGap != 0) {
+                events.push_back({{"block", change.block}, {"stored", change.stored}});
+            }
+        }
+        return {{"last", last}, {"events", std::move(events)}};
+    }
+
     /** @return the load as it was a lag ago */
     json laggingLoad()
     {
@@ -201,6 +223,8 @@
     Batcher m_batcher;
     const bool m_checksFencing;
     const std::chrono::milliseconds m_loadLag;
+    const std::chrono::milliseconds m_eventsLag;
+    const std::uint64_t m_eventsGap;
     std::mutex m_mutex;
     std::uint64_t m_fence = 0;
     std::ofstream m_requests;
--- a/standins/engine/prefixcache.h
+++ b/standins/engine/prefixcache.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "runner/prefixblocks.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -10,14 +12,17 @@
 namespace standins::engine
 {
 
-/** A prompt cut into blocks; each block is named by the hash of the whole prefix up to its end. */
-std::vector<std::uint64_t> blocksOf(const std::string &prompt);
-
-/** Tokens in a text, four bytes each. */
-std::uint64_t tokensOf(std::size_t bytes);
+using briarhinge::runner::blocksOf;
+using briarhinge::runner::tokensOf;
+using briarhinge::runner::tokensPerBlock;
 
-/** Tokens in a block. */
-inline constexpr std::uint64_t tokensPerBlock = 16;
+/** A block came into the cache or was evicted. */
+struct CacheChange
+{
+    std::uint64_t block = 0;
+    bool stored = false;
+    std::chrono::steady_clock::time_point at;
+};
 
 /** A limited cache of prompt prefixes, least recently used goes first; held blocks stay until the hold ends. */
 class PrefixCache
@@ -46,6 +51,9 @@
     /** @return held tokens by program, at a time */
     std::map<std::string, std::uint64_t> held(Time now);
 
+    /** @return every change of the cache so far, in order */
+    const std::vector<CacheChange> &changes() const;
+
 private:
     struct Block
     {
@@ -67,6 +75,7 @@
     std::unordered_map<std::uint64_t, Block> m_blocks;
     std::map<std::uint64_t, std::uint64_t> m_byUse;
     std::map<std::string, Hold> m_holds;
+    std::vector<CacheChange> m_changes;
     std::uint64_t m_uses = 0;
 };
 
--- a/tests/test_runnerservice.cpp
+++ b/tests/test_runnerservice.cpp
@@ -41,6 +41,8 @@
             texts[frame.request_id] = result->text;
         } else if (const auto *chunk = frame.message.AsCallChunk()) {
             chunks[frame.request_id].push_back({chunk->offset, chunk->text});
+        } else if (const auto *report = frame.message.AsLoadReport()) {
+            load = *report;
         }
     }
 
@@ -49,6 +51,7 @@
     }
 
     std::map<std::uint64_t, std::vector<wire::OutcomeKind>> results;
+    wire::LoadReportT load;
     std::map<std::uint64_t, std::uint64_t> retryAfter;
     std::map<std::uint64_t, std::string> texts;
     std::map<std::uint64_t, std::vector<std::pair<std::uint64_t, std::string>>> chunks;
@@ -100,7 +103,14 @@
     {
     }
 
+    void cacheEvents(std::uint64_t after, const CacheEventsHandler &handler)
+    {
+        handler(CacheEvents{events, after + events.size()});
+        events.clear();
+    }
+
     std::vector<Running> running;
+    std::vector<CacheEvent> events;
     int cancelled = 0;
     int released = 0;
     int held = 0;
@@ -282,6 +292,20 @@
     CHECK(service.isQuiet());
 }
 
+TEST(RunnerService, drainingHandsBackWhatStillWaitsAfterItsTime)
+{
+    send(session, 1, model("a"));
+    send(session, 2, model("b"));
+    service.drain();
+    clock.pass(base::Milliseconds(3001));
+    service.tick();
+    checkOutcome(session, 2, wire::OutcomeKind::NotRun);
+    CHECK(session->results[1].empty());
+    complete(0);
+    checkOutcome(session, 1, wire::OutcomeKind::Completed);
+    CHECK_EQUAL(1U, upstream.running.size());
+}
+
 TEST(RunnerService, overloadRefusesTheLowestPriorityAtOnce)
 {
     send(session, 1, model("a"));
@@ -380,3 +404,49 @@
     send(session, 2, release);
     CHECK_EQUAL(1, upstream.released);
 }
+
+TEST(RunnerService, probeTellsQueueAndCachedPrefixAsTheEngineCorrectsThem)
+{
+    const std::string prompt(640, 'x');
+    wire::ExecuteCallT first = model("a");
+    first.prompt = prompt;
+    send(session, 1, first);
+    wire::ExecuteCallT waiting = model("b");
+    waiting.prompt = prompt;
+    send(session, 2, waiting);
+    wire::ProbeT probe;
+    probe.program = "a";
+    send(session, 3, probe);
+    CHECK_EQUAL(1U, session->load.running);
+    CHECK_EQUAL(1U, session->load.queued);
+    CHECK_EQUAL(160U, session->load.queued_tokens);
+    CHECK_EQUAL(0U, session->load.cached_tokens);
+    complete(0);
+    send(session, 4, probe);
+    CHECK_EQUAL(160U, session->load.cached_tokens);
+    upstream.events.push_back({blocksOf(prompt).at(5), false});
+    service.tick();
+    send(session, 5, probe);
+    CHECK_EQUAL(80U, session->load.cached_tokens);
+}
+
+TEST(RunnerService, lateCacheEventsOfAnEndedProgramHoldNothing)
+{
+    wire::ExecuteCallT call = model("a");
+    call.prompt = std::string(640, 'x');
+    send(session, 1, call);
+    complete(0);
+    wire::ReleaseProgramT release;
+    release.program = "a";
+    send(session, 2, release);
+    const int heldBefore = upstream.held;
+    for (const BlockHash block : blocksOf(call.prompt)) {
+        upstream.events.push_back({block, true});
+    }
+    service.tick();
+    CHECK_EQUAL(heldBefore, upstream.held);
+    wire::ProbeT probe;
+    probe.program = "a";
+    send(session, 3, probe);
+    CHECK_EQUAL(0U, session->load.cached_tokens);
+}
