--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -126,6 +126,22 @@
     return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+/** @return the messages of a text such as {"last":2,"events":[{"stored":true,"block":17}]}, or nothing */
+std::optional<CacheEvents> parseCacheEvents(const std::string &text, std::uint64_t after)
+{
+    const json parsed = json::parse(text, nullptr, false);
+    if (!parsed.is_object()) {
+        return std::nullopt;
+    }
+    CacheEvents events;
+    events.last = parsed.value("last", after);
+    const json list = parsed.value("events", json::array());
+    for (const json &event : list) {
+        events.events.push_back({event.at("block").get<BlockHash>(), event.at("stored").get<bool>()});
+    }
+    return events;
+}
+
 /** Whether the request surely never left: cpprest reports a failed connect as host_unreachable only. */
 bool neverConnected(const web::http::http_exception &error)
 {
@@ -144,11 +160,8 @@
     {
     }
 
-    /**
-     * @return a client with a connection of its own: on a kept one that the engine closes, cpprest sends the request
-     * again by itself, so that one attempt crashes the engine twice, or a crash is taken for a failed connect
-     */
-    std::shared_ptr<web::http::client::http_client> freshClient() const
+    /** @return a client without a connection */
+    std::shared_ptr<web::http::client::http_client> makeClient() const
     {
         return std::make_shared<web::http::client::http_client>(m_url, config(m_timeout));
     }
@@ -168,6 +181,7 @@
         });
     }
 
+    /** For orders about the cache, which may be sent twice. */
     web::http::client::http_client client;
 
 private:
@@ -197,7 +211,9 @@
     request.set_request_uri("/v1/chat/completions");
     request.set_body(requestBody(call), "application/json");
     request.set_response_stream(reader->sink());
-    const auto client = d->freshClient();
+    // A client of its own for each call: on a kept connection that the engine closes, cpprest sends a request again by
+    // itself. A request that crashed the engine would crash it twice, or be reported as never sent.
+    const auto client = d->makeClient();
     client->request(request, cancellation->token())
         .then([reader](const http_response &response) -> pplx::task<std::optional<core::Outcome>> {
             if (response.status_code() == web::http::status_codes::OK) {
@@ -243,4 +259,19 @@
     d->post("/v1/cache/renew", json{{"users", std::move(users)}, {"ttl_ms", lease.count()}});
 }
 
+void EngineUpstream::cacheEvents(std::uint64_t after, const CacheEventsHandler &handler)
+{
+    d->client.request(web::http::methods::GET, "/v1/events?after=" + std::to_string(after))
+        .then([](const http_response &response) {
+            return response.extract_utf8string(true);
+        })
+        .then([after, handler](const pplx::task<std::string> &task) {
+            try {
+                handler(parseCacheEvents(task.get(), after));
+            } catch (const std::exception &) {
+                handler(std::nullopt);
+            }
+        });
+}
+
 }
