Placement: A request that crashes upstreams takes down two at most

Cause of a third crash seen in test_calls_beside_a_crashing_one_complete: cpprest sends a request again when a kept connection to a crashed engine is closed, and reports host_unreachable when that fails, so the runner said NotRun for a request that had run and the crash was not counted. Ruled out: the trial not being alone (the runners' logs show one call each). A model call has a connection of its own now, as tool calls have. A prompt that begins with a quarantined one is refused as well: the failed turn is part of the program's history.

--- a/src/libbriarhinge/core/budget.h
+++ b/src/libbriarhinge/core/budget.h
@@ -42,6 +42,15 @@
     /** @param limit what may be spent in total */
     explicit Budget(Amounts limit);
 
+    /**
+     * Restores an account.
+     *
+     * @param limit what may be spent in total
+     * @param granted what was granted durably
+     * @param spent what was spent
+     */
+    Budget(Amounts limit, Amounts granted, Amounts spent);
+
     /** @return the resource that can't cover @p worstCase within the limit, or nothing when all can */
     std::optional<std::string> shortfall(const Amounts &worstCase) const;
 
@@ -51,7 +60,7 @@
     /** @return the grant that comes with the opening of a program, so that its first calls need no write of their own */
     Amounts firstGrant() const;
 
-    /** Adds a durable grant. */
+    /** Adds a durable grant; all grants together stay within the limit. @param amounts what was granted */
     void grant(const Amounts &amounts);
 
     /** Sets @p worstCase aside for a call. */
--- a/src/libbriarhinge/core/program.h
+++ b/src/libbriarhinge/core/program.h
@@ -86,6 +86,8 @@
     std::map<base::ProgramId, ProgramState> programs;
     /** When the sweep first found the root program ended; not durable, a new owner counts anew. */
     std::optional<base::Timestamp> endedAt;
+    /** During a replay: whether the last record settled the budget. */
+    bool settled = false;
 };
 
 /**
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -36,22 +36,65 @@
 inline constexpr EventKind peerLost{202, "peer-lost", Level::Info};
 inline constexpr EventKind platformUnavailable{300, "platform-unavailable", Level::Warning};
 inline constexpr EventKind platformAvailable{301, "platform-available", Level::Info};
+inline constexpr EventKind ownerSuperseded{310, "owner-superseded", Level::Warning};
+inline constexpr EventKind leaseLapsed{311, "lease-lapsed", Level::Warning};
+inline constexpr EventKind entryTakenOver{312, "entry-taken-over", Level::Warning};
+inline constexpr EventKind takeoverFailed{313, "takeover-failed", Level::Warning};
+inline constexpr EventKind partitionsAdopted{314, "partitions-adopted", Level::Info};
+inline constexpr EventKind partitionsHandedOver{315, "partitions-handed-over", Level::Info};
+inline constexpr EventKind badPartitionTable{316, "bad-partition-table", Level::Error};
 inline constexpr EventKind requestRefused{400, "request-refused", Level::Info};
 inline constexpr EventKind callFinished{401, "call-finished", Level::Info};
 inline constexpr EventKind callRetried{402, "call-retried", Level::Info};
 inline constexpr EventKind upstreamFailed{500, "upstream-failed", Level::Warning};
 inline constexpr EventKind upstreamDraining{501, "upstream-draining", Level::Info};
+inline constexpr EventKind callRepeated{510, "call-repeated", Level::Info};
+inline constexpr EventKind callShed{511, "call-shed", Level::Warning};
+inline constexpr EventKind upstreamSilent{512, "upstream-silent", Level::Warning};
+inline constexpr EventKind requestSuspected{513, "request-suspected", Level::Warning};
+inline constexpr EventKind requestQuarantined{514, "request-quarantined", Level::Error};
+inline constexpr EventKind callCutOff{515, "call-cut-off", Level::Warning};
 inline constexpr EventKind callStalled{540, "call-stalled", Level::Warning};
 inline constexpr EventKind callSuspected{541, "call-suspected", Level::Warning};
 inline constexpr EventKind callLimited{542, "call-limited", Level::Info};
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
+// clang-format off
 inline constexpr std::array all{
-    processStarted, processStopping, processStopped, settingsRefused,     stoppedEarly,
-    badFrame,       peerConnected,   peerLost,       platformUnavailable, platformAvailable,
-    requestRefused, callFinished,    callRetried,    upstreamFailed,      upstreamDraining,
-    callStalled,    callSuspected,   callLimited,    invariantViolated,
+    processStarted,
+    processStopping,
+    processStopped,
+    settingsRefused,
+    stoppedEarly,
+    badFrame,
+    peerConnected,
+    peerLost,
+    platformUnavailable,
+    platformAvailable,
+    ownerSuperseded,
+    leaseLapsed,
+    entryTakenOver,
+    takeoverFailed,
+    partitionsAdopted,
+    partitionsHandedOver,
+    badPartitionTable,
+    requestRefused,
+    callFinished,
+    callRetried,
+    upstreamFailed,
+    upstreamDraining,
+    callRepeated,
+    callShed,
+    upstreamSilent,
+    requestSuspected,
+    requestQuarantined,
+    callCutOff,
+    callStalled,
+    callSuspected,
+    callLimited,
+    invariantViolated,
 };
+// clang-format on
 
 }
 
--- a/src/libbriarhinge/placement/suspecttable.h
+++ b/src/libbriarhinge/placement/suspecttable.h
@@ -1,17 +1,23 @@
 #pragma once
 
 #include "base/digest.h"
+#include "base/ids.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace briarhinge::placement
 {
 
+/** @param target a model or tool @param prompt what is given to it @return names what is asked, whoever asks */
+base::Digest promptDigest(const base::TargetName &target, std::string_view prompt);
+
 /** What may be done with a request of a digest. */
 enum class SuspectVerdict {
     /** It may run like any other. */
@@ -51,8 +57,17 @@
     /** The trial of a request ended without a crash. @param digest the request @param survived whether it ran whole */
     void trialEnded(const base::Digest &digest, bool survived);
 
-    /** Quarantines a request that another process found out. @param digest the request */
-    void quarantine(const base::Digest &digest);
+    /**
+     * Quarantines a prompt, and every prompt that begins with it.
+     *
+     * @param digest the request
+     * @param target the model or tool
+     * @param prompt what was given to it
+     */
+    void quarantine(const base::Digest &digest, const base::TargetName &target, std::string_view prompt);
+
+    /** @param target a model or tool @param prompt a prompt @return whether it begins with a quarantined one */
+    bool extendsQuarantined(const base::TargetName &target, std::string_view prompt) const;
 
     /** @return every quarantined digest */
     std::vector<base::Digest> quarantined() const;
@@ -72,6 +87,8 @@
 
     const std::size_t m_maxDigests;
     std::unordered_map<base::Digest, Suspect> m_suspects;
+    /** Lengths of quarantined prompts. */
+    std::set<std::size_t> m_lengths;
     /** Oldest first. */
     std::list<base::Digest> m_ages;
 };
--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -137,11 +137,30 @@
 class EngineUpstream::Private
 {
 public:
-    Private(const std::string &url, base::Milliseconds timeout)
-        : client(url, config(timeout))
+    Private(std::string engineUrl, base::Milliseconds timeout)
+        : url(std::move(engineUrl))
+        , settings(config(timeout))
+        , client(url, settings)
     {
     }
 
+    /** Sends an order about held prefixes. A lost one does no harm: each hold is a lease. */
+    void post(const std::string &path, const json &body)
+    {
+        web::http::http_request request(web::http::methods::POST);
+        request.set_request_uri(path);
+        request.set_body(body.dump(-1, ' ', false, json::error_handler_t::replace), "application/json");
+        client.request(request).then([](const pplx::task<http_response> &task) {
+            try {
+                task.get();
+            } catch (const std::exception &) {
+                return;
+            }
+        });
+    }
+
+    const std::string url;
+    const web::http::client::http_client_config settings;
     web::http::client::http_client client;
 
 private:
@@ -168,7 +187,10 @@
     request.set_request_uri("/v1/chat/completions");
     request.set_body(requestBody(call), "application/json");
     request.set_response_stream(reader->sink());
-    d->client.request(request, cancellation->token())
+    // cpprest sends a request again by itself when a kept connection turns out to be closed: a request that crashes the
+    // engine would run again, or end as never connected. A connection of its own is never sent on twice.
+    const auto client = std::make_shared<web::http::client::http_client>(d->url, d->settings);
+    client->request(request, cancellation->token())
         .then([reader](const http_response &response) -> pplx::task<std::optional<core::Outcome>> {
             if (response.status_code() == web::http::status_codes::OK) {
                 return response.content_ready().then([reader](const http_response &) -> std::optional<core::Outcome> {
@@ -178,7 +200,7 @@
             const std::string reason = "the engine answered " + std::to_string(response.status_code());
             return pplx::task_from_result<std::optional<core::Outcome>>(core::Failed{reason});
         })
-        .then([observer](const pplx::task<std::optional<core::Outcome>> &task) {
+        .then([observer, client](const pplx::task<std::optional<core::Outcome>> &task) {
             try {
                 observer.ended(*task.get());
             } catch (const web::http::http_exception &error) {
@@ -196,16 +218,21 @@
 
 void EngineUpstream::release(const base::ProgramId &program)
 {
-    web::http::http_request request(web::http::methods::POST);
-    request.set_request_uri("/v1/cache/release");
-    request.set_body(json{{"user", program.value()}}.dump(), "application/json");
-    d->client.request(request).then([](const pplx::task<http_response> &task) {
-        try {
-            task.get();
-        } catch (const std::exception &) {
-            // The hold is a lease: the engine lets go by itself.
-        }
-    });
+    d->post("/v1/cache/release", json{{"user", program.value()}});
+}
+
+void EngineUpstream::hold(const base::ProgramId &program, const std::string &prefix, base::Milliseconds lease)
+{
+    d->post("/v1/cache/hold", json{{"user", program.value()}, {"prompt", prefix}, {"ttl_ms", lease.count()}});
+}
+
+void EngineUpstream::renew(const std::vector<base::ProgramId> &programs, base::Milliseconds lease)
+{
+    json users = json::array();
+    for (const base::ProgramId &program : programs) {
+        users.push_back(program.value());
+    }
+    d->post("/v1/cache/renew", json{{"users", std::move(users)}, {"ttl_ms", lease.count()}});
 }
 
 }
