--- a/tests/system/test_crashquarantine.py
+++ b/tests/system/test_crashquarantine.py
@@ -36,6 +36,15 @@
         self.assertEqual(outcomes, ["notRun"] * 8)
         self.assertEqual(self.crashes(), 2)
 
+    def test_next_call_of_its_program_does_not_crash_either(self):
+        caller = stack.Caller(self.entries[0], "order-1")
+        caller.open()
+        self.assertEqual(caller.model(CRASHING)[1]["outcome"], "failed")
+        status, reply = caller.model("go on")
+        self.assertEqual((status, reply["outcome"]), (503, "notRun"))
+        self.assertNotIn("retryAfterMs", reply)
+        self.assertEqual(self.crashes(), 2)
+
     def test_calls_beside_a_crashing_one_complete(self):
         with concurrent.futures.ThreadPoolExecutor(8) as pool:
             others = [pool.submit(self.send, f"other-{i}", i % 2, f"hello {i} answer=100") for i in range(7)]
