Core: Invariants checked by a property test; overlapping grants stay within the limit

Cause: two calls of one tree that wait for their grants at the same time each asked for a grant over the same base, so both together could exceed the limit, and a later takeover counted more than the limit as spent. A withdrawal whose claim was never durable did not fit the log, and a withdrawal could have erased a finished call. Ruled out: grants as absolute totals, which would change the record format. Conclusion: Budget::grant holds the limit; replay ignores what has no claim.

--- a/src/libbriarhinge/core/budget.cpp
+++ b/src/libbriarhinge/core/budget.cpp
@@ -91,7 +91,8 @@
 
 void Budget::grant(const Amounts &amounts)
 {
-    m_granted = m_granted + amounts;
+    // Grants that wait for the log at the same time overlap: each covers the calls before it as well.
+    m_granted = atMost(m_granted + amounts, m_limit);
 }
 
 void Budget::reserve(const Amounts &worstCase)
--- a/src/libbriarhinge/core/budget.h
+++ b/src/libbriarhinge/core/budget.h
@@ -48,7 +48,7 @@
     /** @return what must still be granted durably before @p worstCase may be reserved; nothing when granted already */
     std::optional<Amounts> missingGrant(const Amounts &worstCase) const;
 
-    /** Adds a durable grant. */
+    /** Adds a durable grant; what is granted in total never exceeds the limit. */
     void grant(const Amounts &amounts);
 
     /** Sets @p worstCase aside for a call. */
--- a/src/libbriarhinge/core/record.cpp
+++ b/src/libbriarhinge/core/record.cpp
@@ -53,7 +53,12 @@
 bool apply(ProgramTree &tree, const ClaimWithdrawn &record)
 {
     ProgramState *program = find(tree, record.program);
-    return program != nullptr && program->calls.erase(record.number) == 1;
+    if (program == nullptr || record.number != program->nextCall) {
+        return false;
+    }
+    // The claim itself may never have become durable: then there is nothing to erase.
+    program->calls.erase(record.number);
+    return true;
 }
 
 bool apply(ProgramTree &tree, const TurnFinished &record)
--- a/tests/test_step.cpp
+++ b/tests/test_step.cpp
@@ -139,3 +139,35 @@
     const auto again = step(next, StartCall{id, toolCall(1, std::nullopt)}, start);
     CHECK(std::holds_alternative<Unknown>(firstOf<AnswerNow>(again)->outcome));
 }
+
+TEST(Step, GrantsThatWaitTogetherDoNotExceedTheLimit)
+{
+    const base::ProgramId child{"order-1.refund"};
+    step(tree, OpenProgram{{child, base::KindName("chat"), base::AccountId("huye"), id}, policy()}, start);
+    for (const base::ProgramId &program : {id, child}) {
+        CallRequest call = toolCall(1, std::nullopt);
+        call.maxCost = base::MicroMoney(45);
+        step(tree, StartCall{program, call}, start);
+    }
+    step(tree, CallStored{id, base::CallNumber(1)}, start);
+    step(tree, CallStored{child, base::CallNumber(1)}, start);
+    CHECK(fitsIn(tree.budget.granted(), tree.budget.limit()));
+}
+
+TEST(Step, WithdrawalOfAClaimThatNeverWasDurableFitsTheLog)
+{
+    startCall(toolCall(1, std::nullopt));
+    const auto ended = step(tree, CallNotStored{id, base::CallNumber(1), "outage", base::Milliseconds(500)}, start);
+    ProgramTree next;
+    replay(next, ProgramOpened{tree.programs.at(id).spec, policy(), start, {}});
+    CHECK(replay(next, firstOf<StoreLater>(ended)->record));
+}
+
+TEST(Step, WithdrawalNeverTakesAFinishedCallOutOfTheHistory)
+{
+    ProgramTree next;
+    replay(next, ProgramOpened{tree.programs.at(id).spec, policy(), start, {}});
+    replay(next, TurnFinished{id, toolCall(1, std::nullopt), Completed{"charged", {}}});
+    CHECK_FALSE(replay(next, ClaimWithdrawn{id, base::CallNumber(1)}));
+    LONGS_EQUAL(1, next.programs.at(id).calls.size());
+}
--- /dev/null
+++ b/tests/test_stepproperties.cpp
@@ -0,0 +1,458 @@
+#include "core/invariants.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace briarhinge;
+using namespace briarhinge::core;
+
+namespace
+{
+
+const base::Timestamp start{base::Milliseconds(1'000)};
+
+const std::vector<std::string> programNames{"a", "a.b", "a.c", "a.b.d"};
+
+enum class Command {
+    Open,
+    Start,
+    StartOther,
+    StartWrongNumber,
+    StartWrongHistory,
+    AskAgain,
+    Flush,
+    Refuse,
+    EndCall,
+    EndProgram,
+    StrayStored,
+    Crash,
+};
+
+/** One random choice; the numbers pick among what is possible at that moment, so that shrinking stays meaningful. */
+struct Choice
+{
+    Command command = Command::Open;
+    std::uint32_t first = 0;
+    std::uint32_t second = 0;
+};
+
+void showValue(const Choice &choice, std::ostream &out)
+{
+    static const char *const names[] = {"Open",        "Start", "StartOther", "StartWrongNumber", "StartWrongHistory",
+                                        "AskAgain",    "Flush", "Refuse",     "EndCall",          "EndProgram",
+                                        "StrayStored", "Crash"};
+    out << names[static_cast<int>(choice.command)] << ' ' << choice.first << ' ' << choice.second;
+}
+
+rc::Gen<Choice> anyChoice()
+{
+    const auto command = rc::gen::weightedElement<Command>({{3, Command::Open},
+                                                            {8, Command::Start},
+                                                            {2, Command::StartOther},
+                                                            {1, Command::StartWrongNumber},
+                                                            {1, Command::StartWrongHistory},
+                                                            {2, Command::AskAgain},
+                                                            {8, Command::Flush},
+                                                            {1, Command::Refuse},
+                                                            {8, Command::EndCall},
+                                                            {1, Command::EndProgram},
+                                                            {1, Command::StrayStored},
+                                                            {1, Command::Crash}});
+    return rc::gen::build<Choice>(rc::gen::set(&Choice::command, command),
+                                  rc::gen::set(&Choice::first, rc::gen::inRange<std::uint32_t>(0, 1000)),
+                                  rc::gen::set(&Choice::second, rc::gen::inRange<std::uint32_t>(0, 1000)));
+}
+
+using CallKey = std::pair<std::string, std::uint32_t>;
+
+/** What really happened under one call number, whichever owner was in charge. */
+struct Truth
+{
+    /** Dispatches of a non-idempotent call that were not refused by the upstream. */
+    std::uint32_t ranOnce = 0;
+    std::optional<Outcome> committed;
+};
+
+/** A call at the dispatcher. */
+struct Running
+{
+    Amounts reserved;
+    bool idempotent = true;
+};
+
+/** A log, a dispatcher and a row of owners, with what an outsider knows about them. */
+class World
+{
+public:
+    void take(const Choice &choice)
+    {
+        m_choice = choice;
+        switch (choice.command) {
+        case Command::Open:
+            open();
+            break;
+        case Command::Start:
+        case Command::StartOther:
+        case Command::StartWrongNumber:
+        case Command::StartWrongHistory:
+            startCall();
+            break;
+        case Command::AskAgain:
+            askAgain();
+            break;
+        case Command::Flush:
+            flush();
+            break;
+        case Command::Refuse:
+            refuseAppend();
+            break;
+        case Command::EndCall:
+            endCall();
+            break;
+        case Command::EndProgram:
+            happen(EndProgram{program()});
+            break;
+        case Command::StrayStored:
+            strayStored();
+            break;
+        case Command::Crash:
+            crash();
+            break;
+        }
+        check();
+    }
+
+private:
+    struct Append
+    {
+        std::vector<Record> records;
+        /** The call that waits for the records. */
+        std::optional<CallKey> waiting;
+    };
+
+    base::ProgramId program() const
+    {
+        return base::ProgramId(programNames[m_choice.first % programNames.size()]);
+    }
+
+    static KindPolicy policy()
+    {
+        KindPolicy kind;
+        kind.budget = {base::Tokens(3'000), base::MicroMoney(60), 14};
+        kind.wallTime = base::Milliseconds(60'000);
+        return kind;
+    }
+
+    void open()
+    {
+        const base::ProgramId id = program();
+        happen(OpenProgram{{id, base::KindName("chat"), base::AccountId("huye"), parentOf(id)}, policy()});
+    }
+
+    static CallRequest request(std::uint32_t number, std::uint32_t body)
+    {
+        CallRequest request;
+        request.number = base::CallNumber(number);
+        request.kind = body % 2 == 0 ? CallKind::Tool : CallKind::Model;
+        request.target = base::TargetName(body % 2 == 0 ? "charge" : "small");
+        request.input = "body " + std::to_string(body);
+        request.idempotent = body % 4 != 0;
+        request.maxTokens = base::Tokens(request.kind == CallKind::Model ? 50 + body : 0);
+        request.maxCost = base::MicroMoney(body % 7);
+        return request;
+    }
+
+    void startCall()
+    {
+        const base::ProgramId id = program();
+        const auto found = m_tree.programs.find(id);
+        const std::uint32_t next = found == m_tree.programs.end() ? 1 : found->second.nextCall.value();
+        const bool wrongNumber = m_choice.command == Command::StartWrongNumber;
+        const std::uint32_t body = m_choice.command == Command::StartOther ? m_choice.second % 40 : next % 5;
+        CallRequest call = request(wrongNumber ? next + 1 + m_choice.second % 2 : next, body);
+        if (found != m_tree.programs.end() && next > 1) {
+            call.extends = found->second.head;
+        }
+        if (m_choice.command == Command::StartWrongHistory) {
+            call.extends = emptyHistory(base::ProgramId("another"));
+        }
+        const auto actions = happen(StartCall{id, call});
+        const bool isRefused = !actions.empty() && std::holds_alternative<Refuse>(actions.front());
+        const bool isNew = found != m_tree.programs.end() && !found->second.calls.contains(call.number);
+        if (wrongNumber) {
+            RC_ASSERT(isRefused);
+        }
+        if (m_choice.command == Command::StartWrongHistory && isNew) {
+            RC_ASSERT(isRefused);
+        }
+    }
+
+    void askAgain()
+    {
+        const auto found = m_tree.programs.find(program());
+        if (found == m_tree.programs.end() || found->second.calls.empty()) {
+            return;
+        }
+        auto call = found->second.calls.begin();
+        std::advance(call, m_choice.second % found->second.calls.size());
+        const CallState before = call->second;
+        const auto actions = happen(StartCall{found->first, before.request});
+        RC_ASSERT(actions.size() == 1U);
+        if (before.outcome) {
+            RC_ASSERT(std::get<AnswerNow>(actions.front()).outcome == *before.outcome);
+        } else {
+            RC_ASSERT(std::holds_alternative<JoinCall>(actions.front()));
+        }
+    }
+
+    /** Makes some of the appended records durable, in their order. */
+    void flush()
+    {
+        const std::size_t count = 1 + m_choice.first % 3;
+        for (std::size_t i = 0; i < count && !m_appends.empty(); ++i) {
+            const Append append = makeFirstDurable();
+            if (append.waiting) {
+                happen(CallStored{base::ProgramId(append.waiting->first), base::CallNumber(append.waiting->second)});
+            }
+            for (const Record &record : append.records) {
+                if (const auto *turn = std::get_if<TurnFinished>(&record)) {
+                    happen(TurnCommitted{turn->program, turn->request.number});
+                }
+            }
+        }
+    }
+
+    Append makeFirstDurable()
+    {
+        Append append = std::move(m_appends.front());
+        m_appends.pop_front();
+        for (const Record &record : append.records) {
+            m_durable.push_back(record);
+            noteDurable(record);
+        }
+        return append;
+    }
+
+    void noteDurable(const Record &record)
+    {
+        if (const auto *claim = std::get_if<CallClaimed>(&record)) {
+            m_claims.insert(keyOf(claim->program, claim->request.number));
+        } else if (const auto *withdrawn = std::get_if<ClaimWithdrawn>(&record)) {
+            m_claims.erase(keyOf(withdrawn->program, withdrawn->number));
+        } else if (const auto *turn = std::get_if<TurnFinished>(&record)) {
+            Truth &truth = m_truth[keyOf(turn->program, turn->request.number)];
+            RC_ASSERT(!truth.committed || *truth.committed == turn->outcome);
+            truth.committed = turn->outcome;
+        }
+    }
+
+    /** A late message about a call that waits for nothing changes nothing. */
+    void strayStored()
+    {
+        const base::CallNumber number(1 + m_choice.second % 3);
+        const CallKey key = keyOf(program(), number);
+        const bool isAwaited = std::any_of(m_appends.begin(), m_appends.end(), [&](const Append &append) {
+            return append.waiting == key;
+        });
+        if (!isAwaited) {
+            RC_ASSERT(happen(CallStored{program(), number}).empty());
+            RC_ASSERT(happen(CallNotStored{program(), number, "late", base::Milliseconds(1)}).empty());
+        }
+    }
+
+    /** The service refuses the first append that a call waits for. */
+    void refuseAppend()
+    {
+        for (auto append = m_appends.begin(); append != m_appends.end(); ++append) {
+            if (append->waiting) {
+                const CallKey key = *append->waiting;
+                m_appends.erase(append);
+                happen(CallNotStored{base::ProgramId(key.first), base::CallNumber(key.second), "outage",
+                                     base::Milliseconds(500)});
+                return;
+            }
+        }
+    }
+
+    void endCall()
+    {
+        if (m_running.empty()) {
+            return;
+        }
+        auto chosen = m_running.begin();
+        std::advance(chosen, m_choice.first % m_running.size());
+        const auto [key, running] = *chosen;
+        const Amounts reserved = running.reserved;
+        m_running.erase(chosen);
+        const base::ProgramId id(key.first);
+        const base::CallNumber number(key.second);
+        Outcome outcome = Unknown{"lost"};
+        switch (m_choice.second % 6) {
+        case 0:
+            outcome = NotRun{"refused", base::Milliseconds(1)};
+            m_truth[key].ranOnce -= running.idempotent ? 0 : 1;
+            break;
+        case 1:
+            outcome = Failed{"error"};
+            m_spent = m_spent + reserved;
+            break;
+        case 2:
+            m_spent = m_spent + reserved;
+            break;
+        default: {
+            const Usage usage{base::Tokens(reserved.tokens.value() / 2),
+                              {},
+                              base::Tokens(reserved.tokens.value() / 3),
+                              base::MicroMoney(reserved.money.value() / 2)};
+            m_spent = m_spent + Amounts{base::Tokens(usage.prompt.value() + usage.completion.value()), usage.money, 1};
+            outcome = Completed{"answer " + std::to_string(m_choice.second), usage};
+        }
+        }
+        happen(CallEnded{id, number, outcome});
+    }
+
+    /** The owner dies: some of what it appended is durable, and what it dispatched may or may not run. */
+    void crash()
+    {
+        const std::size_t kept = m_choice.second % (m_appends.size() + 1);
+        for (std::size_t i = 0; i < kept; ++i) {
+            makeFirstDurable();
+        }
+        m_appends.clear();
+        for (const auto &[key, running] : m_running) {
+            m_spent = m_spent + running.reserved;
+        }
+        m_running.clear();
+        m_answered.clear();
+        m_tree = ProgramTree{};
+        for (const Record &record : m_durable) {
+            RC_ASSERT(replay(m_tree, record));
+        }
+        std::vector<Record> endings = finishReplay(m_tree);
+        if (!endings.empty()) {
+            m_appends.push_back({std::move(endings), std::nullopt});
+        }
+    }
+
+    std::vector<Action> happen(const Event &event)
+    {
+        std::vector<Action> actions = step(m_tree, event, start);
+        const auto violations = brokenByStep(m_tree, event, actions);
+        if (!violations.empty()) {
+            RC_FAIL(violations.front());
+        }
+        for (const Action &action : actions) {
+            follow(action);
+        }
+        return actions;
+    }
+
+    void follow(const Action &action)
+    {
+        if (const auto *store = std::get_if<StoreBeforeCall>(&action)) {
+            m_appends.push_back({store->records, keyOf(store->program, store->number)});
+        } else if (const auto *later = std::get_if<StoreLater>(&action)) {
+            m_appends.push_back({{later->record}, std::nullopt});
+        } else if (const auto *dispatch = std::get_if<DispatchCall>(&action)) {
+            dispatched(*dispatch);
+        } else if (const auto *answer = std::get_if<AnswerNow>(&action)) {
+            answered(keyOf(answer->program, answer->number), answer->outcome);
+        } else if (const auto *finish = std::get_if<FinishCall>(&action)) {
+            answered(keyOf(finish->program, finish->number), finish->outcome);
+        }
+    }
+
+    void dispatched(const DispatchCall &dispatch)
+    {
+        const CallKey key = keyOf(dispatch.program, dispatch.request.number);
+        Truth &truth = m_truth[key];
+        RC_ASSERT(!truth.committed);
+        if (!dispatch.request.idempotent) {
+            RC_ASSERT(m_claims.contains(key));
+            RC_ASSERT(truth.ranOnce == 0U);
+            ++truth.ranOnce;
+        }
+        RC_ASSERT(!m_running.contains(key));
+        const CallState &call = m_tree.programs.at(dispatch.program).calls.at(dispatch.request.number);
+        m_running[key] = {call.reserved, dispatch.request.idempotent};
+    }
+
+    void answered(const CallKey &key, const Outcome &outcome)
+    {
+        const Truth &truth = m_truth[key];
+        if (truth.committed) {
+            RC_ASSERT(outcome == *truth.committed);
+        }
+        if (std::holds_alternative<NotRun>(outcome)) {
+            // An idempotent call that a dead owner ran leaves no trace: NotRun then speaks of the new attempt.
+            RC_ASSERT(!m_running.contains(key));
+            RC_ASSERT(truth.ranOnce == 0U);
+            return;
+        }
+        const auto before = m_answered.find(key);
+        RC_ASSERT(before == m_answered.end() || before->second == outcome);
+        m_answered[key] = outcome;
+    }
+
+    void check() const
+    {
+        const auto violations = brokenInvariants(m_tree);
+        if (!violations.empty()) {
+            RC_FAIL(violations.front());
+        }
+        RC_ASSERT(fitsIn(m_spent, policy().budget));
+        for (const auto &[key, truth] : m_truth) {
+            if (truth.committed) {
+                const CallState &call =
+                    m_tree.programs.at(base::ProgramId(key.first)).calls.at(base::CallNumber(key.second));
+                RC_ASSERT(call.outcome == truth.committed);
+            }
+        }
+    }
+
+    static CallKey keyOf(const base::ProgramId &program, base::CallNumber number)
+    {
+        return {program.value(), number.value()};
+    }
+
+    Choice m_choice;
+    ProgramTree m_tree;
+    std::vector<Record> m_durable;
+    std::deque<Append> m_appends;
+    std::map<CallKey, Running> m_running;
+    /** Outcomes that the present owner gave. */
+    std::map<CallKey, Outcome> m_answered;
+    std::map<CallKey, Truth> m_truth;
+    std::set<CallKey> m_claims;
+    /** What upstreams really charged, under all owners. */
+    Amounts m_spent;
+};
+
+}
+
+TEST_GROUP(StepProperties){};
+
+TEST(StepProperties, HoldUnderEveryInterleavingAndOwnerCrash)
+{
+    constexpr std::uint64_t leastSteps = 10'000;
+    constexpr double lengthScale = 4.0;
+    std::uint64_t steps = 0;
+    const bool held = rc::check("order, history, budget, at most once and answers", [&] {
+        const auto choices =
+            *rc::gen::scale(lengthScale, rc::gen::container<std::vector<Choice>>(rc::gen::resize(100, anyChoice())));
+        World world;
+        for (const Choice &choice : choices) {
+            world.take(choice);
+            ++steps;
+        }
+    });
+    CHECK(held);
+    CHECK(steps >= leastSteps);
+}
