Bad input: Every parser is fuzzed; a nested field no longer ends the process

Cause: an error about a field of the wrong type showed the field with a recursive dump: 900,000 nested brackets in a body of 2 MB overflowed the stack and ended the entry. A frame with a message of an unknown type was accepted without a message. A call whose prompt outgrew the largest frame made the peer close the connection, which all other calls to that runner shared. Ruled out: a limit for the depth of JSON; parsing itself does not recurse. Before: BadInput.DeeplyNestedFieldIsRefusedWithoutShowingIt ends the test program with signal 11. After: refused with "is an array".

--- a/src/libbriarhinge/api/json.cpp
+++ b/src/libbriarhinge/api/json.cpp
@@ -33,6 +33,20 @@
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+/** Longest part of a caller's text that an error shows. */
+constexpr std::size_t maxShownBytes = 100;
+
+std::string shownText(std::string_view text)
+{
+    return text.size() <= maxShownBytes ? std::string(text) : std::string(text.substr(0, maxShownBytes)) + "...";
+}
+
+/** Shows a value in an error; an array or object only by its type, since it may be nested deeper than the stack. */
+std::string shownValue(const json &value)
+{
+    return value.is_structured() ? std::string("an ") + value.type_name() : shownText(dump(value));
+}
+
 /** Reads the fields of one JSON object; remembers the first fault and which fields are known. */
 class FieldReader
 {
@@ -54,7 +68,7 @@
             return std::nullopt;
         }
         if (!value->is_string()) {
-            fail("field-type", fmt::format("field \"{}\" must be a string, is {}", field, dump(*value)));
+            fail("field-type", fmt::format("field \"{}\" must be a string, is {}", field, shownValue(*value)));
             return std::nullopt;
         }
         return value->get<std::string>();
@@ -77,7 +91,8 @@
         }
         if (!value->is_number_unsigned() || value->get<std::uint64_t>() > most) {
             fail("field-range",
-                 fmt::format("field \"{}\" must be a whole number from 0 to {}, is {}", field, most, dump(*value)));
+                 fmt::format("field \"{}\" must be a whole number from 0 to {}, is {}", field, most,
+                             shownValue(*value)));
             return fallback;
         }
         return value->get<std::uint64_t>();
@@ -90,7 +105,7 @@
             return fallback;
         }
         if (!value->is_boolean()) {
-            fail("field-type", fmt::format("field \"{}\" must be true or false, is {}", field, dump(*value)));
+            fail("field-type", fmt::format("field \"{}\" must be true or false, is {}", field, shownValue(*value)));
             return fallback;
         }
         return value->get<bool>();
@@ -109,7 +124,7 @@
         if (!m_fault) {
             for (const auto &[field, value] : m_object.items()) {
                 if (std::find(m_known.begin(), m_known.end(), field) == m_known.end()) {
-                    fail("field-unknown", fmt::format("field \"{}\" is not known here", field));
+                    fail("field-unknown", fmt::format("field \"{}\" is not known here", shownText(field)));
                 }
             }
         }
@@ -139,7 +154,8 @@
         return core::CallKind::Tool;
     }
     if (type != "model") {
-        reader.fail("field-range", fmt::format("field \"type\" must be \"model\" or \"tool\", is \"{}\"", type));
+        reader.fail("field-range",
+                    fmt::format("field \"type\" must be \"model\" or \"tool\", is \"{}\"", shownText(type)));
     }
     return core::CallKind::Model;
 }
@@ -232,7 +248,7 @@
         reader.fail("field-range",
                     fmt::format("field \"id\" must be letters, digits, '-', '_' and single '.', at most {} bytes, "
                                 "is \"{}\"",
-                                maxIdBytes, spec.id.value()));
+                                maxIdBytes, shownText(spec.id.value())));
     }
     if (spec.parent != core::parentOf(spec.id)) {
         reader.fail("field-range",
--- a/src/libbriarhinge/wire/framechannel.cpp
+++ b/src/libbriarhinge/wire/framechannel.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
@@ -17,6 +18,16 @@
 
 constexpr std::chrono::milliseconds connectTimeout{1000};
 
+/** Part of a frame that is kept for everything but the text of a request. */
+constexpr std::size_t roomForFields = std::size_t{64} * 1024;
+
+/** @return bytes of the part of a request that has no small bound of its own */
+std::size_t textBytes(const MessageUnion &message)
+{
+    const auto *execute = message.AsExecuteCall();
+    return execute == nullptr ? 0 : execute->prompt.size() + execute->partial.size();
+}
+
 }
 
 FrameChannel::FrameChannel(asio::io_context &context, Address address, FrameStamp stamp)
@@ -28,10 +39,18 @@
 
 std::uint64_t FrameChannel::ask(MessageUnion message, ReplyHandler onReply)
 {
+    const std::size_t bytes = textBytes(message);
     auto frame = std::make_unique<FrameT>();
     frame->message = std::move(message);
     const std::lock_guard lock(m_mutex);
     const std::uint64_t requestId = ++m_lastRequestId;
+    if (bytes > maxFrameBytes - roomForFields) {
+        // The peer would close the connection, and with it every other request on it.
+        asio::post(m_context, [onReply = std::move(onReply), bytes] {
+            onReply(ChannelError{false, "a request of " + std::to_string(bytes) + " bytes does not fit into a frame"});
+        });
+        return requestId;
+    }
     frame->request_id = requestId;
     Pending &pending = m_pending[requestId];
     pending.onReply = std::move(onReply);
--- a/src/libbriarhinge/wire/framecodec.cpp
+++ b/src/libbriarhinge/wire/framecodec.cpp
@@ -47,6 +47,10 @@
     }
     FrameT unpacked;
     frame->UnPackTo(&unpacked);
+    if (unpacked.message.value == nullptr) {
+        return BadFrame{fmt::format("frame with message {}, which is not known",
+                                    static_cast<std::uint32_t>(frame->message_type()))};
+    }
     return unpacked;
 }
 
--- /dev/null
+++ b/tests/fuzz/main.cpp
@@ -0,0 +1,11 @@
+#include "fuzz/parsers.h"
+
+#include <cstddef>
+#include <cstdint>
+
+/** The entry point that libFuzzer looks for. */
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    briarhinge::fuzz::feed({data, size});
+    return 0;
+}
