--- a/src/libbriarhinge/core/budget.cpp
+++ b/src/libbriarhinge/core/budget.cpp
@@ -64,6 +64,13 @@
 {
 }
 
+Budget::Budget(Amounts limit, Amounts granted, Amounts spent)
+    : m_limit(limit)
+    , m_granted(granted)
+    , m_spent(spent)
+{
+}
+
 std::optional<std::string> Budget::shortfall(const Amounts &worstCase) const
 {
     const Amounts left = m_limit - (m_spent + m_reserved);
@@ -96,7 +103,7 @@
 
 void Budget::grant(const Amounts &amounts)
 {
-    // Grants that wait for the log at the same time overlap: each covers the calls before it as well.
+    // Grants that wait for the log at the same time overlap, and one whose answer was lost may be in the log twice.
     m_granted = atMost(m_granted + amounts, m_limit);
 }
 
--- a/src/libbriarhinge/service/programservice.h
+++ b/src/libbriarhinge/service/programservice.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -31,20 +32,26 @@
      * @param dispatcher runs the calls
      * @param policies knows the kinds of programs
      * @param invariants told of each broken invariant
+     * @param serves whether this process may serve a root program now; always when empty
      */
     ProgramService(const ClockT &clock, LogT &log, DispatcherT &dispatcher, const PoliciesT &policies,
-                   base::InvariantMonitor &invariants)
+                   base::InvariantMonitor &invariants, std::function<bool(const base::ProgramId &root)> serves = {})
         : m_clock(clock)
         , m_log(log)
         , m_dispatcher(dispatcher)
         , m_policies(policies)
         , m_invariants(invariants)
+        , m_serves(std::move(serves))
     {
     }
 
     /** Answers a request of a caller. @param request what it wants @param sink where the answer goes */
     void handle(const api::ClientRequest &request, const api::ClientSink &sink)
     {
+        if (m_serves && !m_serves(core::rootOf(request.program))) {
+            sink.reply(notServed(request.program));
+            return;
+        }
         switch (request.verb) {
         case api::Verb::OpenProgram:
             open(request, sink);
@@ -72,19 +79,30 @@
         Shard &shard = shardOf(root);
         const std::lock_guard lock(shard.mutex);
         Slot &slot = shard.trees[root];
-        slot.incarnation = ++m_lastIncarnation;
         slot.tree = std::move(tree);
+        slot.generation = ++m_generations;
     }
 
-    /** Forgets the trees that a predicate names. @param isForgotten called with each root program's id */
+    /** Forgets trees and tells those who wait for their calls. @param isForgotten called with each root program's id */
     template <class Predicate>
     void forget(Predicate isForgotten)
     {
         for (Shard &shard : m_shards) {
-            const std::lock_guard lock(shard.mutex);
-            std::erase_if(shard.trees, [&](const auto &slot) {
-                return isForgotten(slot.first);
-            });
+            Deferred deferred;
+            {
+                const std::lock_guard lock(shard.mutex);
+                for (auto slot = shard.trees.begin(); slot != shard.trees.end();) {
+                    if (!isForgotten(slot->first)) {
+                        ++slot;
+                        continue;
+                    }
+                    abandonStreams(slot->second, deferred);
+                    slot = shard.trees.erase(slot);
+                }
+            }
+            for (const auto &work : deferred) {
+                work();
+            }
         }
     }
 
@@ -105,14 +123,12 @@
 
     using CallKey = std::pair<base::ProgramId, base::CallNumber>;
 
-    /** Tells a tree from the same tree in an earlier term of this process. */
-    using Incarnation = std::uint64_t;
-
     struct Slot
     {
-        Incarnation incarnation = 0;
         core::ProgramTree tree;
         std::map<CallKey, std::shared_ptr<CallStream>> streams;
+        /** Tells this stay of the tree in this process from an earlier one. */
+        std::uint64_t generation = 0;
     };
 
     struct Shard
@@ -124,6 +140,26 @@
     /** Work that follows an event once the shard's lock is free again. */
     using Deferred = std::vector<std::function<void()>>;
 
+    /** Ends the calls of a tree that another process owns from now on. */
+    static void abandonStreams(Slot &slot, Deferred &deferred)
+    {
+        for (auto &[key, stream] : slot.streams) {
+            const core::Unknown lost{"another entry owns the program now; ask again with the same call number"};
+            deferred.emplace_back([stream = std::move(stream),
+                                   reply = api::toReply(api::CallView{key.first, key.second, lost, {}, false})] {
+                stream->finish(reply);
+            });
+        }
+    }
+
+    /** @return what to say about a program that this process may not serve now */
+    static api::ClientReply notServed(const base::ProgramId &program)
+    {
+        constexpr base::Milliseconds retryAfter{200};
+        return api::toReply(
+            api::CallView{program, {}, core::NotRun{"the program changes its owner", retryAfter}, {}, false});
+    }
+
     Shard &shardOf(const base::ProgramId &root)
     {
         return m_shards[base::stableHash(root.value()) % shardCount];
@@ -241,51 +277,45 @@
         return api::toReply(view);
     }
 
-    /** Feeds one event to the core and carries out what it decides. */
+    /**
+     * Feeds one event to the core and carries out what it decides.
+     *
+     * @param sink the caller, for an event that a caller caused
+     * @param generation the stay of the tree that the event belongs to; 0 for any
+     */
     void run(const base::ProgramId &program, const core::Event &event, const api::ClientSink *sink,
-             std::uint64_t offset)
+             std::uint64_t offset, std::uint64_t generation = 0)
     {
         const base::ProgramId root = core::rootOf(program);
         Shard &shard = shardOf(root);
         Deferred deferred;
         {
             const std::lock_guard lock(shard.mutex);
-            Slot &slot = shard.trees[root];
-            if (slot.incarnation == 0) {
-                slot.incarnation = ++m_lastIncarnation;
+            // Asked under the lock: who stops serving a program sees every request that got in before.
+            if (sink != nullptr && m_serves && !m_serves(root)) {
+                answer(sink, notServed(program), deferred);
+            } else {
+                carryOut(shard.trees[root], event, sink, offset, generation, deferred);
             }
-            advance(slot, event, sink, offset, deferred);
+            const Slot &slot = shard.trees[root];
             if (slot.tree.programs.empty()) {
                 shard.trees.erase(root);
             }
         }
-        carryOut(deferred);
-    }
-
-    /**
-     * Feeds in how something ended that an earlier event began. What began before this process lost the tree and took
-     * it over again says nothing about the calls of the tree as it is now.
-     */
-    void resume(Incarnation incarnation, const base::ProgramId &program, const core::Event &event)
-    {
-        const base::ProgramId root = core::rootOf(program);
-        Shard &shard = shardOf(root);
-        Deferred deferred;
-        {
-            const std::lock_guard lock(shard.mutex);
-            const auto slot = shard.trees.find(root);
-            if (slot == shard.trees.end() || slot->second.incarnation != incarnation) {
-                return;
-            }
-            advance(slot->second, event, nullptr, 0, deferred);
+        for (const auto &work : deferred) {
+            work();
         }
-        carryOut(deferred);
     }
 
-    /** Takes one step under the shard's lock. */
-    void advance(Slot &slot, const core::Event &event, const api::ClientSink *sink, std::uint64_t offset,
-                 Deferred &deferred)
+    void carryOut(Slot &slot, const core::Event &event, const api::ClientSink *sink, std::uint64_t offset,
+                  std::uint64_t generation, Deferred &deferred)
     {
+        if (slot.generation == 0) {
+            slot.generation = ++m_generations;
+        }
+        if (generation != 0 && slot.generation != generation) {
+            return;
+        }
         std::vector<core::Action> actions = core::step(slot.tree, event, m_clock.now());
         m_invariants.report(core::brokenByStep(slot.tree, event, actions));
         for (core::Action &action : actions) {
@@ -297,13 +327,6 @@
         }
     }
 
-    static void carryOut(const Deferred &deferred)
-    {
-        for (const auto &work : deferred) {
-            work();
-        }
-    }
-
     void perform(Slot &, const core::Refuse &action, const api::ClientSink *sink, std::uint64_t, Deferred &deferred)
     {
         answer(sink, api::toReply(action), deferred);
@@ -338,9 +361,9 @@
     void perform(Slot &slot, core::StoreBeforeCall &action, const api::ClientSink *, std::uint64_t, Deferred &)
     {
         m_log.appendNow(std::move(action.records),
-                        [this, incarnation = slot.incarnation, program = action.program,
-                         number = action.number](const StoreResult &result) {
-                            stored(incarnation, program, number, result);
+                        [this, program = action.program, number = action.number,
+                         generation = slot.generation](const StoreResult &result) {
+                            stored(program, number, generation, result);
                         });
     }
 
@@ -358,9 +381,9 @@
     /** @return a handler that feeds in an event once the records are durable */
     StoreHandler whenStored(const Slot &slot, const base::ProgramId &program, const core::Event &event)
     {
-        return [this, incarnation = slot.incarnation, program, event](const StoreResult &result) {
+        return [this, generation = slot.generation, program, event](const StoreResult &result) {
             if (std::holds_alternative<Stored>(result)) {
-                resume(incarnation, program, event);
+                run(program, event, nullptr, 0, generation);
             }
         };
     }
@@ -372,9 +395,9 @@
         observer.chunk = [stream](std::uint64_t offset, const std::string &text) {
             stream->append(offset, text);
         };
-        observer.ended = [this, incarnation = slot.incarnation, program = action.program,
-                          number = action.request.number](const core::Outcome &outcome) {
-            resume(incarnation, program, core::CallEnded{program, number, outcome});
+        observer.ended = [this, program = action.program, number = action.request.number,
+                          generation = slot.generation](const core::Outcome &outcome) {
+            run(program, core::CallEnded{program, number, outcome}, nullptr, 0, generation);
         };
         deferred.emplace_back([this, call = std::move(action), observer = std::move(observer)] {
             m_dispatcher.dispatch(call, observer);
@@ -420,14 +443,15 @@
         }
     }
 
-    void stored(Incarnation incarnation, const base::ProgramId &program, base::CallNumber number,
+    void stored(const base::ProgramId &program, base::CallNumber number, std::uint64_t generation,
                 const StoreResult &result)
     {
         if (const auto *refused = std::get_if<NotStored>(&result)) {
-            resume(incarnation, program, core::CallNotStored{program, number, refused->reason, refused->retryAfter});
+            run(program, core::CallNotStored{program, number, refused->reason, refused->retryAfter}, nullptr, 0,
+                generation);
             return;
         }
-        resume(incarnation, program, core::CallStored{program, number});
+        run(program, core::CallStored{program, number}, nullptr, 0, generation);
     }
 
     const ClockT &m_clock;
@@ -435,7 +459,8 @@
     DispatcherT &m_dispatcher;
     const PoliciesT &m_policies;
     base::InvariantMonitor &m_invariants;
-    std::atomic<std::uint64_t> m_lastIncarnation{0};
+    std::function<bool(const base::ProgramId &root)> m_serves;
+    std::atomic<std::uint64_t> m_generations{0};
     std::array<Shard, shardCount> m_shards;
 };
 
