--- /dev/null
+++ b/src/libbriarhinge/config/difference.cpp
@@ -0,0 +1,71 @@
+#include "config/difference.h"
+
+#include <map>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace briarhinge::config
+{
+
+namespace
+{
+
+using nlohmann::json;
+using Leaves = std::map<std::string, std::string>;
+
+std::string labelOf(const json &item, std::size_t index)
+{
+    if (item.is_object() && item.contains("name") && item["name"].is_string()) {
+        return item["name"].get<std::string>();
+    }
+    return std::to_string(index);
+}
+
+/** Writes each value that holds no others under its path. */
+void flatten(const json &value, const std::string &path, Leaves &leaves)
+{
+    if (value.is_object() && !value.empty()) {
+        for (const auto &[field, inner] : value.items()) {
+            flatten(inner, path.empty() ? field : path + "." + field, leaves);
+        }
+    } else if (value.is_array() && !value.empty()) {
+        for (std::size_t i = 0; i < value.size(); ++i) {
+            flatten(value[i], fmt::format("{}[{}]", path, labelOf(value[i], i)), leaves);
+        }
+    } else {
+        leaves[path] = value.dump(-1, ' ', false, json::error_handler_t::replace);
+    }
+}
+
+Leaves leavesOf(const std::string &text)
+{
+    Leaves leaves;
+    const json document = json::parse(text, nullptr, false);
+    if (document.is_object()) {
+        flatten(document, "", leaves);
+    }
+    return leaves;
+}
+
+}
+
+std::vector<Difference> differences(const std::string &before, const std::string &after)
+{
+    const Leaves old = leavesOf(before);
+    Leaves all = leavesOf(after);
+    std::vector<Difference> found;
+    const Leaves present = all;
+    all.insert(old.begin(), old.end());
+    for (const auto &[path, unused] : all) {
+        const auto was = old.find(path);
+        const auto is = present.find(path);
+        Difference difference{path, was == old.end() ? "" : was->second, is == present.end() ? "" : is->second};
+        if (difference.before != difference.after) {
+            found.push_back(std::move(difference));
+        }
+    }
+    return found;
+}
+
+}
--- /dev/null
+++ b/tests/fakekeyvalue.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "platform/keyvalue.h"
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+
+namespace briarhinge::tests
+{
+
+/** The key-value service in memory, with faults and counts. */
+class FakeKeyValue
+{
+public:
+    /** What happens to the next write. */
+    enum class Fault {
+        None,
+        /** It takes effect, its answer is lost. */
+        LoseAnswer,
+        /** It does not take effect. */
+        LoseRequest,
+    };
+
+    platform::ReadResult read(const std::string &key)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++reads;
+        if (outage) {
+            return platform::PlatformUnavailable{"outage"};
+        }
+        const auto found = m_keys.find(key);
+        if (found == m_keys.end()) {
+            return platform::KeyMissing{};
+        }
+        return found->second;
+    }
+
+    platform::WriteResult write(const std::string &key, const std::string &value, platform::KeyVersion expected,
+                                std::optional<platform::LeaseId>)
+    {
+        const Fault fault = outage ? Fault::LoseRequest : nextFault();
+        const std::lock_guard lock(m_mutex);
+        ++writes;
+        if (fault == Fault::LoseRequest) {
+            return platform::PlatformUnavailable{"request lost"};
+        }
+        const auto found = m_keys.find(key);
+        const platform::KeyVersion present = found == m_keys.end() ? platform::KeyVersion(0) : found->second.version;
+        if (present == expected) {
+            m_version = platform::KeyVersion(m_version.value() + 1);
+            m_keys[key] = {key, value, m_version};
+            m_changed.notify_all();
+        }
+        if (fault == Fault::LoseAnswer) {
+            return platform::PlatformUnavailable{"answer lost"};
+        }
+        if (present != expected) {
+            return platform::VersionConflict{present};
+        }
+        return m_version;
+    }
+
+    platform::WriteResult remove(const std::string &key)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++writes;
+        m_keys.erase(key);
+        return m_version;
+    }
+
+    platform::ListResult list(const std::string &prefix, const std::string &after, std::size_t limit)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++reads;
+        if (outage) {
+            return platform::PlatformUnavailable{"outage"};
+        }
+        std::vector<platform::KeyValue> found;
+        for (const auto &[key, value] : m_keys) {
+            if (key.starts_with(prefix) && key > after && found.size() < limit) {
+                found.push_back(value);
+            }
+        }
+        return found;
+    }
+
+    platform::LeaseResult openLease(base::Milliseconds)
+    {
+        return platform::LeaseId(1);
+    }
+
+    platform::LeaseResult keepLease(platform::LeaseId lease)
+    {
+        return lease;
+    }
+
+    platform::WatchResult watch(const std::string &prefix, platform::KeyVersion after, base::Milliseconds wait)
+    {
+        std::unique_lock lock(m_mutex);
+        ++watches;
+        platform::Changes changes;
+        m_changed.wait_for(lock, wait, [&] {
+            changes.changed.clear();
+            for (const auto &[key, value] : m_keys) {
+                if (key.starts_with(prefix) && value.version > after) {
+                    changes.changed.push_back(value);
+                }
+            }
+            return !changes.changed.empty() || outage;
+        });
+        if (outage) {
+            return platform::PlatformUnavailable{"outage"};
+        }
+        changes.seen = m_version;
+        return changes;
+    }
+
+    /** Called before each write to choose its fault. */
+    std::function<Fault()> nextFault = [] {
+        return Fault::None;
+    };
+    std::atomic<bool> outage{false};
+    std::atomic<std::uint64_t> reads{0};
+    std::atomic<std::uint64_t> writes{0};
+    std::atomic<std::uint64_t> watches{0};
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, platform::KeyValue> m_keys;
+    platform::KeyVersion m_version;
+};
+
+static_assert(platform::KeyValueService<FakeKeyValue>);
+
+}
