Configuration: Every process has the accepted revision in force; briarhingectl changes and shows it

A few processes in each zone watch the key-value service, each other one asks the first live peer of its priority list and the request waits there; a higher revision on any frame shows a gap. A process takes only a higher revision. While the service is down a starting process compares five peers and takes the highest; knowing nothing, an entry is not ready and answers notRun to an opening. Kinds come from the declaration once one is in force.

--- /dev/null
+++ b/src/briarhingectl/entryclient.cpp
@@ -0,0 +1,37 @@
+#include "entryclient.h"
+
+#include <cpprest/http_client.h>
+
+namespace briarhinge::ctl
+{
+
+namespace
+{
+
+web::http::method toHttp(Method method)
+{
+    switch (method) {
+    case Method::Get:
+        return web::http::methods::GET;
+    case Method::Post:
+        return web::http::methods::POST;
+    case Method::Delete:
+        break;
+    }
+    return web::http::methods::DEL;
+}
+
+}
+
+std::variant<EntryAnswer, EntryUnreachable> askEntry(const std::string &entry, Method method, const std::string &path)
+{
+    try {
+        web::http::client::http_client client(entry);
+        const auto response = client.request(toHttp(method), web::uri::encode_uri(path)).get();
+        return EntryAnswer{response.status_code(), response.extract_utf8string(true).get()};
+    } catch (const std::exception &error) {
+        return EntryUnreachable{entry + ": " + error.what()};
+    }
+}
+
+}
--- a/src/briarhingectl/main.cpp
+++ b/src/briarhingectl/main.cpp
@@ -1,75 +1,91 @@
-#include <iostream>
-#include <optional>
-#include <string>
-#include <vector>
-
-#include <cpprest/http_client.h>
-#include <cxxopts.hpp>
+#include "commandline.h"
+#include "configurationcommands.h"
+#include "output.h"
+#include "processcommands.h"
 
 namespace
 {
 
-constexpr int exitOk = 0;
-constexpr int exitFailed = 1;
-constexpr int exitUsage = 2;
+using namespace briarhinge::ctl;
 
-using web::http::methods;
+/** Which service a command asks. */
+enum class Asks {
+    KeyValue,
+    Entry,
+};
 
-/** Asks an entry and prints its answer. */
-int ask(const std::string &entry, const web::http::method &method, const std::string &path)
+/** A command of the tool. */
+struct Command
 {
-    try {
-        web::http::client::http_client client(entry);
-        const auto response = client.request(method, path).get();
-        std::cout << response.extract_utf8string(true).get() << '\n';
-        return response.status_code() == web::http::status_codes::OK ? exitOk : exitFailed;
-    } catch (const std::exception &error) {
-        std::cerr << "briarhingectl: " << entry << ": " << error.what() << '\n';
-        return exitFailed;
-    }
+    /** Its words; arguments follow them. */
+    std::vector<std::string> words;
+    std::size_t leastArguments;
+    std::size_t mostArguments;
+    Asks asks;
+    ExitCode (*run)(const CommandLine &);
+};
+
+const std::vector<Command> &commands()
+{
+    static const std::vector<Command> all{
+        {{"plan"}, 1, 1, Asks::KeyValue, plan},
+        {{"apply"}, 1, 1, Asks::KeyValue, apply},
+        {{"rollback"}, 1, 1, Asks::KeyValue, rollback},
+        {{"show"}, 0, 1, Asks::KeyValue, show},
+        {{"history"}, 0, 0, Asks::KeyValue, history},
+        {{"audit"}, 0, 0, Asks::KeyValue, audit},
+        {{"status"}, 0, 0, Asks::Entry, status},
+        {{"drain"}, 1, 1, Asks::Entry, drain},
+        {{"programs"}, 0, 0, Asks::Entry, programs},
+        {{"program", "show"}, 1, 1, Asks::Entry, showProgram},
+        {{"program", "end"}, 1, 1, Asks::Entry, endProgram},
+        {{"metrics"}, 0, 0, Asks::Entry, metrics},
+    };
+    return all;
 }
 
-int runCommand(const std::string &entry, const std::vector<std::string> &words)
+bool matches(const Command &command, const std::vector<std::string> &words)
 {
-    if (words.size() == 3 && words[0] == "program" && words[1] == "show") {
-        return ask(entry, methods::GET, "/v1/programs/" + words[2]);
+    return words.size() >= command.words.size()
+        && std::equal(command.words.begin(), command.words.end(), words.begin());
+}
+
+ExitCode runCommand(const Command &command, const CommandLine &line)
+{
+    const std::size_t arguments = line.words.size() - command.words.size();
+    if (arguments < command.leastArguments || arguments > command.mostArguments) {
+        return fail("wrong number of arguments; see --help", ExitCode::Usage);
+    }
+    if (line.keyValue.empty() && command.asks == Asks::KeyValue) {
+        return fail("--key-value must be given", ExitCode::Usage);
     }
-    if (words.size() == 3 && words[0] == "program" && words[1] == "end") {
-        return ask(entry, methods::DEL, "/v1/programs/" + words[2]);
+    if (line.entry.empty() && (command.asks == Asks::Entry || line.waits)) {
+        return fail("--entry must be given", ExitCode::Usage);
     }
-    if (words.size() == 1 && words[0] == "metrics") {
-        return ask(entry, methods::GET, "/metrics");
+    return command.run(line);
+}
+
+ExitCode run(const CommandLine &line)
+{
+    for (const Command &command : commands()) {
+        if (matches(command, line.words)) {
+            return runCommand(command, line);
+        }
     }
-    std::cerr << "briarhingectl: unknown command; see --help\n";
-    return exitUsage;
+    return fail("unknown command \"" + line.words.front() + "\"; see --help", ExitCode::Usage);
 }
 
 }
 
 int main(int argc, char **argv)
 {
-    cxxopts::Options options("briarhingectl", "Looks at and changes a running briarhinge.");
-    options.positional_help("program show ID | program end ID | metrics");
-    options.add_options()("entry", "address of an entry", cxxopts::value<std::string>())("help", "print this text")(
-        "version", "print the version")("command", "the command", cxxopts::value<std::vector<std::string>>());
-    options.parse_positional("command");
-    try {
-        const auto parsed = options.parse(argc, argv);
-        if (parsed.count("help") > 0) {
-            std::cout << options.help();
-            return exitOk;
-        }
-        if (parsed.count("version") > 0) {
-            std::cout << "briarhingectl " BRIARHINGE_VERSION "\n";
-            return exitOk;
-        }
-        if (parsed.count("entry") == 0 || parsed.count("command") == 0) {
-            std::cerr << "briarhingectl: --entry and a command must be given; see --help\n";
-            return exitUsage;
-        }
-        return runCommand(parsed["entry"].as<std::string>(), parsed["command"].as<std::vector<std::string>>());
-    } catch (const cxxopts::exceptions::exception &error) {
-        std::cerr << "briarhingectl: " << error.what() << '\n';
-        return exitUsage;
+    const auto read = readCommandLine(argc, argv);
+    if (const auto *help = std::get_if<HelpText>(&read)) {
+        print(help->text);
+        return static_cast<int>(ExitCode::Ok);
+    }
+    if (const auto *wrong = std::get_if<UsageError>(&read)) {
+        return static_cast<int>(fail(wrong->reason + "; see --help", ExitCode::Usage));
     }
+    return static_cast<int>(run(std::get<CommandLine>(read)));
 }
--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -1,5 +1,7 @@
 #include "entryprocess.h"
 
+#include "operators/localanswers.h"
+
 namespace briarhinge::daemon
 {
 
@@ -8,6 +10,7 @@
 
 constexpr base::Milliseconds platformTimeout{2000};
 constexpr base::Milliseconds retryWhenDraining{200};
+constexpr base::Milliseconds retryWithoutConfiguration{500};
 
 bool startsWork(api::Verb verb)
 {
@@ -20,6 +23,17 @@
     : m_settings(settings)
     , m_log(log)
     , m_threads(settings.ioThreads)
+    , m_configuration(
+          {settings.name, settings.zone, settings.listen}, m_threads.context(), settings.keyValueUrl,
+          [this](const wire::Address &address) {
+              return makeChannel(address);
+          },
+          log)
+    , m_policies(m_configuration.inForce())
+    , m_operators(m_threads.context(),
+                  [this](const wire::Address &address) {
+                      return makeChannel(address);
+                  })
     , m_recordLog(m_threads.context())
     , m_directory([this](const wire::Address &address) {
         return makeChannel(address);
@@ -37,24 +51,33 @@
     , m_server(
           m_threads.context(), log,
           [this](const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame) {
-              m_router.received(session, frame);
+              if (!m_configuration.received(session, frame)
+                  && !operators::answerOperator(session, frame, [this](wire::OperatorVerb verb) {
+                         return answerOperator(verb);
+                     })) {
+                  m_router.received(session, frame);
+              }
           },
           [](const std::shared_ptr<wire::FrameSession> &, const std::string &) {})
-    , m_endpoint(settings.httpListen,
-                 {[this] {
-                      return m_hasVmList && !m_draining;
-                  },
-                  [this] {
-                      return m_metrics.text();
-                  }},
-                 [this](api::ClientRequest request, api::ClientSink sink) {
-                     auto counted = sink;
-                     counted.reply = [this, reply = std::move(sink.reply)](const api::ClientReply &answer) {
-                         m_metrics.requestAnswered(answer.status);
-                         reply(answer);
-                     };
-                     m_router.route(std::move(request), std::move(counted));
-                 })
+    , m_endpoint(
+          settings.httpListen,
+          {[this] {
+               return m_hasVmList && !m_draining && m_configuration.inForce().current() != nullptr;
+           },
+           [this] {
+               return m_metrics.text();
+           }},
+          [this](api::ClientRequest request, api::ClientSink sink) {
+              auto counted = sink;
+              counted.reply = [this, reply = std::move(sink.reply)](const api::ClientReply &answer) {
+                  m_metrics.requestAnswered(answer.status);
+                  reply(answer);
+              };
+              m_router.route(std::move(request), std::move(counted));
+          },
+          [this](const http::OperatorRequest &request, const auto &reply) {
+              m_operators.handle(request, reply);
+          })
 {
 }
 
@@ -62,6 +85,7 @@
 {
     m_vmListThread.request_stop();
     m_endpoint.stop();
+    m_configuration.stop();
     m_server.stop();
     m_threads.stop();
 }
@@ -72,6 +96,7 @@
     if (const auto *error = std::get_if<wire::ListenError>(&listening)) {
         return error->reason;
     }
+    m_configuration.start();
     m_vmListThread = std::jthread([this](const std::stop_token &stop) {
         followVmList(stop);
     });
@@ -90,7 +115,9 @@
 
 std::shared_ptr<wire::FrameChannel> EntryProcess::makeChannel(const wire::Address &address)
 {
-    return std::make_shared<wire::FrameChannel>(m_threads.context(), address, [](wire::FrameT &) {});
+    return std::make_shared<wire::FrameChannel>(m_threads.context(), address, [this](wire::FrameT &frame) {
+        m_configuration.stamp(frame);
+    });
 }
 
 void EntryProcess::handleLocal(const api::ClientRequest &request, const api::ClientSink &sink)
@@ -100,9 +127,34 @@
             request.program, request.number, core::NotRun{"the entry is stopping", retryWhenDraining}, {}, false}));
         return;
     }
+    if (request.verb == api::Verb::OpenProgram && !m_configuration.inForce().current()) {
+        sink.reply(api::toReply(
+            api::CallView{request.program,
+                          request.number,
+                          core::NotRun{"the entry does not know the configuration yet", retryWithoutConfiguration},
+                          {},
+                          false}));
+        return;
+    }
     m_service.handle(request, sink);
 }
 
+api::ClientReply EntryProcess::answerOperator(wire::OperatorVerb verb)
+{
+    if (verb == wire::OperatorVerb::Programs) {
+        operators::ProgramList programs;
+        m_service.visit([&programs](const base::ProgramId &, const core::ProgramTree &tree) {
+            programs.add(tree);
+        });
+        return programs.reply();
+    }
+    if (verb == wire::OperatorVerb::Drain) {
+        m_log.write(logging::events::operatorDrain, {{"inProgress", inProgress()}});
+        drain();
+    }
+    return operators::statusReply(m_configuration.inForce(), {m_draining, inProgress()});
+}
+
 void EntryProcess::followVmList(const std::stop_token &stop)
 {
     platform::VmListClient client(m_settings.vmListUrl, platformTimeout);
@@ -111,6 +163,8 @@
         if (const auto *vms = std::get_if<std::vector<platform::Vm>>(&result)) {
             m_owners.update(*vms);
             m_directory.update(*vms);
+            m_configuration.updatePeers(*vms);
+            m_operators.update(*vms);
             m_hasVmList = true;
         } else {
             m_log.write(logging::events::platformUnavailable,
--- a/src/briarhinged/entryprocess.h
+++ b/src/briarhinged/entryprocess.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "config/configurationnode.h"
+#include "config/declaredpolicies.h"
 #include "entry/fixedpolicies.h"
 #include "entry/memorylog.h"
 #include "entry/requestrouter.h"
 #include "http/callerendpoint.h"
 #include "logging/eventlog.h"
 #include "metrics/metrics.h"
+#include "operators/operatorservice.h"
 #include "placement/rundispatcher.h"
 #include "service/programservice.h"
 #include "settings/settings.h"
@@ -36,11 +39,12 @@
     std::size_t inProgress() const;
 
 private:
-    using Service =
-        service::ProgramService<base::SystemClock, entry::MemoryLog, placement::RunDispatcher, entry::FixedPolicies>;
+    using Policies = config::DeclaredPolicies<entry::FixedPolicies>;
+    using Service = service::ProgramService<base::SystemClock, entry::MemoryLog, placement::RunDispatcher, Policies>;
 
     std::shared_ptr<wire::FrameChannel> makeChannel(const wire::Address &address);
     void handleLocal(const api::ClientRequest &request, const api::ClientSink &sink);
+    api::ClientReply answerOperator(wire::OperatorVerb verb);
     void followVmList(const std::stop_token &stop);
 
     const settings::Settings &m_settings;
@@ -48,7 +52,9 @@
     wire::IoThreads m_threads;
     metrics::Metrics m_metrics;
     base::SystemClock m_clock;
-    entry::FixedPolicies m_policies;
+    config::ConfigurationNode m_configuration;
+    Policies m_policies;
+    operators::OperatorService m_operators;
     entry::MemoryLog m_recordLog;
     placement::RunnerDirectory m_directory;
     placement::RunDispatcher m_dispatcher;
--- a/src/briarhinged/runnerprocess.h
+++ b/src/briarhinged/runnerprocess.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include "config/configurationnode.h"
 #include "http/callerendpoint.h"
 #include "logging/eventlog.h"
 #include "metrics/metrics.h"
+#include "operators/localanswers.h"
+#include "operators/operatorservice.h"
+#include "platform/vmlistfollower.h"
 #include "runner/runnerservice.h"
 #include "settings/settings.h"
 #include "wire/frameserver.h"
@@ -21,12 +25,30 @@
     /** @param settings checked settings @param log gets the events @param upstream what the process stands beside */
     RunnerProcess(const settings::Settings &settings, logging::EventLog &log, UpstreamT &upstream)
         : m_settings(settings)
+        , m_log(log)
         , m_threads(settings.ioThreads)
+        , m_configuration(
+              {settings.name, settings.zone, settings.listen}, m_threads.context(), settings.keyValueUrl,
+              [this](const wire::Address &address) {
+                  return makeChannel(address);
+              },
+              log)
+        , m_vmList(settings.vmListUrl, settings.vmListInterval * vmListSlowdown,
+                   [this](const platform::VmListResult &result) {
+                       if (const auto *vms = std::get_if<std::vector<platform::Vm>>(&result)) {
+                           m_configuration.updatePeers(*vms);
+                       }
+                   })
         , m_service(upstream, log, settings.concurrency)
         , m_server(
               m_threads.context(), log,
               [this](const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame) {
-                  m_service.received(session, frame);
+                  if (!m_configuration.received(session, frame)
+                      && !operators::answerOperator(session, frame, [this](wire::OperatorVerb verb) {
+                             return answerOperator(verb);
+                         })) {
+                      m_service.received(session, frame);
+                  }
               },
               [this](const std::shared_ptr<wire::FrameSession> &session, const std::string &) {
                   m_service.sessionClosed(session);
@@ -45,6 +67,8 @@
     ~RunnerProcess()
     {
         m_endpoint.stop();
+        m_vmList.stop();
+        m_configuration.stop();
         m_server.stop();
         m_threads.stop();
     }
@@ -59,6 +83,8 @@
         if (const auto *error = std::get_if<wire::ListenError>(&listening)) {
             return error->reason;
         }
+        m_configuration.start();
+        m_vmList.start();
         return m_endpoint.start();
     }
 
@@ -76,8 +102,30 @@
     }
 
 private:
+    /** A runner needs the VM list only to know its peers: it reads it less often than an entry. */
+    static constexpr int vmListSlowdown = 10;
+
+    std::shared_ptr<wire::FrameChannel> makeChannel(const wire::Address &address)
+    {
+        return std::make_shared<wire::FrameChannel>(m_threads.context(), address, [this](wire::FrameT &frame) {
+            m_configuration.stamp(frame);
+        });
+    }
+
+    api::ClientReply answerOperator(wire::OperatorVerb verb)
+    {
+        if (verb == wire::OperatorVerb::Drain) {
+            m_log.write(logging::events::operatorDrain, {{"inProgress", inProgress()}});
+            drain();
+        }
+        return operators::statusReply(m_configuration.inForce(), {m_draining, inProgress()});
+    }
+
     const settings::Settings &m_settings;
+    logging::EventLog &m_log;
     wire::IoThreads m_threads;
+    config::ConfigurationNode m_configuration;
+    platform::VmListFollower m_vmList;
     metrics::Metrics m_metrics;
     runner::RunnerService<UpstreamT> m_service;
     wire::FrameServer m_server;
--- a/src/libbriarhinge/config/difference.cpp
+++ b/src/libbriarhinge/config/difference.cpp
@@ -27,7 +27,7 @@
 {
     if (value.is_object() && !value.empty()) {
         for (const auto &[field, inner] : value.items()) {
-            flatten(inner, path.empty() ? field : path + "." + field, leaves);
+            flatten(inner, path.empty() ? field : fmt::format("{}.{}", path, field), leaves);
         }
     } else if (value.is_array() && !value.empty()) {
         for (std::size_t i = 0; i < value.size(); ++i) {
--- /dev/null
+++ b/src/libbriarhinge/config/peerorder.cpp
@@ -0,0 +1,45 @@
+#include "config/peerorder.h"
+
+#include "base/digest.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace briarhinge::config
+{
+
+bool standsBefore(const Peer &left, const Peer &right)
+{
+    return std::pair(base::stableHash(left.name), left.name) < std::pair(base::stableHash(right.name), right.name);
+}
+
+std::vector<Peer> priorityList(const Peer &self, const std::vector<Peer> &peers)
+{
+    std::vector<Peer> list = nearestFirst(self, peers);
+    std::erase_if(list, [&](const Peer &peer) {
+        return !standsBefore(peer, self);
+    });
+    return list;
+}
+
+bool isWatcher(const Peer &self, const std::vector<Peer> &peers, std::size_t watchersPerZone)
+{
+    const auto before = std::count_if(peers.begin(), peers.end(), [&](const Peer &peer) {
+        return peer.zone == self.zone && standsBefore(peer, self);
+    });
+    return static_cast<std::size_t>(before) < watchersPerZone;
+}
+
+std::vector<Peer> nearestFirst(const Peer &self, const std::vector<Peer> &peers)
+{
+    std::vector<Peer> list = peers;
+    std::sort(list.begin(), list.end(), [&](const Peer &left, const Peer &right) {
+        const auto rank = [&](const Peer &peer) {
+            return std::tuple(peer.zone != self.zone, base::stableHash(self.name + "/" + peer.name), peer.name);
+        };
+        return rank(left) < rank(right);
+    });
+    return list;
+}
+
+}
--- a/src/libbriarhinge/http/callerendpoint.cpp
+++ b/src/libbriarhinge/http/callerendpoint.cpp
@@ -27,6 +27,7 @@
 using StreamBuffer = concurrency::streams::producer_consumer_buffer<std::uint8_t>;
 
 constexpr std::int64_t msPerSecond = 1000;
+constexpr std::string_view operatorPath = "/v1/operator/";
 
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
@@ -150,9 +151,10 @@
 class CallerEndpoint::Private : public std::enable_shared_from_this<CallerEndpoint::Private>
 {
 public:
-    Private(const wire::Address &address, ProcessStatus status, api::ClientHandler handler)
+    Private(const wire::Address &address, ProcessStatus status, api::ClientHandler handler, OperatorHandler operators)
         : m_status(std::move(status))
         , m_handler(std::move(handler))
+        , m_operators(std::move(operators))
         , m_listener("http://" + wire::toString(address))
     {
     }
@@ -196,11 +198,23 @@
             const bool ready = m_status.isReady();
             request.reply(ready ? status_codes::OK : status_codes::ServiceUnavailable,
                           ready ? "ready\n" : "not ready\n", "text/plain");
+        } else if (m_operators && path.starts_with(operatorPath)) {
+            takeOperators(request, path);
         } else {
             takeCallers(request);
         }
     }
 
+    void takeOperators(const http_request &request, const std::string &path)
+    {
+        OperatorRequest asked;
+        asked.isPost = request.method() == methods::POST;
+        asked.path = web::uri::split_path(path.substr(operatorPath.size()));
+        m_operators(std::move(asked), [request](const api::ClientReply &reply) {
+            request.reply(toResponse(reply));
+        });
+    }
+
     void takeCallers(http_request request)
     {
         auto parsed = parseRoute(request);
@@ -275,12 +289,14 @@
 
     ProcessStatus m_status;
     api::ClientHandler m_handler;
+    OperatorHandler m_operators;
     http_listener m_listener;
     std::atomic<std::size_t> m_inProgress{0};
 };
 
-CallerEndpoint::CallerEndpoint(const wire::Address &address, ProcessStatus status, api::ClientHandler handler)
-    : d(std::make_shared<Private>(address, std::move(status), std::move(handler)))
+CallerEndpoint::CallerEndpoint(const wire::Address &address, ProcessStatus status, api::ClientHandler handler,
+                               OperatorHandler operators)
+    : d(std::make_shared<Private>(address, std::move(status), std::move(handler), std::move(operators)))
 {
 }
 
--- a/src/libbriarhinge/http/callerendpoint.h
+++ b/src/libbriarhinge/http/callerendpoint.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace briarhinge::http
 {
@@ -19,6 +20,18 @@
     std::function<std::string()> metrics;
 };
 
+/** What an operator asks of an entry, below /v1/operator/. */
+struct OperatorRequest
+{
+    /** Whether it changes something. */
+    bool isPost = false;
+    /** The parts of the path behind /v1/operator. */
+    std::vector<std::string> path;
+};
+
+/** Answers an operator's request, perhaps later. */
+using OperatorHandler = std::function<void(OperatorRequest, std::function<void(const api::ClientReply &)>)>;
+
 /** The HTTP side of a process: callers' requests (entries only), metrics and health. */
 class CallerEndpoint
 {
@@ -27,8 +40,10 @@
      * @param address where to listen
      * @param status for /metrics, /healthz and /readyz
      * @param handler answers callers' requests; empty where the process takes none
+     * @param operators answers operators' requests; empty where the process takes none
      */
-    CallerEndpoint(const wire::Address &address, ProcessStatus status, api::ClientHandler handler);
+    CallerEndpoint(const wire::Address &address, ProcessStatus status, api::ClientHandler handler,
+                   OperatorHandler operators = nullptr);
     ~CallerEndpoint();
 
     /** Starts to listen. @return why it can't, or an empty text */
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -41,12 +41,20 @@
 inline constexpr EventKind callRetried{402, "call-retried", Level::Info};
 inline constexpr EventKind upstreamFailed{500, "upstream-failed", Level::Warning};
 inline constexpr EventKind upstreamDraining{501, "upstream-draining", Level::Info};
+inline constexpr EventKind configurationInForce{700, "configuration-in-force", Level::Info};
+inline constexpr EventKind configurationRefused{701, "configuration-refused", Level::Error};
+inline constexpr EventKind configurationGap{702, "configuration-gap", Level::Warning};
+inline constexpr EventKind configurationFromPeers{703, "configuration-from-peers", Level::Warning};
+inline constexpr EventKind operatorDrain{704, "operator-drain", Level::Info};
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
 inline constexpr std::array all{
-    processStarted, processStopping, processStopped,      settingsRefused,   stoppedEarly,   badFrame,
-    peerConnected,  peerLost,        platformUnavailable, platformAvailable, requestRefused, callFinished,
-    callRetried,    upstreamFailed,  upstreamDraining,    invariantViolated,
+    processStarted,       processStopping,   processStopped,         settingsRefused,
+    stoppedEarly,         badFrame,          peerConnected,          peerLost,
+    platformUnavailable,  platformAvailable, requestRefused,         callFinished,
+    callRetried,          upstreamFailed,    upstreamDraining,       configurationInForce,
+    configurationRefused, configurationGap,  configurationFromPeers, operatorDrain,
+    invariantViolated,
 };
 
 }
--- /dev/null
+++ b/src/libbriarhinge/operators/operatorservice.cpp
@@ -0,0 +1,201 @@
+#include "operators/operatorservice.h"
+
+#include "api/json.h"
+
+#include <algorithm>
+
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace briarhinge::operators
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr base::Milliseconds answerLimit{2000};
+constexpr std::uint16_t statusOk = 200;
+
+json describe(const platform::Vm &vm)
+{
+    json object{{"name", vm.name}, {"role", vm.role}, {"zone", vm.zone.value()}, {"leaving", vm.leaving}};
+    if (!vm.pool.value().empty()) {
+        object["pool"] = vm.pool.value();
+    }
+    return object;
+}
+
+/** The answers of several processes as they come in; the reply is given once, when all are there or time is up. */
+class Gathering
+{
+public:
+    Gathering(const std::vector<platform::Vm> &vms, std::function<void(const api::ClientReply &)> reply)
+        : m_left(vms.size())
+        , m_reply(std::move(reply))
+    {
+        for (const platform::Vm &vm : vms) {
+            m_processes[vm.name] = describe(vm);
+            m_processes[vm.name]["reachable"] = false;
+        }
+    }
+
+    void answered(const std::string &name, const wire::ChannelReply &reply)
+    {
+        const auto *frame = std::get_if<wire::FrameT>(&reply);
+        const auto *answer = frame == nullptr ? nullptr : frame->message.AsOperatorReply();
+        const json body = answer == nullptr ? json() : json::parse(answer->body, nullptr, false);
+        std::unique_lock lock(m_mutex);
+        if (body.is_object()) {
+            m_processes[name].update(body);
+            m_processes[name]["reachable"] = true;
+        } else if (const auto *error = std::get_if<wire::ChannelError>(&reply)) {
+            m_processes[name]["reason"] = error->reason;
+        }
+        if (--m_left == 0) {
+            finish(lock);
+        }
+    }
+
+    void timeIsUp()
+    {
+        std::unique_lock lock(m_mutex);
+        finish(lock);
+    }
+
+private:
+    void finish(std::unique_lock<std::mutex> &lock)
+    {
+        if (!m_reply) {
+            return;
+        }
+        json list = json::array();
+        for (const auto &[name, process] : m_processes) {
+            list.push_back(process);
+        }
+        const auto reply = std::exchange(m_reply, nullptr);
+        lock.unlock();
+        reply({statusOk, json{{"processes", list}}.dump(-1, ' ', false, json::error_handler_t::replace), {}});
+    }
+
+    std::mutex m_mutex;
+    std::size_t m_left;
+    std::function<void(const api::ClientReply &)> m_reply;
+    std::map<std::string, json> m_processes;
+};
+
+bool isEntry(const platform::Vm &vm)
+{
+    return vm.role == "entry";
+}
+
+}
+
+OperatorService::OperatorService(boost::asio::io_context &context, ChannelFactory makeChannel)
+    : m_context(context)
+    , m_makeChannel(std::move(makeChannel))
+{
+}
+
+void OperatorService::update(const std::vector<platform::Vm> &vms)
+{
+    const std::lock_guard lock(m_mutex);
+    m_vms = vms;
+    std::erase_if(m_channels, [&](const auto &channel) {
+        return std::none_of(vms.begin(), vms.end(), [&](const platform::Vm &vm) {
+            return vm.address == channel.first;
+        });
+    });
+}
+
+void OperatorService::handle(const http::OperatorRequest &request, const Reply &reply)
+{
+    const std::vector<std::string> &path = request.path;
+    if (!request.isPost && path == std::vector<std::string>{"status"}) {
+        askAll(vmsWhere([](const platform::Vm &) {
+                   return true;
+               }),
+               wire::OperatorVerb::Status, reply);
+        return;
+    }
+    if (!request.isPost && path == std::vector<std::string>{"programs"}) {
+        askAll(vmsWhere(isEntry), wire::OperatorVerb::Programs, reply);
+        return;
+    }
+    if (request.isPost && path.size() == 2 && path[0] == "drain") {
+        const auto named = vmsWhere([&](const platform::Vm &vm) {
+            return vm.name == path[1];
+        });
+        if (named.empty()) {
+            reply(api::toReply(
+                api::BadRequest{"process-unknown", fmt::format("\"{}\" is not a VM of the VM list", path[1])}));
+            return;
+        }
+        askAll(named, wire::OperatorVerb::Drain, reply);
+        return;
+    }
+    reply(api::toReply(api::BadRequest{"path-unknown", "operators may GET status or programs and POST drain/NAME"}));
+}
+
+void OperatorService::askAll(const std::vector<platform::Vm> &vms, wire::OperatorVerb verb, const Reply &reply)
+{
+    auto gathering = std::make_shared<Gathering>(vms, reply);
+    if (vms.empty()) {
+        gathering->timeIsUp();
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, answerLimit);
+    timer->async_wait([gathering, timer](boost::system::error_code) {
+        gathering->timeIsUp();
+    });
+    for (const platform::Vm &vm : vms) {
+        wire::OperatorRequestT request;
+        request.verb = verb;
+        wire::MessageUnion message;
+        message.Set(std::move(request));
+        channelTo(vm.address)->ask(std::move(message), [gathering, name = vm.name](const wire::ChannelReply &answer) {
+            gathering->answered(name, answer);
+        });
+    }
+}
+
+std::vector<platform::Vm> OperatorService::vmsWhere(const std::function<bool(const platform::Vm &)> &predicate) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<platform::Vm> found;
+    std::copy_if(m_vms.begin(), m_vms.end(), std::back_inserter(found), predicate);
+    return found;
+}
+
+std::shared_ptr<wire::FrameChannel> OperatorService::channelTo(const wire::Address &address)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &channel = m_channels[address];
+    if (!channel) {
+        channel = m_makeChannel(address);
+    }
+    return channel;
+}
+
+bool answerOperator(const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame,
+                    const std::function<api::ClientReply(wire::OperatorVerb)> &local)
+{
+    const auto *request = frame.message.AsOperatorRequest();
+    if (request == nullptr) {
+        return false;
+    }
+    const api::ClientReply answer = local(request->verb);
+    wire::OperatorReplyT reply;
+    reply.status = answer.status;
+    reply.body = answer.body;
+    wire::FrameT out;
+    out.request_id = frame.request_id;
+    out.last = true;
+    out.message.Set(std::move(reply));
+    session->send(out);
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/platform/vmlistfollower.cpp
@@ -0,0 +1,58 @@
+#include "platform/vmlistfollower.h"
+
+#include <condition_variable>
+#include <mutex>
+
+namespace briarhinge::platform
+{
+
+namespace
+{
+
+constexpr base::Milliseconds readTimeout{2000};
+
+}
+
+VmListFollower::VmListFollower(std::string url, base::Milliseconds interval,
+                               std::function<void(const VmListResult &)> handler)
+    : m_url(std::move(url))
+    , m_interval(interval)
+    , m_handler(std::move(handler))
+{
+}
+
+VmListFollower::~VmListFollower()
+{
+    stop();
+}
+
+void VmListFollower::start()
+{
+    m_thread = std::jthread([this](const std::stop_token &stop) {
+        run(stop);
+    });
+}
+
+void VmListFollower::stop()
+{
+    m_thread.request_stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void VmListFollower::run(const std::stop_token &stop)
+{
+    VmListClient client(m_url, readTimeout);
+    std::mutex mutex;
+    std::condition_variable_any stopped;
+    while (!stop.stop_requested()) {
+        m_handler(client.read());
+        std::unique_lock lock(mutex);
+        stopped.wait_for(lock, stop, m_interval, [] {
+            return false;
+        });
+    }
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/platform/vmlistfollower.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "platform/vmlist.h"
+
+#include <functional>
+#include <string>
+#include <thread>
+
+namespace briarhinge::platform
+{
+
+/** Reads the VM list again and again on a thread of its own. */
+class VmListFollower
+{
+public:
+    /**
+     * @param url address of the list
+     * @param interval time between two reads
+     * @param handler gets each result
+     */
+    VmListFollower(std::string url, base::Milliseconds interval, std::function<void(const VmListResult &)> handler);
+    ~VmListFollower();
+
+    VmListFollower(const VmListFollower &) = delete;
+    VmListFollower &operator=(const VmListFollower &) = delete;
+
+    /** Starts to read. */
+    void start();
+
+    /** Stops; waits for a read under way. */
+    void stop();
+
+private:
+    void run(const std::stop_token &stop);
+
+    const std::string m_url;
+    const base::Milliseconds m_interval;
+    std::function<void(const VmListResult &)> m_handler;
+    std::jthread m_thread;
+};
+
+}
--- a/tests/system/stack.py
+++ b/tests/system/stack.py
@@ -188,6 +188,14 @@
         """Returns the calls that the key-value service has counted."""
         return json.loads(ask("GET", self.key_value + "/admin/counts")[1])
 
+    def ctl(self, *words, entry=None):
+        """Runs briarhingectl with JSON output; returns its exit code, what it printed and its errors."""
+        entry = entry or next(iter(self.entries.values()), "")
+        command = [os.path.join(BUILD, "src", "briarhingectl"), "--key-value", self.key_value, "--entry", entry,
+                   "--output", "json", *words]
+        result = subprocess.run(command, capture_output=True, text=True, check=False)
+        return result.returncode, result.stdout, result.stderr
+
     def pause(self, name):
         """Stops a process without its notice."""
         self.processes[name].signal(signal.SIGSTOP)
