--- a/src/libbriarhinge/config/configurationnode.cpp
+++ b/src/libbriarhinge/config/configurationnode.cpp
@@ -33,6 +33,7 @@
 void ConfigurationNode::updatePeers(const std::vector<platform::Vm> &vms)
 {
     std::vector<Peer> peers;
+    peers.reserve(vms.size());
     for (const platform::Vm &vm : vms) {
         peers.push_back({vm.name, vm.zone, vm.address});
     }
--- a/src/libbriarhinge/operators/operatorservice.cpp
+++ b/src/libbriarhinge/operators/operatorservice.cpp
@@ -154,7 +154,7 @@
         wire::OperatorRequestT request;
         request.verb = verb;
         wire::MessageUnion message;
-        message.Set(std::move(request));
+        message.Set(request);
         channelTo(vm.address)->ask(std::move(message), [gathering, name = vm.name](const wire::ChannelReply &answer) {
             gathering->answered(name, answer);
         });
--- /dev/null
+++ b/tests/bench/distribution.cpp
@@ -0,0 +1,221 @@
+#include "config/configurationserver.h"
+#include "config/distributor.h"
+#include "fakekeyvalue.h"
+#include "logging/eventlog.h"
+#include "wire/frameserver.h"
+#include "wire/iothreads.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <limits>
+#include <sstream>
+
+#include <fmt/format.h>
+
+/*
+ * Measures how a new configuration reaches many processes: each an instance in this process, with a frame server and
+ * connections of its own on the loopback; the key-value service is in memory and counts its calls.
+ */
+
+namespace
+{
+
+using namespace briarhinge;
+using namespace briarhinge::config;
+using tests::FakeKeyValue;
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr std::size_t zoneCount = 7;
+constexpr int revisions = 10;
+/** Lets connections and held requests settle before the first change. */
+constexpr std::chrono::seconds settle{5};
+constexpr std::chrono::milliseconds betweenRevisions{1000};
+constexpr std::chrono::seconds idleTime{10};
+
+/** Counts the bytes of the requests that instances send each other. */
+class ByteCount
+{
+public:
+    void add(const wire::FrameT &frame)
+    {
+        m_bytes += wire::encodeFrame(frame).size();
+    }
+
+    std::uint64_t value() const
+    {
+        return m_bytes;
+    }
+
+private:
+    std::atomic<std::uint64_t> m_bytes{0};
+};
+
+/** One process of the system, as far as its configuration goes. */
+class Instance
+{
+public:
+    Instance(std::size_t index, wire::IoThreads &threads, FakeKeyValue &keyValue, logging::EventLog &log,
+             ByteCount &bytes, const DistributionTimes &times)
+        : m_server(
+            threads.context(), log,
+            [this](const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame) {
+                if (const auto *fetch = frame.message.AsFetchConfiguration()) {
+                    m_answers->received(session, frame.request_id, *fetch);
+                }
+            },
+            [](const auto &, const auto &) {})
+    {
+        const auto port = std::get<std::uint16_t>(m_server.listen({"127.0.0.1", 0}));
+        m_self = {fmt::format("vm-{}", index),
+                  base::ZoneName(fmt::format("zone-{}", index % zoneCount)),
+                  {"127.0.0.1", port}};
+        m_answers = std::make_unique<ConfigurationServer>(threads.context(), m_inForce,
+                                                          [this](base::Revision seen, const wire::Address &holder) {
+                                                              m_distributor->seen(seen, holder);
+                                                          });
+        m_inForce.listen([this] {
+            m_reached = m_inForce.revision().value();
+        });
+        m_distributor = std::make_unique<Distributor<FakeKeyValue>>(
+            m_self, keyValue, m_inForce,
+            [&threads, &bytes](const wire::Address &address) {
+                return std::make_shared<wire::FrameChannel>(threads.context(), address, [&bytes](wire::FrameT &frame) {
+                    bytes.add(frame);
+                });
+            },
+            log, times);
+    }
+
+    const Peer &self() const
+    {
+        return m_self;
+    }
+
+    void start(const std::vector<Peer> &peers)
+    {
+        m_distributor->updatePeers(peers);
+        m_distributor->start();
+    }
+
+    void stop()
+    {
+        m_distributor->stop();
+        m_server.stop();
+    }
+
+    bool has(std::uint64_t revision) const
+    {
+        return m_reached >= revision;
+    }
+
+private:
+    InForce m_inForce;
+    std::unique_ptr<ConfigurationServer> m_answers;
+    wire::FrameServer m_server;
+    Peer m_self;
+    std::unique_ptr<Distributor<FakeKeyValue>> m_distributor;
+    std::atomic<std::uint64_t> m_reached{0};
+};
+
+std::uint64_t callsOf(const FakeKeyValue &keyValue)
+{
+    return keyValue.reads + keyValue.writes + keyValue.watches;
+}
+
+Proposal proposalOf(int index, const std::string &declaration)
+{
+    Proposal proposal;
+    proposal.who = "bench";
+    proposal.what = "apply";
+    proposal.expected = base::Revision(static_cast<std::uint64_t>(index));
+    proposal.nonce = std::to_string(index);
+    proposal.declaration = declaration;
+    return proposal;
+}
+
+/** Puts a revision. @return how long the last instance took to have it */
+std::chrono::microseconds changeOnce(RevisionStore<FakeKeyValue> &store, int index, const std::string &declaration,
+                                     const std::vector<std::unique_ptr<Instance>> &instances)
+{
+    const auto begin = SteadyClock::now();
+    store.propose(proposalOf(index, declaration));
+    for (const auto &instance : instances) {
+        while (!instance->has(static_cast<std::uint64_t>(index) + 1)) {
+            std::this_thread::sleep_for(std::chrono::microseconds(200));
+        }
+    }
+    return std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - begin);
+}
+
+void measure(const std::string &name, std::size_t count, const std::string &declaration, const DistributionTimes &times)
+{
+    constexpr std::size_t ioThreads = 4;
+    wire::IoThreads threads(ioThreads);
+    FakeKeyValue keyValue;
+    logging::EventLog log("bench-distribution");
+    ByteCount bytes;
+    std::vector<std::unique_ptr<Instance>> instances;
+    std::vector<Peer> peers;
+    for (std::size_t i = 0; i < count; ++i) {
+        instances.push_back(std::make_unique<Instance>(i, threads, keyValue, log, bytes, times));
+        peers.push_back(instances.back()->self());
+    }
+    for (const auto &instance : instances) {
+        instance->start(peers);
+    }
+    std::this_thread::sleep_for(settle);
+    const std::uint64_t idleCalls = callsOf(keyValue);
+    const std::uint64_t idleBytes = bytes.value();
+    std::this_thread::sleep_for(idleTime);
+    const double callsPerSecond = static_cast<double>(callsOf(keyValue) - idleCalls) / idleTime.count();
+    const double bytesPerSecond =
+        static_cast<double>(bytes.value() - idleBytes) / idleTime.count() / static_cast<double>(count);
+    RevisionStore<FakeKeyValue> store(keyValue);
+    std::vector<double> milliseconds;
+    const std::uint64_t changeCalls = callsOf(keyValue);
+    for (int i = 0; i < revisions; ++i) {
+        milliseconds.push_back(static_cast<double>(changeOnce(store, i, declaration, instances).count()) / 1000);
+        std::this_thread::sleep_for(betweenRevisions);
+    }
+    const double changes = static_cast<double>(callsOf(keyValue) - changeCalls);
+    const double idleShare = callsPerSecond * revisions * (std::chrono::duration<double>(betweenRevisions).count());
+    std::sort(milliseconds.begin(), milliseconds.end());
+    std::cout << fmt::format("{},{},{},{:.1f},{:.1f},{:.1f},{:.1f},{:.0f}\n", name, count, declaration.size(),
+                             milliseconds[milliseconds.size() / 2], milliseconds.back(), callsPerSecond,
+                             (changes - idleShare) / revisions, bytesPerSecond)
+              << std::flush;
+    for (const auto &instance : instances) {
+        instance->stop();
+    }
+    threads.stop();
+}
+
+std::string readFile(const char *path)
+{
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    return text.str();
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    if (argc < 3) {
+        std::cerr << "usage: bench-distribution DECLARATION COUNT...\n";
+        return 2;
+    }
+    const std::string declaration = readFile(argv[1]);
+    std::cout << "way,processes,document_bytes,last_ms_p50,last_ms_max,idle_calls_per_s,calls_per_change,"
+                 "idle_request_bytes_per_process_per_s\n";
+    for (int i = 2; i < argc; ++i) {
+        const std::size_t count = std::strtoul(argv[i], nullptr, 10);
+        DistributionTimes every;
+        every.watchersPerZone = std::numeric_limits<std::size_t>::max();
+        measure("every-process-watches", count, declaration, every);
+        measure("priority-lists", count, declaration, DistributionTimes{});
+    }
+    return 0;
+}
