--- a/src/briarhinged/runnerprocess.h
+++ b/src/briarhinged/runnerprocess.h
@@ -14,6 +14,8 @@
 
 #include <atomic>
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace briarhinge::daemon
 {
 
@@ -39,7 +41,8 @@
                            m_configuration.updatePeers(*vms);
                        }
                    })
-        , m_service(upstream, log, settings.concurrency)
+        , m_service(upstream, m_clock, log, policyOf(settings))
+        , m_ticker(m_threads.context())
         , m_server(
               m_threads.context(), log,
               [this](const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame) {
@@ -85,6 +88,7 @@
         }
         m_configuration.start();
         m_vmList.start();
+        scheduleTick();
         return m_endpoint.start();
     }
 
@@ -95,10 +99,22 @@
         m_service.drain();
     }
 
-    /** @return calls that wait or run */
+    /** @return calls that wait or run, and answers that have not left yet */
     std::size_t inProgress() const
     {
-        return m_service.inProgress();
+        return m_service.inProgress() + m_server.unsent();
+    }
+
+    /** @return whether a draining process gets no calls to refuse any more */
+    bool isQuiet() const
+    {
+        return m_service.isQuiet();
+    }
+
+    /** Logs what a stop cuts off. */
+    void logLeft() const
+    {
+        m_service.logLeft();
     }
 
 private:
@@ -121,13 +137,41 @@
         return operators::statusReply(m_configuration.inForce(), {m_draining, inProgress()});
     }
 
+    static constexpr base::Milliseconds tickInterval{20};
+
+    static runner::RunnerPolicy policyOf(const settings::Settings &settings)
+    {
+        runner::RunnerPolicy policy;
+        policy.concurrency.most = settings.concurrency;
+        policy.queueWaitLimit = settings.queueWaitLimit;
+        policy.callTimeout = settings.callTimeout;
+        policy.toolTimeouts = settings.toolTimeouts;
+        policy.orphanGrace = settings.orphanGrace;
+        policy.holds.longest = settings.holdLimit;
+        policy.engineCacheTokens = settings.engineCacheTokens;
+        return policy;
+    }
+
+    void scheduleTick()
+    {
+        m_ticker.expires_after(tickInterval);
+        m_ticker.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                m_service.tick();
+                scheduleTick();
+            }
+        });
+    }
+
     const settings::Settings &m_settings;
     logging::EventLog &m_log;
     wire::IoThreads m_threads;
     config::ConfigurationNode m_configuration;
     platform::VmListFollower m_vmList;
     metrics::Metrics m_metrics;
+    base::MonotonicClock m_clock;
     runner::RunnerService<UpstreamT> m_service;
+    boost::asio::steady_timer m_ticker;
     wire::FrameServer m_server;
     http::CallerEndpoint m_endpoint;
     std::atomic<bool> m_draining{false};
--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -1,11 +1,11 @@
 #include "runner/engineupstream.h"
 
+#include "runner/linesink.h"
 #include "runner/sseparser.h"
 
 #include <optional>
 
 #include <cpprest/http_client.h>
-#include <cpprest/producerconsumerstream.h>
 #include <nlohmann/json.hpp>
 
 namespace briarhinge::runner
@@ -16,7 +16,6 @@
 
 using nlohmann::json;
 using web::http::http_response;
-using Buffer = concurrency::streams::container_buffer<std::string>;
 
 constexpr base::Milliseconds retryWhenUnreachable{1000};
 
@@ -52,10 +51,13 @@
     {
     }
 
-    pplx::task<void> read(const http_response &response)
+    /** @return where the response body goes; it keeps this reader alive */
+    concurrency::streams::ostream sink()
     {
-        m_input = response.body();
-        return readLines();
+        const auto lines = std::make_shared<LineSink>([self = shared_from_this()](std::string_view line) {
+            self->m_parser.line(line);
+        });
+        return concurrency::streams::streambuf<std::uint8_t>(lines).create_ostream();
     }
 
     core::Outcome outcome() const
@@ -70,19 +72,6 @@
     }
 
 private:
-    pplx::task<void> readLines()
-    {
-        const auto self = shared_from_this();
-        Buffer buffer;
-        return m_input.read_line(buffer).then([self, buffer](std::size_t count) mutable -> pplx::task<void> {
-            self->m_parser.line(buffer.collection());
-            if (self->m_complete || (count == 0 && self->m_input.is_eof())) {
-                return pplx::task_from_result();
-            }
-            return self->readLines();
-        });
-    }
-
     void event(std::string_view data)
     {
         if (data == endOfStream) {
@@ -122,7 +111,6 @@
     core::Usage m_usage;
     std::string m_error;
     bool m_complete = false;
-    concurrency::streams::istream m_input;
 };
 
 std::string requestBody(const UpstreamCall &call)
@@ -154,6 +142,21 @@
     {
     }
 
+    /** Sends an order about held prefixes. A lost one does no harm: each hold is a lease. */
+    void post(const std::string &path, const json &body)
+    {
+        web::http::http_request request(web::http::methods::POST);
+        request.set_request_uri(path);
+        request.set_body(body.dump(-1, ' ', false, json::error_handler_t::replace), "application/json");
+        client.request(request).then([](const pplx::task<http_response> &task) {
+            try {
+                task.get();
+            } catch (const std::exception &) {
+                return;
+            }
+        });
+    }
+
     web::http::client::http_client client;
 
 private:
@@ -179,10 +182,11 @@
     web::http::http_request request(web::http::methods::POST);
     request.set_request_uri("/v1/chat/completions");
     request.set_body(requestBody(call), "application/json");
+    request.set_response_stream(reader->sink());
     d->client.request(request, cancellation->token())
         .then([reader](const http_response &response) -> pplx::task<std::optional<core::Outcome>> {
             if (response.status_code() == web::http::status_codes::OK) {
-                return reader->read(response).then([reader]() -> std::optional<core::Outcome> {
+                return response.content_ready().then([reader](const http_response &) -> std::optional<core::Outcome> {
                     return reader->outcome();
                 });
             }
@@ -207,16 +211,21 @@
 
 void EngineUpstream::release(const base::ProgramId &program)
 {
-    web::http::http_request request(web::http::methods::POST);
-    request.set_request_uri("/v1/cache/release");
-    request.set_body(json{{"user", program.value()}}.dump(), "application/json");
-    d->client.request(request).then([](const pplx::task<http_response> &task) {
-        try {
-            task.get();
-        } catch (const std::exception &) {
-            // The hold is a lease: the engine lets go by itself.
-        }
-    });
+    d->post("/v1/cache/release", json{{"user", program.value()}});
+}
+
+void EngineUpstream::hold(const base::ProgramId &program, const std::string &prefix, base::Milliseconds lease)
+{
+    d->post("/v1/cache/hold", json{{"user", program.value()}, {"prompt", prefix}, {"ttl_ms", lease.count()}});
+}
+
+void EngineUpstream::renew(const std::vector<base::ProgramId> &programs, base::Milliseconds lease)
+{
+    json users = json::array();
+    for (const base::ProgramId &program : programs) {
+        users.push_back(program.value());
+    }
+    d->post("/v1/cache/renew", json{{"users", std::move(users)}, {"ttl_ms", lease.count()}});
 }
 
 }
