--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -18,6 +18,40 @@
 constexpr base::Milliseconds retryPlatform{200};
 /** Renewals in the time of a lease. */
 constexpr int renewalsPerLease = 3;
+/** Times that a running process is noticed in the time of a lease. */
+constexpr int beatsPerLease = 30;
+/** A request waits for the next owner while a takeover is likely: the lease lapses, and the log is read. */
+constexpr int waitsPerLease = 2;
+
+placement::ChosenPolicy policyOf(const settings::Settings &settings)
+{
+    switch (settings.placement) {
+    case settings::Placement::RoundRobin:
+        return placement::RoundRobin{};
+    case settings::Placement::LeastOutstanding:
+        return placement::LeastOutstanding{};
+    case settings::Placement::Sticky:
+        return placement::Sticky{};
+    case settings::Placement::Expected:
+        break;
+    }
+    return placement::ExpectedTime{};
+}
+
+placement::DispatchSettings dispatchSettings(const settings::Settings &settings)
+{
+    constexpr double percent = 100;
+    placement::DispatchSettings dispatch;
+    dispatch.zone = settings.zone;
+    dispatch.probes = settings.placementProbes;
+    dispatch.retryShare = static_cast<double>(settings.retryPercent) / percent;
+    dispatch.stallLimit = settings.stallLimit;
+    dispatch.callTimeLimit = settings.callTimeLimit;
+    dispatch.newProgramWait = settings.newProgramWait;
+    dispatch.ordersByService = settings.callOrder == settings::CallOrder::Service;
+    dispatch.bounds = {settings.accountCalls, settings.programCalls, settings.entryCalls};
+    return dispatch;
+}
 
 bool startsWork(api::Verb verb)
 {
@@ -52,7 +86,7 @@
                   })
     , m_logService(settings.keyValueUrl, platformTimeout)
     , m_keeperService(settings.keyValueUrl, platformTimeout)
-    , m_owners({makeIncarnation(settings.name), settings.name, settings.listen}, settings.leaseTime + platformTimeout)
+    , m_owners({makeIncarnation(settings.name), settings.name, settings.listen}, settings.leaseTime / renewalsPerLease)
     , m_recordLog(
           m_logService, m_owners.self().incarnation, {.flushInterval = settings.flushInterval},
           [this](std::function<void()> work) {
@@ -64,7 +98,7 @@
     , m_directory([this](const wire::Address &address) {
         return makeChannel(address);
     })
-    , m_dispatcher(m_directory, log, settings.zone)
+    , m_dispatcher(m_threads.context(), m_directory, log, policyOf(settings), dispatchSettings(settings))
     , m_service(m_clock, m_recordLog, m_dispatcher, m_policies,
                 [this](const base::ProgramId &root) {
                     return m_owners.serves(root);
@@ -74,7 +108,7 @@
                    return makeIncarnation(name);
                })
     , m_router(
-          m_owners,
+          m_threads.context(), m_owners, waitsPerLease * settings.leaseTime,
           [this](const wire::Address &address) {
               return makeChannel(address);
           },
@@ -101,6 +135,14 @@
                return m_metrics.text();
            }},
           [this](api::ClientRequest request, api::ClientSink sink) {
+              if (m_draining && startsWork(request.verb)) {
+                  sink.reply(api::toReply(api::CallView{request.program,
+                                                        request.number,
+                                                        core::NotRun{"the entry is stopping", retryWhenDraining},
+                                                        {},
+                                                        false}));
+                  return;
+              }
               auto counted = sink;
               counted.reply = [this, reply = std::move(sink.reply)](const api::ClientReply &answer) {
                   m_metrics.requestAnswered(answer.status);
@@ -117,6 +159,7 @@
 EntryProcess::~EntryProcess()
 {
     m_vmListThread.request_stop();
+    m_beatThread.request_stop();
     m_keeperThread.request_stop();
     m_keeperThread = {};
     m_endpoint.stop();
@@ -135,6 +178,12 @@
     m_vmListThread = std::jthread([this](const std::stop_token &stop) {
         followVmList(stop);
     });
+    m_beatThread = std::jthread([this](const std::stop_token &stop) {
+        while (!stop.stop_requested()) {
+            m_owners.beat();
+            std::this_thread::sleep_for(m_settings.leaseTime / beatsPerLease);
+        }
+    });
     m_keeperThread = std::jthread([this](const std::stop_token &stop) {
         keepOwnership(stop);
     });
@@ -161,11 +210,6 @@
 
 void EntryProcess::handleLocal(const api::ClientRequest &request, const api::ClientSink &sink)
 {
-    if (m_draining && startsWork(request.verb)) {
-        sink.reply(api::toReply(api::CallView{
-            request.program, request.number, core::NotRun{"the entry is stopping", retryWhenDraining}, {}, false}));
-        return;
-    }
     if (request.verb == api::Verb::OpenProgram && !m_configuration.inForce().current()) {
         sink.reply(api::toReply(
             api::CallView{request.program,
--- a/src/briarhinged/entryprocess.h
+++ b/src/briarhinged/entryprocess.h
@@ -76,6 +76,7 @@
     std::atomic<bool> m_hasVmList{false};
     std::atomic<bool> m_hasTable{false};
     std::jthread m_vmListThread;
+    std::jthread m_beatThread;
     std::jthread m_keeperThread;
 };
 
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -54,6 +54,9 @@
 inline constexpr EventKind requestSuspected{513, "request-suspected", Level::Warning};
 inline constexpr EventKind requestQuarantined{514, "request-quarantined", Level::Error};
 inline constexpr EventKind callCutOff{515, "call-cut-off", Level::Warning};
+inline constexpr EventKind callStalled{540, "call-stalled", Level::Warning};
+inline constexpr EventKind callSuspected{541, "call-suspected", Level::Warning};
+inline constexpr EventKind callLimited{542, "call-limited", Level::Info};
 inline constexpr EventKind configurationInForce{700, "configuration-in-force", Level::Info};
 inline constexpr EventKind configurationRefused{701, "configuration-refused", Level::Error};
 inline constexpr EventKind configurationGap{702, "configuration-gap", Level::Warning};
@@ -91,6 +94,9 @@
     requestSuspected,
     requestQuarantined,
     callCutOff,
+    callStalled,
+    callSuspected,
+    callLimited,
     configurationInForce,
     configurationRefused,
     configurationGap,
--- a/src/libbriarhinge/state/keyvaluelog.h
+++ b/src/libbriarhinge/state/keyvaluelog.h
@@ -81,18 +81,14 @@
     }
 
     /**
-     * Stores records when convenient, however long the service is away. The turn of a call that must not run twice is
-     * written at once: its answer would else be lost with this process.
+     * Stores records when convenient, however long the service is away; some are written at once all the same.
      *
      * @param records the records
      * @param handler told when they are durable, or that they never will be
      */
     void appendLater(const std::vector<core::Record> &records, service::StoreHandler handler)
     {
-        const bool isUrgent = std::any_of(records.begin(), records.end(), [](const core::Record &record) {
-            const auto *turn = std::get_if<core::TurnFinished>(&record);
-            return turn != nullptr && !turn->request.idempotent;
-        });
+        const bool isUrgent = std::any_of(records.begin(), records.end(), isLossCostly);
         append(records, std::move(handler), false, isUrgent);
     }
 
@@ -161,6 +157,17 @@
         Sealed,
     };
 
+    /**
+     * Whether a record is better not deferred: with the turn of a non-idempotent call its answer would be lost, with
+     * the opening of a program what it spent meanwhile.
+     */
+    static bool isLossCostly(const core::Record &record)
+    {
+        const auto *turn = std::get_if<core::TurnFinished>(&record);
+        const auto *opened = std::get_if<core::ProgramOpened>(&record);
+        return (turn != nullptr && !turn->request.idempotent) || (opened != nullptr && !opened->spec.parent);
+    }
+
     /** Splits records into items of at most one value each; the handler goes with the last. */
     std::vector<Item> makeItems(const std::vector<core::Record> &records, service::StoreHandler handler,
                                 bool isRequired, bool isUrgent) const
