--- a/util/session.py
+++ b/util/session.py
@@ -35,10 +35,20 @@
     stack.wait_until(are_two, "both entries to own partitions")
 
 
+def apply_example(deployment, name):
+    """Puts an example declaration in force in every process."""
+    code, output, errors = deployment.ctl("apply", os.path.join(stack.ROOT, "examples", name + ".json"), "--wait")
+    if code != 0:
+        raise SystemExit(f"examples/{name}.json was not applied: {output}{errors}")
+    print(f"applied examples/{name}.json")
+
+
 def main():
     """Runs the session."""
     with stack.small_stack(entries=2, engines=3, entry_flags=("--lease-time", "1000")) as deployment:
         wait_for_owners(deployment)
+        apply_example(deployment, "dorvakt")
+        apply_example(deployment, "inkono")
         first, second = deployment.entries.values()
         parent = stack.Caller(first, "order-17")
         parent.open()
