Placement: A suspect is tried alone in the whole fleet, not only at one entry

Before a trial the entry now asks every runner of the target (SuspectCheck): whether its upstream died with the digest, whether one waits or runs there, and reserves the trial; two crashes anywhere quarantine it without a trial, and while one is reserved other requests of the digest are NotRun with retryAfter. Ruled out: the key-value service as the place of the count (an outage would let crashes through).

--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -40,6 +40,7 @@
     constexpr double percent = 100;
     placement::DispatchSettings dispatch;
     dispatch.zone = settings.zone;
+    dispatch.name = settings.name;
     dispatch.probes = settings.placementProbes;
     dispatch.retryShare = static_cast<double>(settings.retryPercent) / percent;
     dispatch.stallLimit = settings.stallLimit;
--- a/src/libbriarhinge/placement/rundispatcher.cpp
+++ b/src/libbriarhinge/placement/rundispatcher.cpp
@@ -21,6 +21,10 @@
 constexpr base::Milliseconds retryWhenLimited{250};
 constexpr base::Milliseconds firstBackoff{20};
 constexpr base::Milliseconds tickInterval{100};
+/** Longest wait for what the runners know of a suspect. */
+constexpr base::Milliseconds suspectCheckLimit{1000};
+constexpr base::Milliseconds suspectCheckInterval{100};
+constexpr std::size_t crashesUntilQuarantine = 2;
 /** Longest wait for the loads that are asked for before a program is placed. */
 constexpr base::Milliseconds probeLimit{20};
 /** Expected times are rough: standing still begins at this many of them. */
@@ -59,6 +63,34 @@
     std::atomic<bool> over{false};
 };
 
+/** What the runners know of a suspect, gathered before it is tried alone. */
+struct SuspectRound
+{
+    std::mutex mutex;
+    std::atomic<bool> over{false};
+    std::size_t missing = 0;
+    std::size_t crashes = 0;
+    bool quarantined = false;
+    bool present = false;
+    /** The runner whose word decides who may try it: the first by name that answered. */
+    std::string decider;
+    std::string holder;
+
+    void take(const std::string &runner, const wire::SuspectStateT *state)
+    {
+        if (state == nullptr) {
+            return;
+        }
+        crashes += state->crashed ? 1 : 0;
+        quarantined = quarantined || state->quarantined;
+        present = present || state->present;
+        if (decider.empty() || runner < decider) {
+            decider = runner;
+            holder = state->holder;
+        }
+    }
+};
+
 }
 
 RunDispatcher::RunDispatcher(boost::asio::io_context &context, RunnerDirectory &directory, logging::EventLog &log,
@@ -156,7 +188,9 @@
     }
     if (verdict == SuspectVerdict::Quarantined) {
         finish(run, quarantineOutcome(*run));
-    } else if (verdict != SuspectVerdict::Wait) {
+    } else if (verdict == SuspectVerdict::RunAlone) {
+        checkFleet(run);
+    } else if (verdict == SuspectVerdict::Clear) {
         place(run);
     }
 }
@@ -485,6 +519,68 @@
     }
 }
 
+void RunDispatcher::checkFleet(const RunPtr &run)
+{
+    const auto round = std::make_shared<SuspectRound>();
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, suspectCheckLimit);
+    const auto over = [this, run, round, timer] {
+        if (!round->over.exchange(true)) {
+            const std::lock_guard lock(round->mutex);
+            const bool isQuarantined = round->quarantined || round->crashes >= crashesUntilQuarantine;
+            fleetChecked(run, isQuarantined, round->present || round->holder != m_settings.name);
+        }
+    };
+    const std::vector<Candidate> runners = m_directory.candidates(run->call.request.target, Clock::now());
+    round->missing = runners.size();
+    round->holder = m_settings.name;
+    timer->async_wait([over](boost::system::error_code) {
+        over();
+    });
+    for (const Candidate &runner : runners) {
+        wire::SuspectCheckT check;
+        check.digest = run->digest.value();
+        check.holder = m_settings.name;
+        wire::MessageUnion message;
+        message.Set(std::move(check));
+        runner.channel->ask(std::move(message),
+                            [round, timer, name = runner.view.name](const wire::ChannelReply &reply) {
+                                const std::lock_guard lock(round->mutex);
+                                if (const auto *frame = std::get_if<wire::FrameT>(&reply)) {
+                                    round->take(name, frame->message.AsSuspectState());
+                                }
+                                if (--round->missing == 0) {
+                                    timer->cancel();
+                                }
+                            });
+    }
+}
+
+void RunDispatcher::fleetChecked(const RunPtr &run, bool isQuarantined, bool mustWait)
+{
+    if (isQuarantined) {
+        quarantined(run);
+    } else if (!mustWait) {
+        place(run);
+    } else {
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, suspectCheckInterval);
+        timer->async_wait([this, run, timer](boost::system::error_code) {
+            checkFleet(run);
+        });
+    }
+}
+
+void RunDispatcher::clearSuspect(const base::Digest &digest)
+{
+    for (const Candidate &runner : m_directory.all()) {
+        wire::SuspectCheckT check;
+        check.digest = digest.value();
+        check.clear = true;
+        wire::MessageUnion message;
+        message.Set(std::move(check));
+        runner.channel->ask(std::move(message), [](const wire::ChannelReply &) {});
+    }
+}
+
 void RunDispatcher::quarantined(const RunPtr &run)
 {
     {
@@ -552,6 +648,9 @@
             outcome = core::Unknown{"an earlier attempt may have run; " + core::historyText(outcome)};
         }
     }
+    if (run->isOnTrial && hasCompleted(outcome)) {
+        clearSuspect(run->digest);
+    }
     run->observer.ended(outcome);
     wake(run->digest);
 }
--- a/src/libbriarhinge/placement/rundispatcher.h
+++ b/src/libbriarhinge/placement/rundispatcher.h
@@ -25,6 +25,8 @@
 struct DispatchSettings
 {
     base::ZoneName zone;
+    /** Names this entry towards runners. */
+    std::string name;
     /** Runners that are asked for their load before a new program is placed; 0 or 1 asks none. */
     std::size_t probes = 2;
     /** Retries that each call allows on average. */
@@ -93,6 +95,9 @@
     void countResult(const Attempt &attempt, const wire::CallResultT &result);
     void lost(const RunPtr &run, const AttemptPtr &attempt, const wire::ChannelError &error);
     void upstreamCrashed(const RunPtr &run, const AttemptPtr &attempt, const core::Outcome &outcome);
+    void checkFleet(const RunPtr &run);
+    void fleetChecked(const RunPtr &run, bool isQuarantined, bool mustWait);
+    void clearSuspect(const base::Digest &digest);
     void quarantined(const RunPtr &run);
     static core::Outcome quarantineOutcome(CallRun &run);
     void tryElsewhere(const RunPtr &run, const AttemptPtr &attempt, const core::Outcome &outcome);
--- a/src/libbriarhinge/runner/crashregister.cpp
+++ b/src/libbriarhinge/runner/crashregister.cpp
@@ -3,6 +3,14 @@
 namespace briarhinge::runner
 {
 
+namespace
+{
+
+/** An entry that dies during a trial keeps a request from running for so long. */
+constexpr base::Milliseconds reservationTime{10'000};
+
+}
+
 CrashRegister::CrashRegister(base::Milliseconds keepTime)
     : m_keepTime(keepTime)
 {
@@ -13,9 +21,33 @@
     Suspicion &suspicion = m_suspicions[digest];
     suspicion.quarantined = suspicion.quarantined || alone;
     suspicion.since = now;
+    suspicion.crashedHere = true;
     return suspicion.quarantined;
 }
 
+std::string CrashRegister::reserve(const std::string &digest, const std::string &holder, base::Timestamp now)
+{
+    Suspicion &suspicion = m_suspicions[digest];
+    suspicion.since = now;
+    if (suspicion.holder == holder || suspicion.heldUntil <= now) {
+        suspicion.holder = holder;
+        suspicion.heldUntil = now + reservationTime;
+    }
+    return suspicion.holder;
+}
+
+bool CrashRegister::isReserved(const std::string &digest, base::Timestamp now) const
+{
+    const auto found = m_suspicions.find(digest);
+    return found != m_suspicions.end() && now < found->second.heldUntil;
+}
+
+bool CrashRegister::hasCrashed(const std::string &digest) const
+{
+    const auto found = m_suspicions.find(digest);
+    return found != m_suspicions.end() && found->second.crashedHere;
+}
+
 void CrashRegister::survived(const std::string &digest)
 {
     const auto found = m_suspicions.find(digest);
@@ -26,7 +58,9 @@
 
 void CrashRegister::quarantine(const std::string &digest, base::Timestamp now)
 {
-    m_suspicions[digest] = {true, now};
+    Suspicion &suspicion = m_suspicions[digest];
+    suspicion.quarantined = true;
+    suspicion.since = now;
 }
 
 bool CrashRegister::isSuspect(const std::string &digest) const
--- a/src/libbriarhinge/runner/crashregister.h
+++ b/src/libbriarhinge/runner/crashregister.h
@@ -35,6 +35,22 @@
     /** The upstream outlived a request. @param digest the request */
     void survived(const std::string &digest);
 
+    /**
+     * Reserves the trial of a suspect for one entry, for a time. Makes the digest a suspect.
+     *
+     * @param digest the request
+     * @param holder the entry
+     * @param now the time
+     * @return the entry that may try it: the holder, or another that was first
+     */
+    std::string reserve(const std::string &digest, const std::string &holder, base::Timestamp now);
+
+    /** @param digest a request @param now the time @return whether its trial is reserved for an entry */
+    bool isReserved(const std::string &digest, base::Timestamp now) const;
+
+    /** @param digest a request @return whether the upstream beside this process died while it ran */
+    bool hasCrashed(const std::string &digest) const;
+
     /** Takes over a quarantine from elsewhere. @param digest the request @param now the time */
     void quarantine(const std::string &digest, base::Timestamp now);
 
@@ -55,6 +71,10 @@
     {
         bool quarantined = false;
         base::Timestamp since;
+        bool crashedHere = false;
+        /** The entry that tries it, until its time is over. */
+        std::string holder;
+        base::Timestamp heldUntil;
     };
 
     const base::Milliseconds m_keepTime;
--- a/src/libbriarhinge/runner/runnerservice.h
+++ b/src/libbriarhinge/runner/runnerservice.h
@@ -77,6 +77,8 @@
         } else if (const auto *quarantine = message.AsQuarantine()) {
             takeQuarantine(*quarantine);
             reply(listener, wire::DoneT{});
+        } else if (const auto *check = message.AsSuspectCheck()) {
+            reply(listener, checkSuspect(*check));
         } else if (message.AsHello() == nullptr) {
             session->close("bad frame: a message that a runner does not take");
         }
@@ -180,6 +182,7 @@
 
 private:
     static constexpr base::Milliseconds retryWhenDraining{200};
+    static constexpr base::Milliseconds retryDuringTrial{500};
     /** A draining runner starts the calls that it had accepted for so long; then the upstream gets no new work. */
     static constexpr base::Milliseconds startsWhileDraining{3000};
     static constexpr base::Milliseconds eventInterval{500};
@@ -274,6 +277,7 @@
     void admit(const JobPointer &job, Work &work)
     {
         m_jobs[job->key()] = job;
+        const bool isTriedElsewhere = !job->suspect && m_crashes.isReserved(job->digest, m_clock.now());
         job->suspect = job->suspect || m_crashes.isSuspect(job->digest);
         if (m_draining) {
             m_lastRefusal = m_clock.now();
@@ -284,6 +288,10 @@
             end(job, core::NotRun{"the request is quarantined: it crashed its upstream twice", std::nullopt}, work);
             return;
         }
+        if (isTriedElsewhere) {
+            end(job, core::NotRun{"the request crashed an upstream and is being tried alone", retryDuringTrial}, work);
+            return;
+        }
         enqueue(job, work);
     }
 
@@ -614,6 +622,23 @@
         m_upstream.release(program);
     }
 
+    wire::SuspectStateT checkSuspect(const wire::SuspectCheckT &check)
+    {
+        const std::lock_guard lock(m_mutex);
+        wire::SuspectStateT state;
+        if (check.clear) {
+            m_crashes.survived(check.digest);
+            return state;
+        }
+        state.holder = m_crashes.reserve(check.digest, check.holder, m_clock.now());
+        state.crashed = m_crashes.hasCrashed(check.digest);
+        state.quarantined = m_crashes.isQuarantined(check.digest);
+        state.present = std::any_of(m_jobs.begin(), m_jobs.end(), [&](const auto &item) {
+            return item.second->digest == check.digest;
+        });
+        return state;
+    }
+
     void takeQuarantine(const wire::QuarantineT &quarantine)
     {
         const std::lock_guard lock(m_mutex);
