--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -71,6 +71,10 @@
     : m_settings(settings)
     , m_log(log)
     , m_threads(settings.ioThreads)
+    , m_invariants([this](const std::string &violation) {
+        m_metrics.invariantViolated();
+        m_log.write(logging::events::invariantViolated, {{"violation", violation}});
+    })
     , m_logService(settings.keyValueUrl, platformTimeout)
     , m_keeperService(settings.keyValueUrl, platformTimeout)
     , m_owners({makeIncarnation(settings.name), settings.name, settings.listen}, settings.leaseTime / renewalsPerLease)
@@ -86,7 +90,7 @@
         return makeChannel(address);
     })
     , m_dispatcher(m_threads.context(), m_directory, log, policyOf(settings), dispatchSettings(settings))
-    , m_service(m_clock, m_recordLog, m_dispatcher, m_policies,
+    , m_service(m_clock, m_recordLog, m_dispatcher, m_policies, m_invariants,
                 [this](const base::ProgramId &root) {
                     return m_owners.serves(root);
                 })
--- a/src/briarhinged/entryprocess.h
+++ b/src/briarhinged/entryprocess.h
@@ -50,6 +50,7 @@
     logging::EventLog &m_log;
     wire::IoThreads m_threads;
     metrics::Metrics m_metrics;
+    base::InvariantMonitor m_invariants;
     base::SystemClock m_clock;
     entry::FixedPolicies m_policies;
     /** Connections of their own, so that the log never waits behind a watch. */
--- a/tests/test_step.cpp
+++ b/tests/test_step.cpp
@@ -124,8 +124,9 @@
     CHECK(!std::get<NotRun>(answer->outcome).retryAfter.has_value());
 }
 
-TEST(Step, FirstModelCallNeedsNoDurableWrite)
+TEST(Step, FirstModelCallNeedsNoWriteOfItsOwnOnceTheOpeningIsDurable)
 {
+    step(tree, OpeningStored{id}, start);
     CallRequest request;
     request.number = base::CallNumber(1);
     request.target = base::TargetName("small");
@@ -149,3 +150,51 @@
     const auto again = step(next, StartCall{id, toolCall(1, std::nullopt)}, start);
     CHECK(std::holds_alternative<Unknown>(firstOf<AnswerNow>(again)->outcome));
 }
+
+TEST(Step, GrantsThatWaitTogetherDoNotExceedTheLimit)
+{
+    const base::ProgramId child{"order-1.refund"};
+    step(tree, OpenProgram{{child, base::KindName("chat"), base::AccountId("huye"), id}, policy()}, start);
+    for (const base::ProgramId &program : {id, child}) {
+        CallRequest call = toolCall(1, std::nullopt);
+        call.maxCost = base::MicroMoney(45);
+        step(tree, StartCall{program, call}, start);
+    }
+    step(tree, CallStored{id, base::CallNumber(1)}, start);
+    step(tree, CallStored{child, base::CallNumber(1)}, start);
+    CHECK(fitsIn(tree.budget.granted(), tree.budget.limit()));
+}
+
+TEST(Step, WithdrawalOfAClaimThatNeverWasDurableFitsTheLog)
+{
+    startCall(toolCall(1, std::nullopt));
+    const auto ended = step(tree, CallNotStored{id, base::CallNumber(1), "outage", base::Milliseconds(500)}, start);
+    ProgramTree next;
+    replay(next, ProgramOpened{tree.programs.at(id).spec, policy(), start, {}});
+    CHECK(replay(next, firstOf<StoreLater>(ended)->record));
+}
+
+TEST(Step, WithdrawalNeverTakesAFinishedCallOutOfTheHistory)
+{
+    ProgramTree next;
+    replay(next, ProgramOpened{tree.programs.at(id).spec, policy(), start, {}});
+    replay(next, TurnFinished{id, toolCall(1, std::nullopt), Completed{"charged", {}}});
+    CHECK_FALSE(replay(next, ClaimWithdrawn{id, base::CallNumber(1)}));
+    LONGS_EQUAL(1, next.programs.at(id).calls.size());
+}
+
+TEST(Step, OwnersThatDieBeforeTheOpeningIsDurableDoNotSpendTheFirstGrantAgainAndAgain)
+{
+    const ProgramSpec spec{id, base::KindName("chat"), base::AccountId("huye"), std::nullopt};
+    KindPolicy kind = policy();
+    kind.budget.calls = 8;
+    std::uint32_t dispatched = 0;
+    for (std::uint32_t owner = 0; owner < 2 * kind.budget.calls; ++owner) {
+        ProgramTree fresh;
+        step(fresh, OpenProgram{spec, kind}, start);
+        CallRequest call = toolCall(1, std::nullopt);
+        call.idempotent = true;
+        dispatched += firstOf<DispatchCall>(step(fresh, StartCall{id, call}, start)) == nullptr ? 0 : 1;
+    }
+    CHECK(dispatched <= kind.budget.calls);
+}
