--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -20,6 +20,36 @@
 /** A request waits for the next owner while a takeover is likely: the lease lapses, and the log is read. */
 constexpr int waitsPerLease = 2;
 
+placement::ChosenPolicy policyOf(const settings::Settings &settings)
+{
+    switch (settings.placement) {
+    case settings::Placement::RoundRobin:
+        return placement::RoundRobin{};
+    case settings::Placement::LeastOutstanding:
+        return placement::LeastOutstanding{};
+    case settings::Placement::Sticky:
+        return placement::Sticky{};
+    case settings::Placement::Expected:
+        break;
+    }
+    return placement::ExpectedTime{};
+}
+
+placement::DispatchSettings dispatchSettings(const settings::Settings &settings)
+{
+    constexpr double percent = 100;
+    placement::DispatchSettings dispatch;
+    dispatch.zone = settings.zone;
+    dispatch.probes = settings.placementProbes;
+    dispatch.retryShare = static_cast<double>(settings.retryPercent) / percent;
+    dispatch.stallLimit = settings.stallLimit;
+    dispatch.callTimeLimit = settings.callTimeLimit;
+    dispatch.newProgramWait = settings.newProgramWait;
+    dispatch.ordersByService = settings.callOrder == settings::CallOrder::Service;
+    dispatch.bounds = {settings.accountCalls, settings.programCalls, settings.entryCalls};
+    return dispatch;
+}
+
 bool startsWork(api::Verb verb)
 {
     return verb == api::Verb::OpenProgram || verb == api::Verb::MakeCall;
@@ -40,6 +70,10 @@
     : m_settings(settings)
     , m_log(log)
     , m_threads(settings.ioThreads)
+    , m_invariants([this](const std::string &violation) {
+        m_metrics.invariantViolated();
+        m_log.write(logging::events::invariantViolated, {{"violation", violation}});
+    })
     , m_logService(settings.keyValueUrl, platformTimeout)
     , m_keeperService(settings.keyValueUrl, platformTimeout)
     , m_owners({makeIncarnation(settings.name), settings.name, settings.listen}, settings.leaseTime / renewalsPerLease)
@@ -54,8 +88,8 @@
     , m_directory([this](const wire::Address &address) {
         return makeChannel(address);
     })
-    , m_dispatcher(m_directory, log, settings.zone)
-    , m_service(m_clock, m_recordLog, m_dispatcher, m_policies,
+    , m_dispatcher(m_threads.context(), m_directory, log, policyOf(settings), dispatchSettings(settings))
+    , m_service(m_clock, m_recordLog, m_dispatcher, m_policies, m_invariants,
                 [this](const base::ProgramId &root) {
                     return m_owners.serves(root);
                 })
--- a/src/libbriarhinge/core/step.h
+++ b/src/libbriarhinge/core/step.h
@@ -60,8 +60,15 @@
     base::CallNumber number;
 };
 
+/** The opening of a program is durable. */
+struct OpeningStored
+{
+    base::ProgramId program;
+};
+
 /** What can happen to a tree of programs. */
-using Event = std::variant<OpenProgram, StartCall, EndProgram, CallStored, CallNotStored, CallEnded, TurnCommitted>;
+using Event = std::variant<OpenProgram, StartCall, EndProgram, CallStored, CallNotStored, CallEnded, TurnCommitted,
+                           OpeningStored>;
 
 /** Why a request was refused without any effect. */
 enum class RefusalCode {
@@ -125,6 +132,8 @@
     std::int32_t priority = 0;
     /** Tokens that the whole tree has used so far. */
     base::Tokens attained;
+    /** The client account that the call counts for. */
+    base::AccountId account;
 };
 
 /** Stops a call that is under way, if that is still possible. */
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -54,6 +54,9 @@
 inline constexpr EventKind requestSuspected{513, "request-suspected", Level::Warning};
 inline constexpr EventKind requestQuarantined{514, "request-quarantined", Level::Error};
 inline constexpr EventKind callCutOff{515, "call-cut-off", Level::Warning};
+inline constexpr EventKind callStalled{540, "call-stalled", Level::Warning};
+inline constexpr EventKind callSuspected{541, "call-suspected", Level::Warning};
+inline constexpr EventKind callLimited{542, "call-limited", Level::Info};
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
 // clang-format off
@@ -86,6 +89,9 @@
     requestSuspected,
     requestQuarantined,
     callCutOff,
+    callStalled,
+    callSuspected,
+    callLimited,
     invariantViolated,
 };
 // clang-format on
--- a/tests/test_ownership.cpp
+++ b/tests/test_ownership.cpp
@@ -76,7 +76,7 @@
               [this] {
                   m_keeper.superseded();
               })
-        , m_service(m_clock, m_log, dispatcher, m_policies,
+        , m_service(m_clock, m_log, dispatcher, m_policies, m_invariants,
                     [this](const base::ProgramId &root) {
                         return m_owners.serves(root);
                     })
@@ -110,6 +110,12 @@
         return m_log.flush(longFlush);
     }
 
+    /** @return invariants that this process found broken */
+    int violations() const
+    {
+        return m_violations;
+    }
+
     std::string name() const
     {
         return m_owners.self().name;
@@ -134,6 +140,10 @@
 
 private:
     wire::IoThreads m_threads{1};
+    std::atomic<int> m_violations{0};
+    base::InvariantMonitor m_invariants{[this](const std::string &) {
+        ++m_violations;
+    }};
     base::SystemClock m_clock;
     entry::FixedPolicies m_policies;
     entry::OwnerMap m_owners;
@@ -351,6 +361,7 @@
                     continue;
                 }
                 const auto reply = node.ask(api::Verb::MakeCall, program, number, body);
+                RC_ASSERT(node.violations() == 0);
                 const int runs = faulty.dispatcher.runs(program + "/" + input);
                 RC_ASSERT(runs <= 1);
                 if (reply.status == 200) {
