--- a/tests/test_ownership.cpp
+++ b/tests/test_ownership.cpp
@@ -8,6 +8,7 @@
 #include <future>
 
 #include <boost/asio/post.hpp>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
@@ -352,6 +353,7 @@
             }
             // Asked at each entry that takes itself for the owner, a paused one included.
             const std::string input = "charge " + std::to_string(number);
+            const std::string call = fmt::format("{}/{}", program, input);
             const std::string body = toolBody(input, head);
             std::string nextHead;
             std::string unknownHead;
@@ -362,7 +364,7 @@
                 }
                 const auto reply = node.ask(api::Verb::MakeCall, program, number, body);
                 RC_ASSERT(node.violations() == 0);
-                const int runs = faulty.dispatcher.runs(program + "/" + input);
+                const int runs = faulty.dispatcher.runs(call);
                 RC_ASSERT(runs <= 1);
                 if (reply.status == 200) {
                     RC_ASSERT(runs == 1);
