--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -2,6 +2,8 @@
 
 #include "operators/localanswers.h"
 
+#include <condition_variable>
+#include <mutex>
 #include <random>
 
 #include <fmt/format.h>
@@ -16,6 +18,7 @@
 constexpr base::Milliseconds retryWhenDraining{200};
 constexpr base::Milliseconds retryWithoutConfiguration{500};
 constexpr base::Milliseconds retryPlatform{200};
+constexpr base::Milliseconds sweepInterval{10'000};
 /** Renewals in the time of a lease. */
 constexpr int renewalsPerLease = 3;
 /** Times that a running process is noticed in the time of a lease. */
@@ -164,6 +167,7 @@
 EntryProcess::~EntryProcess()
 {
     m_vmListThread.request_stop();
+    m_sweepThread.request_stop();
     m_beatThread.request_stop();
     m_keeperThread.request_stop();
     m_keeperThread = {};
@@ -189,6 +193,9 @@
             std::this_thread::sleep_for(m_settings.leaseTime / beatsPerLease);
         }
     });
+    m_sweepThread = std::jthread([this](const std::stop_token &stop) {
+        sweepPrograms(stop);
+    });
     m_keeperThread = std::jthread([this](const std::stop_token &stop) {
         keepOwnership(stop);
     });
@@ -274,4 +281,17 @@
     m_keeper.leave();
 }
 
+void EntryProcess::sweepPrograms(const std::stop_token &stop)
+{
+    std::mutex mutex;
+    std::condition_variable_any wake;
+    std::unique_lock lock(mutex);
+    while (!stop.stop_requested()) {
+        m_service.sweep(m_settings.retention);
+        wake.wait_for(lock, stop, sweepInterval, [] {
+            return false;
+        });
+    }
+}
+
 }
--- a/src/briarhinged/entryprocess.h
+++ b/src/briarhinged/entryprocess.h
@@ -51,6 +51,7 @@
     api::ClientReply answerOperator(wire::OperatorVerb verb);
     void followVmList(const std::stop_token &stop);
     void keepOwnership(const std::stop_token &stop);
+    void sweepPrograms(const std::stop_token &stop);
 
     const settings::Settings &m_settings;
     logging::EventLog &m_log;
@@ -79,6 +80,7 @@
     std::jthread m_vmListThread;
     std::jthread m_beatThread;
     std::jthread m_keeperThread;
+    std::jthread m_sweepThread;
 };
 
 }
--- a/src/libbriarhinge/service/programservice.h
+++ b/src/libbriarhinge/service/programservice.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/invariant.h"
 #include "core/invariants.h"
+#include "core/retention.h"
 #include "service/callstream.h"
 #include "service/concepts.h"
 
@@ -118,6 +119,24 @@
         }
     }
 
+    /** Ends abandoned trees and lets go of what is no longer needed of ended ones. @param policy how long to keep what */
+    void sweep(const core::RetentionPolicy &policy)
+    {
+        for (Shard &shard : m_shards) {
+            Deferred deferred;
+            {
+                const std::lock_guard lock(shard.mutex);
+                for (auto item = shard.trees.begin(); item != shard.trees.end();) {
+                    const bool isForgotten = sweepTree(item->first, item->second, policy, deferred);
+                    item = isForgotten ? shard.trees.erase(item) : std::next(item);
+                }
+            }
+            for (const auto &work : deferred) {
+                work();
+            }
+        }
+    }
+
 private:
     static constexpr std::size_t shardCount = 64;
 
@@ -305,6 +324,17 @@
         }
     }
 
+    /** @return whether the tree is forgotten */
+    bool sweepTree(const base::ProgramId &root, Slot &slot, const core::RetentionPolicy &policy, Deferred &deferred)
+    {
+        if (m_serves && !m_serves(root)) {
+            return false;
+        }
+        core::SweepResult result = core::sweep(slot.tree, policy, m_clock.now());
+        performAll(slot, result.actions, nullptr, 0, deferred);
+        return result.isForgotten;
+    }
+
     void carryOut(Slot &slot, const core::Event &event, const api::ClientSink *sink, std::uint64_t offset,
                   std::uint64_t generation, Deferred &deferred)
     {
@@ -316,6 +346,12 @@
         }
         std::vector<core::Action> actions = core::step(slot.tree, event, m_clock.now());
         m_invariants.report(core::brokenByStep(slot.tree, event, actions));
+        performAll(slot, actions, sink, offset, deferred);
+    }
+
+    void performAll(Slot &slot, std::vector<core::Action> &actions, const api::ClientSink *sink, std::uint64_t offset,
+                    Deferred &deferred)
+    {
         for (core::Action &action : actions) {
             std::visit(
                 [&](auto &decided) {
--- a/src/libbriarhinge/settings/settings.cpp
+++ b/src/libbriarhinge/settings/settings.cpp
@@ -36,6 +36,8 @@
     {"drain-limit", "60000", "milliseconds that a stopping process waits for requests in progress"},
     {"flush-interval", "2000", "milliseconds that a finished turn may wait to become durable"},
     {"lease-time", "3000", "milliseconds after which a silent entry is taken over"},
+    {"answers-kept", "3600000", "entry: milliseconds after a program's end for which its answers can be asked for"},
+    {"ids-kept", "86400000", "entry: milliseconds after a program's end for which its id can't be opened again"},
     {"upstream", "", "runner: address of the upstream, as http://127.0.0.1:9000"},
     {"upstream-kind", "engine", "runner: engine or tool"},
     {"pool", "", "runner: the pool that the upstream belongs to"},
@@ -232,6 +234,7 @@
     settings.drainLimit = checker.milliseconds("drain-limit");
     settings.flushInterval = checker.milliseconds("flush-interval");
     settings.leaseTime = checker.milliseconds("lease-time");
+    settings.retention = {checker.milliseconds("answers-kept"), checker.milliseconds("ids-kept")};
     checkEntry(checker, settings);
     if (settings.role == Role::Runner) {
         settings.upstreamUrl = checker.url("upstream");
--- a/src/libbriarhinge/settings/settings.h
+++ b/src/libbriarhinge/settings/settings.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/units.h"
+#include "core/retention.h"
 #include "wire/address.h"
 
 #include <functional>
@@ -67,6 +68,8 @@
     base::Milliseconds drainLimit{0};
     base::Milliseconds flushInterval{0};
     base::Milliseconds leaseTime{0};
+    /** Entry only: how long ended programs are kept. */
+    core::RetentionPolicy retention{};
     /** Runner only: base address of the upstream. */
     std::string upstreamUrl;
     UpstreamKind upstreamKind = UpstreamKind::Engine;
--- a/tests/test_programservice.cpp
+++ b/tests/test_programservice.cpp
@@ -75,8 +75,16 @@
 public:
     base::Timestamp now() const
     {
-        return base::Timestamp(base::Milliseconds(1));
+        return m_now;
     }
+
+    void advance(base::Milliseconds time)
+    {
+        m_now += time;
+    }
+
+private:
+    base::Timestamp m_now{base::Milliseconds(1)};
 };
 
 class OnePolicy
@@ -411,3 +419,26 @@
     log.waiting[1](service::Stored{});
     LONGS_EQUAL(1, dispatcher.held.size());
 }
+
+TEST(ProgramService, AbandonedProgramIsEndedBySweepsAndThenForgotten)
+{
+    FlakyLog log;
+    FlakyDispatcher dispatcher;
+    service::ProgramService service(clock, log, dispatcher, policies, invariants);
+    api::ClientRequest open;
+    open.verb = api::Verb::OpenProgram;
+    open.body = R"({"id":"p1","kind":"chat","account":"huye"})";
+    LONGS_EQUAL(200, ask(service, open).status);
+    api::ClientRequest show;
+    show.program = base::ProgramId("p1");
+    const core::RetentionPolicy policy{base::Milliseconds(0), base::Milliseconds(1'000)};
+    clock.advance(std::chrono::hours(25));
+    service.sweep(policy);
+    CHECK(nlohmann::json::parse(ask(service, show).body).at("ended").get<bool>());
+    service.sweep(policy);
+    clock.advance(base::Milliseconds(1'001));
+    service.sweep(policy);
+    LONGS_EQUAL(404, ask(service, show).status);
+    log.stop();
+    dispatcher.stop();
+}
