Runner: An answer that ended while nobody waited is kept for the next asker

Cause: an idempotent call whose entry was killed ended into nothing when the new owner came after its end, and the engine had to run it again. Its answer is now kept like the outcome of a non-idempotent call; the part that the asker lacks is sent as a piece. tests/system/test_runner.py StreamTakeoverTest: the owner is killed in the middle of streams; each answer equals, byte by byte, what the engine answers directly, and reached the engine once.

--- a/src/libbriarhinge/runner/callregister.cpp
+++ b/src/libbriarhinge/runner/callregister.cpp
@@ -35,13 +35,15 @@
     return AnsweredAlready{known.outcome};
 }
 
-void CallRegister::ended(const CallKey &key, const core::Outcome &outcome, base::Timestamp now)
+void CallRegister::ended(const CallKey &key, const core::Outcome &outcome, bool wasHeard, base::Timestamp now)
 {
     const auto found = m_calls.find(key);
     if (found == m_calls.end()) {
         return;
     }
-    if (found->second.idempotent || std::holds_alternative<core::NotRun>(outcome)) {
+    const bool mayRunAgain =
+        found->second.idempotent && (wasHeard || !std::holds_alternative<core::Completed>(outcome));
+    if (mayRunAgain || std::holds_alternative<core::NotRun>(outcome)) {
         m_calls.erase(found);
         return;
     }
--- a/src/libbriarhinge/runner/callregister.h
+++ b/src/libbriarhinge/runner/callregister.h
@@ -65,9 +65,10 @@
      *
      * @param key the call
      * @param outcome its outcome; NotRun lets it come again
+     * @param wasHeard whether anyone waited for it; an answer that nobody heard is kept for the next asker
      * @param now the time
      */
-    void ended(const CallKey &key, const core::Outcome &outcome, base::Timestamp now);
+    void ended(const CallKey &key, const core::Outcome &outcome, bool wasHeard, base::Timestamp now);
 
     /** Forgets what is older than the time to keep. @param now the time */
     void expire(base::Timestamp now);
--- a/src/libbriarhinge/runner/runnerpolicy.h
+++ b/src/libbriarhinge/runner/runnerpolicy.h
@@ -24,7 +24,7 @@
     /** The same for single tools. */
     std::map<base::TargetName, base::Milliseconds> toolTimeouts;
     /** An idempotent call without an entry runs on for so long, for a new owner to join it. */
-    base::Milliseconds orphanGrace{3000};
+    base::Milliseconds orphanGrace{6000};
     /** How long calls, terms and crashes are remembered. */
     base::Milliseconds keepTime{900'000};
     /** Tokens that fit into the engine's prefix cache. */
--- a/src/libbriarhinge/runner/runnerservice.h
+++ b/src/libbriarhinge/runner/runnerservice.h
@@ -244,7 +244,7 @@
             const ArrivalVerdict verdict = m_register.arrive(arrival, m_clock.now());
             if (const auto *answered = std::get_if<AnsweredAlready>(&verdict)) {
                 m_log.write(logging::events::callRepeated, {{"program", execute.program}, {"call", execute.number}});
-                answer(*job, answered->outcome);
+                answerStored(listener, *job, answered->outcome);
             } else if (std::holds_alternative<JoinsRunning>(verdict)) {
                 join(listener, job);
             } else {
@@ -255,6 +255,21 @@
         perform(work);
     }
 
+    /** Gives an asker the outcome of a call that ended, the part of the answer that it lacks first. */
+    void answerStored(const ListenerT &listener, const JobT &asked, const core::Outcome &outcome)
+    {
+        const std::string &known = asked.call.partial;
+        const auto *completed = std::get_if<core::Completed>(&outcome);
+        if (completed != nullptr && !completed->answer.starts_with(known)) {
+            answer(asked, core::Unknown{"the call ran already, with another beginning of its answer"});
+            return;
+        }
+        if (completed != nullptr && completed->answer.size() > known.size()) {
+            sendChunk(listener, known.size(), completed->answer.substr(known.size()));
+        }
+        answer(asked, outcome);
+    }
+
     /** Lets a second asker follow a call that waits or runs. */
     void join(const ListenerT &listener, const JobPointer &asked)
     {
@@ -441,7 +456,7 @@
     void endedLate(const JobT &job, const core::Outcome &outcome)
     {
         if (!job.call.call.request.idempotent) {
-            m_register.ended(job.key(), outcome, m_clock.now());
+            m_register.ended(job.key(), outcome, true, m_clock.now());
         }
     }
 
@@ -483,7 +498,7 @@
         job->state = JobState::Ended;
         m_running.erase(job);
         m_jobs.erase(job->key());
-        m_register.ended(job->key(), outcome, m_clock.now());
+        m_register.ended(job->key(), outcome, !job->listeners.empty(), m_clock.now());
         if (ran) {
             holdPrefix(*job, outcome, work);
         }
--- a/src/libbriarhinge/settings/settings.cpp
+++ b/src/libbriarhinge/settings/settings.cpp
@@ -44,7 +44,7 @@
     {"queue-wait-limit", "10000", "runner: milliseconds of expected wait past which the lowest calls are refused"},
     {"call-timeout", "60000", "runner: milliseconds that the upstream may be silent about a call"},
     {"tool-timeouts", "", "runner: the same for single tools, as charge=5000,search=2000"},
-    {"orphan-grace", "3000", "runner: milliseconds that an idempotent call runs on when its entry is gone"},
+    {"orphan-grace", "6000", "runner: milliseconds that an idempotent call runs on when its entry is gone"},
     {"hold-limit", "30000", "runner: milliseconds after which an absent program's prefix is let go"},
     {"engine-cache-tokens", "200000", "runner: tokens that fit into the engine's prefix cache"},
     {"placement", "expected", "entry: expected, round-robin, least-outstanding or sticky"},
--- a/tests/system/test_runner.py
+++ b/tests/system/test_runner.py
@@ -1,5 +1,6 @@
 """What a runner process does with calls that hang, crash their upstream, or are asked for twice."""
 
+import json
 import time
 import unittest
 
@@ -103,5 +104,56 @@
         self.assertEqual(self.crashes(), 1)
 
 
+class StreamTakeoverTest(unittest.TestCase):
+    """Owners that are killed in the middle of streams."""
+
+    PROGRAMS = 8
+    LENGTH = 250
+
+    def setUp(self):
+        self.stack = stack.small_stack(engines=1, engine_flags=("--step-us", "10000"),
+                                       entry_flags=("--lease-time", "1000", "--flush-interval", "100"))
+        self.addCleanup(self.stack.close)
+        self.survivor = self.stack.entries["entry-1"]
+
+    def ask_until_answered(self, caller, text):
+        """Repeats a call until it is answered by an owner; returns the reply."""
+        end = time.monotonic() + 30
+        while True:
+            status, reply = caller.model(text)
+            if status == 200 or time.monotonic() > end:
+                return reply
+            caller.open()
+            time.sleep(0.1)
+
+    def answer_of_engine(self, prompt):
+        """Returns what the engine answers to a prompt when it is asked directly."""
+        body = {"model": "small", "messages": [{"role": "user", "content": prompt}], "max_tokens": 100_000}
+        _, text = stack.ask("POST", self.stack.engines["engine-0"] + "/v1/chat/completions", json.dumps(body))
+        events = [event.removeprefix("data: ") for event in text.strip().split("\n\n")]
+        choices = [choice for event in events if event != "[DONE]" for choice in json.loads(event)["choices"]]
+        return "".join(choice["delta"]["content"] for choice in choices)
+
+    def test_new_owner_joins_the_streams_that_still_run(self):
+        names = [f"stream-{i}" for i in range(self.PROGRAMS)]
+        callers = {name: stack.Caller(self.survivor, name) for name in names}
+        for caller in callers.values():
+            self.assertEqual(caller.open()[0], 200)
+        texts = {name: f"{name} answer={self.LENGTH}" for name in names}
+        first = [stack.Background(lambda name=name: callers[name].model(texts[name])) for name in names]
+        stack.wait_until(lambda: len(self.stack.requests("engine-0")) == self.PROGRAMS, "the streams")
+        self.stack.kill("entry-0")
+        for call in first:
+            call.join()
+        self.assertTrue(any(call.result[0] != 200 for call in first), "entry-0 owned no program")
+        for name in names:
+            caller = stack.Caller(self.survivor, name)
+            reply = self.ask_until_answered(caller, texts[name])
+            self.assertEqual(reply["outcome"], "completed", reply)
+            self.assertEqual(reply["answer"], self.answer_of_engine(texts[name] + "\n"))
+            asked = [line for line in self.stack.requests("engine-0") if line.startswith(name + " ")]
+            self.assertEqual(len(asked), 1, asked)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_callregister.cpp
+++ b/tests/test_callregister.cpp
@@ -44,14 +44,27 @@
 {
     CHECK(is<MayRun>(calls.arrive(charge(), start)));
     CHECK(is<JoinsRunning>(calls.arrive(charge(), start)));
-    calls.ended(charge().key, core::Completed{"done", {}}, start);
+    calls.ended(charge().key, core::Completed{"done", {}}, true, start);
     CHECK(isAnswered<core::Completed>(calls.arrive(charge(), start)));
 }
 
+TEST(CallRegister, answerOfAnIdempotentCallIsKeptOnlyWhenNobodyHeardIt)
+{
+    CallArrival model = charge();
+    model.idempotent = true;
+    calls.arrive(model, start);
+    calls.ended(model.key, core::Completed{"hello", {}}, true, start);
+    CHECK(is<MayRun>(calls.arrive(model, start)));
+    calls.ended(model.key, core::Unknown{"stopped"}, false, start);
+    CHECK(is<MayRun>(calls.arrive(model, start)));
+    calls.ended(model.key, core::Completed{"hello", {}}, false, start);
+    CHECK(isAnswered<core::Completed>(calls.arrive(model, start)));
+}
+
 TEST(CallRegister, callThatWasNotRunMayComeAgain)
 {
     calls.arrive(charge(), start);
-    calls.ended(charge().key, core::NotRun{"dropped", {}}, start);
+    calls.ended(charge().key, core::NotRun{"dropped", {}}, true, start);
     CHECK(is<MayRun>(calls.arrive(charge(), start)));
 }
 
@@ -75,7 +88,7 @@
 {
     calls.arrive(charge(1), start);
     calls.arrive(charge(2), start);
-    calls.ended(charge(1).key, core::Unknown{"hung"}, start);
+    calls.ended(charge(1).key, core::Unknown{"hung"}, true, start);
     calls.expire(start + keepTime);
     CHECK_EQUAL(2U, calls.size());
     calls.expire(start + 2 * keepTime);
@@ -103,7 +116,7 @@
                 const bool notRun = step >= 25;
                 tested.ended(charge(number).key,
                              notRun ? core::Outcome(core::NotRun{"refused", {}}) : core::Outcome(core::Unknown{"lost"}),
-                             start);
+                             *rc::gen::arbitrary<bool>(), start);
                 runs[number] -= notRun ? 1 : 0;
                 running[number] = false;
             }
--- a/tests/test_runnerservice.cpp
+++ b/tests/test_runnerservice.cpp
@@ -233,6 +233,20 @@
     CHECK_EQUAL(0, upstream.cancelled);
 }
 
+TEST(RunnerService, newOwnerGetsTheAnswerThatNobodyHeard)
+{
+    send(session, 1, model("a"));
+    upstream.running[0].observer.chunk(0, "kari");
+    service.sessionClosed(session);
+    complete(0, "karimo");
+    wire::ExecuteCallT again = model("a");
+    again.partial = "ka";
+    send(other, 2, again);
+    CHECK_EQUAL(1U, upstream.running.size());
+    CHECK(other->chunks[2] == (std::vector<std::pair<std::uint64_t, std::string>>{{2, "rimo"}}));
+    checkOutcome(other, 2, wire::OutcomeKind::Completed);
+}
+
 TEST(RunnerService, orphanedModelCallIsStoppedAfterItsGraceAndAChargeNever)
 {
     send(session, 1, model("a"));
