--- a/src/briarhinged/entryprocess.h
+++ b/src/briarhinged/entryprocess.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "config/configurationnode.h"
+#include "config/declaredpolicies.h"
 #include "entry/fixedpolicies.h"
 #include "entry/ownershipkeeper.h"
 #include "entry/requestrouter.h"
 #include "http/callerendpoint.h"
 #include "logging/eventlog.h"
 #include "metrics/metrics.h"
+#include "operators/operatorservice.h"
 #include "placement/rundispatcher.h"
 #include "platform/httpkeyvalue.h"
 #include "service/programservice.h"
@@ -38,11 +41,14 @@
     std::size_t inProgress() const;
 
 private:
+    using Policies = config::DeclaredPolicies<entry::FixedPolicies>;
     using Log = state::KeyValueLog<platform::HttpKeyValue>;
-    using Service = service::ProgramService<base::SystemClock, Log, placement::RunDispatcher, entry::FixedPolicies>;
+    using Service = service::ProgramService<base::SystemClock, Log, placement::RunDispatcher, Policies>;
     using Keeper = entry::OwnershipKeeper<platform::HttpKeyValue, Log, Service>;
 
     std::shared_ptr<wire::FrameChannel> makeChannel(const wire::Address &address);
+    void handleLocal(const api::ClientRequest &request, const api::ClientSink &sink);
+    api::ClientReply answerOperator(wire::OperatorVerb verb);
     void followVmList(const std::stop_token &stop);
     void keepOwnership(const std::stop_token &stop);
 
@@ -50,8 +56,11 @@
     logging::EventLog &m_log;
     wire::IoThreads m_threads;
     metrics::Metrics m_metrics;
+    base::InvariantMonitor m_invariants;
     base::SystemClock m_clock;
-    entry::FixedPolicies m_policies;
+    config::ConfigurationNode m_configuration;
+    Policies m_policies;
+    operators::OperatorService m_operators;
     /** Connections of their own, so that the log never waits behind a watch. */
     platform::HttpKeyValue m_logService;
     platform::HttpKeyValue m_keeperService;
--- a/src/libbriarhinge/service/programservice.h
+++ b/src/libbriarhinge/service/programservice.h
@@ -2,6 +2,8 @@
 
 #include "api/json.h"
 #include "base/clock.h"
+#include "base/invariant.h"
+#include "core/invariants.h"
 #include "service/callstream.h"
 #include "service/concepts.h"
 
@@ -29,14 +31,16 @@
      * @param log keeps the records
      * @param dispatcher runs the calls
      * @param policies knows the kinds of programs
+     * @param invariants told of each broken invariant
      * @param serves whether this process may serve a root program now; always when empty
      */
     ProgramService(const ClockT &clock, LogT &log, DispatcherT &dispatcher, const PoliciesT &policies,
-                   std::function<bool(const base::ProgramId &root)> serves = {})
+                   base::InvariantMonitor &invariants, std::function<bool(const base::ProgramId &root)> serves = {})
         : m_clock(clock)
         , m_log(log)
         , m_dispatcher(dispatcher)
         , m_policies(policies)
+        , m_invariants(invariants)
         , m_serves(std::move(serves))
     {
     }
@@ -65,6 +69,8 @@
             run(request.program, core::EndProgram{request.program}, &sink, 0);
             return;
         }
+        // A forwarded request may carry a verb that this version does not know.
+        sink.reply(api::toReply(api::BadRequest{"verb-unknown", "the request asks for nothing that is known here"}));
     }
 
     /** Takes over a tree, as read back from a log. @param root its root program @param tree the state */
@@ -308,7 +314,9 @@
         if (generation != 0 && slot.generation != generation) {
             return;
         }
-        for (core::Action &action : core::step(slot.tree, event, m_clock.now())) {
+        std::vector<core::Action> actions = core::step(slot.tree, event, m_clock.now());
+        m_invariants.report(core::brokenByStep(slot.tree, event, actions));
+        for (core::Action &action : actions) {
             std::visit(
                 [&](auto &decided) {
                     perform(slot, decided, sink, offset, deferred);
@@ -339,7 +347,7 @@
     {
         auto &stream = slot.streams[{action.program, action.number}];
         if (!stream) {
-            stream = std::make_shared<CallStream>();
+            stream = std::make_shared<CallStream>(m_invariants);
         }
         if (sink != nullptr) {
             deferred.emplace_back([stream, sink = *sink, offset] {
@@ -361,16 +369,23 @@
     {
         StoreHandler handler = [](const StoreResult &) {};
         if (const auto *turn = std::get_if<core::TurnFinished>(&action.record)) {
-            handler = [this, program = turn->program, number = turn->request.number,
-                       generation = slot.generation](const StoreResult &result) {
-                if (std::holds_alternative<Stored>(result)) {
-                    run(program, core::TurnCommitted{program, number}, nullptr, 0, generation);
-                }
-            };
+            handler = whenStored(slot, turn->program, core::TurnCommitted{turn->program, turn->request.number});
+        } else if (const auto *opened = std::get_if<core::ProgramOpened>(&action.record)) {
+            handler = whenStored(slot, opened->spec.id, core::OpeningStored{opened->spec.id});
         }
         m_log.appendLater({std::move(action.record)}, std::move(handler));
     }
 
+    /** @return a handler that feeds in an event once the records are durable */
+    StoreHandler whenStored(const Slot &slot, const base::ProgramId &program, const core::Event &event)
+    {
+        return [this, generation = slot.generation, program, event](const StoreResult &result) {
+            if (std::holds_alternative<Stored>(result)) {
+                run(program, event, nullptr, 0, generation);
+            }
+        };
+    }
+
     void perform(Slot &slot, core::DispatchCall &action, const api::ClientSink *, std::uint64_t, Deferred &deferred)
     {
         const auto stream = slot.streams[{action.program, action.request.number}];
@@ -400,6 +415,10 @@
         if (stream.empty()) {
             return;
         }
+        if (const auto *completed = std::get_if<core::Completed>(&action.outcome)) {
+            m_invariants.require(completed->answer.starts_with(stream.mapped()->text()),
+                                 "an answer is not the one whose pieces were handed on");
+        }
         deferred.emplace_back(
             [stream = stream.mapped(), reply = callReply(slot.tree, action.program, action.number, action.outcome)] {
                 stream->finish(reply);
@@ -444,6 +463,7 @@
     LogT &m_log;
     DispatcherT &m_dispatcher;
     const PoliciesT &m_policies;
+    base::InvariantMonitor &m_invariants;
     std::function<bool(const base::ProgramId &root)> m_serves;
     std::atomic<std::uint64_t> m_generations{0};
     std::array<Shard, shardCount> m_shards;
