--- a/src/libbriarhinge/placement/callrun.h
+++ b/src/libbriarhinge/placement/callrun.h
@@ -31,6 +31,25 @@
 /** One call on its way through its attempts; only the present attempt counts. */
 struct CallRun
 {
+    /**
+     * @param dispatched the call
+     * @param follower is told of each piece and of the end
+     * @param placed the call as placement sees it
+     * @param name names what is asked, whoever asks
+     * @param from who makes the call
+     * @param now the time
+     */
+    CallRun(core::DispatchCall dispatched, service::DispatchObserver follower, PlacementSubject placed,
+            base::Digest name, CallSource from, SteadyTime now)
+        : call(std::move(dispatched))
+        , observer(std::move(follower))
+        , subject(std::move(placed))
+        , digest(std::move(name))
+        , source(std::move(from))
+        , startedAt(now)
+    {
+    }
+
     const core::DispatchCall call;
     const service::DispatchObserver observer;
     const PlacementSubject subject;
--- a/src/libbriarhinge/placement/placer.cpp
+++ b/src/libbriarhinge/placement/placer.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-/** For each runner: 4 MB at 760 runners for a tenth of an engine's cache each. */
+/** Blocks of prefixes that are remembered for each runner: 262,144 tokens. */
 constexpr std::size_t maxBlocksOfRunner = 2048;
 
 base::Milliseconds rounded(double milliseconds)
@@ -21,7 +21,7 @@
 
 Placer::Placer(ChosenPolicy policy, base::ZoneName zone)
     : m_zone(std::move(zone))
-    , m_policy(std::move(policy))
+    , m_policy(policy)
     , m_prefixes(maxBlocksOfRunner)
 {
 }
--- a/src/libbriarhinge/placement/rundispatcher.cpp
+++ b/src/libbriarhinge/placement/rundispatcher.cpp
@@ -99,7 +99,7 @@
     , m_directory(directory)
     , m_log(log)
     , m_settings(std::move(settings))
-    , m_placer(std::move(policy), m_settings.zone)
+    , m_placer(policy, m_settings.zone)
     , m_timer(context)
     , m_suspects(maxSuspects)
     , m_retries(m_settings.retryShare, retryBurst)
