Configuration: A watcher shows its revision to the peer before it

Cause: found by a new test in which only one watcher reaches the service and stands behind the others in the order. Ruled out: every process reading the head now and then, which costs calls that grow with their number. A watcher now sends its peer a request after each watch; the peer sees the higher revision and fetches it. Not covered: a process that is no watcher being the only one to reach the service.

--- a/src/libbriarhinge/config/distributor.h
+++ b/src/libbriarhinge/config/distributor.h
@@ -178,9 +178,11 @@
         const std::vector<Peer> list = priorityList(m_self, others);
         const bool watches = isWatcher(m_self, others, m_times.watchersPerZone);
         if (watches && watch()) {
+            // The peer before this one may be cut off from the service: the request shows it what this one has.
+            askFirst(list, base::Milliseconds(0), stop);
             return;
         }
-        if (askFirst(list, stop)) {
+        if (askFirst(list, m_times.hold, stop)) {
             return;
         }
         if (watches || !watch()) {
@@ -203,14 +205,14 @@
     }
 
     /** Asks the first of a list that answers. @return whether any did */
-    bool askFirst(const std::vector<Peer> &list, const std::stop_token &stop)
+    bool askFirst(const std::vector<Peer> &list, base::Milliseconds wait, const std::stop_token &stop)
     {
         for (const Peer &peer : list) {
             const auto avoided = m_avoidUntil.find(peer.address);
             if (avoided != m_avoidUntil.end() && avoided->second > std::chrono::steady_clock::now()) {
                 continue;
             }
-            if (const auto configuration = ask(peer.address, m_times.hold, stop)) {
+            if (const auto configuration = ask(peer.address, wait, stop)) {
                 take(*configuration);
                 return true;
             }
--- a/tests/bench/distribution.cpp
+++ b/tests/bench/distribution.cpp
@@ -1,9 +1,5 @@
-#include "config/configurationserver.h"
-#include "config/distributor.h"
-#include "fakekeyvalue.h"
+#include "configurationinstance.h"
 #include "logging/eventlog.h"
-#include "wire/frameserver.h"
-#include "wire/iothreads.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -25,6 +21,7 @@
 using namespace briarhinge;
 using namespace briarhinge::config;
 using tests::FakeKeyValue;
+using Instance = tests::ConfigurationInstance;
 using SteadyClock = std::chrono::steady_clock;
 
 constexpr std::size_t zoneCount = 7;
@@ -52,73 +49,6 @@
     std::atomic<std::uint64_t> m_bytes{0};
 };
 
-/** One process of the system, as far as its configuration goes. */
-class Instance
-{
-public:
-    Instance(std::size_t index, wire::IoThreads &threads, FakeKeyValue &keyValue, logging::EventLog &log,
-             ByteCount &bytes, const DistributionTimes &times)
-        : m_server(
-            threads.context(), log,
-            [this](const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame) {
-                if (const auto *fetch = frame.message.AsFetchConfiguration()) {
-                    m_answers->received(session, frame.request_id, *fetch);
-                }
-            },
-            [](const auto &, const auto &) {})
-    {
-        const auto port = std::get<std::uint16_t>(m_server.listen({"127.0.0.1", 0}));
-        m_self = {fmt::format("vm-{}", index),
-                  base::ZoneName(fmt::format("zone-{}", index % zoneCount)),
-                  {"127.0.0.1", port}};
-        m_answers = std::make_unique<ConfigurationServer>(threads.context(), m_inForce,
-                                                          [this](base::Revision seen, const wire::Address &holder) {
-                                                              m_distributor->seen(seen, holder);
-                                                          });
-        m_inForce.listen([this] {
-            m_reached = m_inForce.revision().value();
-        });
-        m_distributor = std::make_unique<Distributor<FakeKeyValue>>(
-            m_self, keyValue, m_inForce,
-            [&threads, &bytes](const wire::Address &address) {
-                return std::make_shared<wire::FrameChannel>(threads.context(), address, [&bytes](wire::FrameT &frame) {
-                    bytes.add(frame);
-                });
-            },
-            log, times);
-    }
-
-    const Peer &self() const
-    {
-        return m_self;
-    }
-
-    void start(const std::vector<Peer> &peers)
-    {
-        m_distributor->updatePeers(peers);
-        m_distributor->start();
-    }
-
-    void stop()
-    {
-        m_distributor->stop();
-        m_server.stop();
-    }
-
-    bool has(std::uint64_t revision) const
-    {
-        return m_reached >= revision;
-    }
-
-private:
-    InForce m_inForce;
-    std::unique_ptr<ConfigurationServer> m_answers;
-    wire::FrameServer m_server;
-    Peer m_self;
-    std::unique_ptr<Distributor<FakeKeyValue>> m_distributor;
-    std::atomic<std::uint64_t> m_reached{0};
-};
-
 std::uint64_t callsOf(const FakeKeyValue &keyValue)
 {
     return keyValue.reads + keyValue.writes + keyValue.watches;
@@ -159,7 +89,10 @@
     std::vector<std::unique_ptr<Instance>> instances;
     std::vector<Peer> peers;
     for (std::size_t i = 0; i < count; ++i) {
-        instances.push_back(std::make_unique<Instance>(i, threads, keyValue, log, bytes, times));
+        instances.push_back(std::make_unique<Instance>(fmt::format("vm-{}", i), fmt::format("zone-{}", i % zoneCount),
+                                                       threads, keyValue, log, times, [&bytes](wire::FrameT &frame) {
+                                                           bytes.add(frame);
+                                                       }));
         peers.push_back(instances.back()->self());
     }
     for (const auto &instance : instances) {
--- /dev/null
+++ b/tests/test_distributor.cpp
@@ -0,0 +1,205 @@
+#include "configurationinstance.h"
+#include "logging/eventlog.h"
+
+#include <array>
+
+#include <fmt/format.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace briarhinge;
+using namespace briarhinge::config;
+using briarhinge::tests::ConfigurationInstance;
+using briarhinge::tests::FakeKeyValue;
+
+namespace
+{
+
+std::string declarationOf(std::uint64_t revision)
+{
+    Declaration declaration;
+    declaration.deployment = fmt::format("revision-{}", revision);
+    return toJson(declaration);
+}
+
+DistributionTimes shortTimes()
+{
+    DistributionTimes times;
+    times.watchersPerZone = 1;
+    times.hold = base::Milliseconds(100);
+    times.answerLimit = base::Milliseconds(200);
+    times.avoid = base::Milliseconds(500);
+    times.retry = base::Milliseconds(20);
+    times.gapDelay = base::Milliseconds(20);
+    return times;
+}
+
+void waitUntil(const std::function<bool()> &condition)
+{
+    constexpr int polls = 5000;
+    for (int i = 0; i < polls && !condition(); ++i) {
+        std::this_thread::sleep_for(base::Milliseconds(2));
+    }
+    CHECK(condition());
+}
+
+}
+
+TEST_GROUP(Distributor)
+{
+    FakeKeyValue keyValue;
+    /** A service that some instances can't reach. */
+    FakeKeyValue cutOff;
+    logging::EventLog log{"test"};
+    wire::IoThreads threads{2};
+    std::vector<std::unique_ptr<ConfigurationInstance>> instances;
+
+    void setup() override
+    {
+        cutOff.outage = true;
+    }
+
+    void teardown() override
+    {
+        for (const auto &instance : instances) {
+            instance->stop();
+        }
+        threads.stop();
+    }
+
+    ConfigurationInstance &add(FakeKeyValue & service)
+    {
+        const std::size_t index = instances.size();
+        instances.push_back(std::make_unique<ConfigurationInstance>(fmt::format("vm-{}", index),
+                                                                    fmt::format("zone-{}", index % 2), threads, service,
+                                                                    log, shortTimes(), [](wire::FrameT &) {}));
+        return *instances.back();
+    }
+
+    std::vector<Peer> peers() const
+    {
+        std::vector<Peer> all;
+        for (const auto &instance : instances) {
+            all.push_back(instance->self());
+        }
+        return all;
+    }
+
+    void apply(std::uint64_t revision)
+    {
+        Proposal proposal;
+        proposal.expected = base::Revision(revision - 1);
+        proposal.nonce = std::to_string(revision);
+        proposal.declaration = declarationOf(revision);
+        CHECK(std::holds_alternative<Accepted>(RevisionStore<FakeKeyValue>(keyValue).propose(proposal)));
+    }
+
+    void waitForAll(std::uint64_t revision)
+    {
+        for (const auto &instance : instances) {
+            waitUntil([&] {
+                return instance->has(revision);
+            });
+        }
+    }
+};
+
+TEST(Distributor, everyInstanceGetsEachRevision)
+{
+    for (int i = 0; i < 12; ++i) {
+        add(keyValue);
+    }
+    for (const auto &instance : instances) {
+        instance->start(peers());
+    }
+    for (std::uint64_t revision = 1; revision <= 5; ++revision) {
+        apply(revision);
+        waitForAll(revision);
+    }
+}
+
+TEST(Distributor, instancesThatCannotReachTheServiceGetItFromAWatcherThatTheyDoNotAsk)
+{
+    constexpr int count = 8;
+    const auto nameOf = [](int index) {
+        return Peer{fmt::format("vm-{}", index), {}, {}};
+    };
+    // The first of each zone watches. Only the later one of the two reaches the service; the other asks nobody.
+    std::array<int, 2> watchers{0, 1};
+    for (int i = 0; i < count; ++i) {
+        int &watcher = watchers[static_cast<std::size_t>(i % 2)];
+        watcher = standsBefore(nameOf(i), nameOf(watcher)) ? i : watcher;
+    }
+    const int connected = standsBefore(nameOf(watchers[0]), nameOf(watchers[1])) ? watchers[1] : watchers[0];
+    for (int i = 0; i < count; ++i) {
+        add(i == connected ? keyValue : cutOff);
+    }
+    apply(1);
+    for (const auto &instance : instances) {
+        instance->start(peers());
+    }
+    waitForAll(1);
+    apply(2);
+    waitForAll(2);
+}
+
+TEST(Distributor, instanceAloneReadsTheServiceItself)
+{
+    apply(1);
+    add(keyValue).start({});
+    waitForAll(1);
+    apply(2);
+    waitForAll(2);
+}
+
+TEST(Distributor, startDuringAnOutageTakesTheHighestRevisionOfThePeersAndNotTheFirst)
+{
+    for (int i = 0; i < 5; ++i) {
+        ConfigurationInstance &peer = add(cutOff);
+        const auto revision = static_cast<std::uint64_t>(i == 3 ? 9 : 4);
+        peer.inForce().offer(base::Revision(revision), declarationOf(revision));
+    }
+    ConfigurationInstance &started = add(cutOff);
+    std::vector<std::uint64_t> taken;
+    started.inForce().listen([&] {
+        taken.push_back(started.inForce().revision().value());
+    });
+    started.start(peers());
+    waitUntil([&] {
+        return started.has(9);
+    });
+    CHECK_EQUAL(1U, taken.size());
+}
+
+TEST(Distributor, revisionSeenOnAFrameIsFetchedFromItsHolder)
+{
+    ConfigurationInstance &behind = add(cutOff);
+    ConfigurationInstance &holder = add(cutOff);
+    behind.inForce().offer(base::Revision(1), declarationOf(1));
+    holder.inForce().offer(base::Revision(2), declarationOf(2));
+    // No peer is known: only the frame tells.
+    behind.start({});
+    behind.distributor().seen(base::Revision(2), holder.self().address);
+    waitUntil([&] {
+        return behind.has(2);
+    });
+}
+
+TEST(Distributor, revisionThatTheProcessFindsInvalidLeavesTheOlderOneInForce)
+{
+    apply(1);
+    ConfigurationInstance &instance = add(keyValue);
+    instance.start({});
+    waitForAll(1);
+    Proposal broken;
+    broken.expected = base::Revision(1);
+    broken.nonce = "broken";
+    broken.declaration = "{\"deployment\": 1}";
+    RevisionStore<FakeKeyValue>(keyValue).propose(broken);
+    waitUntil([&] {
+        return instance.inForce().highestSeen() == base::Revision(2);
+    });
+    CHECK_EQUAL(1U, instance.inForce().revision().value());
+    apply(3);
+    waitForAll(3);
+}
