--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -73,6 +73,10 @@
     : m_settings(settings)
     , m_log(log)
     , m_threads(settings.ioThreads)
+    , m_invariants([this](const std::string &violation) {
+        m_metrics.invariantViolated();
+        m_log.write(logging::events::invariantViolated, {{"violation", violation}});
+    })
     , m_configuration(
           {settings.name, settings.zone, settings.listen}, m_threads.context(), settings.keyValueUrl,
           [this](const wire::Address &address) {
@@ -99,7 +103,7 @@
         return makeChannel(address);
     })
     , m_dispatcher(m_threads.context(), m_directory, log, policyOf(settings), dispatchSettings(settings))
-    , m_service(m_clock, m_recordLog, m_dispatcher, m_policies,
+    , m_service(m_clock, m_recordLog, m_dispatcher, m_policies, m_invariants,
                 [this](const base::ProgramId &root) {
                     return m_owners.serves(root);
                 })
--- a/src/briarhinged/entryprocess.h
+++ b/src/briarhinged/entryprocess.h
@@ -56,6 +56,7 @@
     logging::EventLog &m_log;
     wire::IoThreads m_threads;
     metrics::Metrics m_metrics;
+    base::InvariantMonitor m_invariants;
     base::SystemClock m_clock;
     config::ConfigurationNode m_configuration;
     Policies m_policies;
--- a/src/libbriarhinge/core/budget.cpp
+++ b/src/libbriarhinge/core/budget.cpp
@@ -103,7 +103,7 @@
 
 void Budget::grant(const Amounts &amounts)
 {
-    // A grant whose answer was lost may be in the log twice.
+    // Grants that wait for the log at the same time overlap, and one whose answer was lost may be in the log twice.
     m_granted = atMost(m_granted + amounts, m_limit);
 }
 
--- a/src/libbriarhinge/placement/rundispatcher.cpp
+++ b/src/libbriarhinge/placement/rundispatcher.cpp
@@ -39,7 +39,7 @@
     if (call.request.kind == core::CallKind::Tool) {
         return core::bodyDigest(call.request);
     }
-    return base::digestOf({call.request.target.value(), call.prompt});
+    return promptDigest(call.request.target, call.prompt);
 }
 
 base::Milliseconds millisecondsBetween(SteadyTime from, SteadyTime to)
@@ -146,31 +146,21 @@
     SuspectVerdict verdict = SuspectVerdict::Clear;
     {
         const std::scoped_lock lock(run->mutex, m_mutex);
-        verdict = m_suspects.judge(run->digest);
+        verdict = m_suspects.extendsQuarantined(run->call.request.target, run->call.prompt)
+            ? SuspectVerdict::Quarantined
+            : m_suspects.judge(run->digest);
         run->isOnTrial = verdict == SuspectVerdict::RunAlone;
         if (verdict == SuspectVerdict::Wait) {
             m_waiting[run->digest].push_back(run);
         }
     }
     if (verdict == SuspectVerdict::Quarantined) {
-        refuseQuarantined(run);
+        finish(run, quarantineOutcome(*run));
     } else if (verdict != SuspectVerdict::Wait) {
         place(run);
     }
 }
 
-void RunDispatcher::refuseQuarantined(const RunPtr &run)
-{
-    const std::string reason = "this request crashed two upstreams and is not run again";
-    bool mayHaveRun = false;
-    {
-        const std::lock_guard lock(run->mutex);
-        mayHaveRun = run->mayHaveRun;
-    }
-    // A request that never left for an upstream was not run, whatever others of its digest did.
-    finish(run, mayHaveRun ? core::Outcome{core::Failed{reason}} : core::Outcome{core::NotRun{reason, std::nullopt}});
-}
-
 void RunDispatcher::place(const RunPtr &run)
 {
     const std::vector<Candidate> candidates = eligible(*run);
@@ -414,7 +404,7 @@
     if (wasCancelled) {
         finish(run, outcome);
     } else if (result.quarantined) {
-        quarantined(run, outcome);
+        quarantined(run);
     } else if (result.suspect) {
         upstreamCrashed(run, attempt, outcome);
     } else {
@@ -487,7 +477,7 @@
                  {"digest", run->digest.value()},
                  {"quarantined", isQuarantined}});
     if (isQuarantined) {
-        quarantined(run, core::Failed{"this request crashed two upstreams and is not run again"});
+        quarantined(run);
     } else if (run->mayRunAgain()) {
         start(run);
     } else {
@@ -495,11 +485,11 @@
     }
 }
 
-void RunDispatcher::quarantined(const RunPtr &run, const core::Outcome &outcome)
+void RunDispatcher::quarantined(const RunPtr &run)
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_suspects.quarantine(run->digest);
+        m_suspects.quarantine(run->digest, run->call.request.target, run->call.prompt);
     }
     for (const Candidate &runner : m_directory.all()) {
         wire::QuarantineT quarantine;
@@ -508,7 +498,19 @@
         message.Set(std::move(quarantine));
         runner.channel->ask(std::move(message), [](const wire::ChannelReply &) {});
     }
-    finish(run, run->call.request.idempotent ? outcome : core::Outcome{core::Unknown{"its upstream crashed"}});
+    finish(run, quarantineOutcome(*run));
+}
+
+core::Outcome RunDispatcher::quarantineOutcome(CallRun &run)
+{
+    const std::lock_guard lock(run.mutex);
+    if (!run.mayHaveRun) {
+        return core::NotRun{"this request, or one in the program's history, crashed two upstreams", std::nullopt};
+    }
+    if (run.call.request.idempotent) {
+        return core::Failed{"this request crashed two upstreams and is not run again"};
+    }
+    return core::Unknown{"the upstream crashed while the call ran"};
 }
 
 bool RunDispatcher::takeRetry()
--- a/src/libbriarhinge/placement/rundispatcher.h
+++ b/src/libbriarhinge/placement/rundispatcher.h
@@ -76,7 +76,6 @@
     };
 
     void start(const RunPtr &run);
-    void refuseQuarantined(const RunPtr &run);
     void place(const RunPtr &run);
     void askAndPlace(const RunPtr &run, const std::vector<Candidate> &asked);
     void placeNow(const RunPtr &run);
@@ -94,7 +93,8 @@
     void countResult(const Attempt &attempt, const wire::CallResultT &result);
     void lost(const RunPtr &run, const AttemptPtr &attempt, const wire::ChannelError &error);
     void upstreamCrashed(const RunPtr &run, const AttemptPtr &attempt, const core::Outcome &outcome);
-    void quarantined(const RunPtr &run, const core::Outcome &outcome);
+    void quarantined(const RunPtr &run);
+    static core::Outcome quarantineOutcome(CallRun &run);
     void tryElsewhere(const RunPtr &run, const AttemptPtr &attempt, const core::Outcome &outcome);
     bool takeRetry();
     void noRunnerLeft(const RunPtr &run);
--- a/src/libbriarhinge/placement/suspecttable.cpp
+++ b/src/libbriarhinge/placement/suspecttable.cpp
@@ -3,6 +3,19 @@
 namespace briarhinge::placement
 {
 
+namespace
+{
+
+/** Bounds the prefixes that are hashed for a call. */
+constexpr std::size_t maxLengths = 64;
+
+}
+
+base::Digest promptDigest(const base::TargetName &target, std::string_view prompt)
+{
+    return base::digestOf({target.value(), prompt});
+}
+
 SuspectTable::SuspectTable(std::size_t maxDigests)
     : m_maxDigests(maxDigests)
 {
@@ -50,9 +63,26 @@
     }
 }
 
-void SuspectTable::quarantine(const base::Digest &digest)
+void SuspectTable::quarantine(const base::Digest &digest, const base::TargetName &target, std::string_view prompt)
 {
     suspectOf(digest).crashes = crashesUntilQuarantine;
+    if (digest == promptDigest(target, prompt) && m_lengths.size() < maxLengths) {
+        m_lengths.insert(prompt.size());
+    }
+}
+
+bool SuspectTable::extendsQuarantined(const base::TargetName &target, std::string_view prompt) const
+{
+    for (const std::size_t length : m_lengths) {
+        if (length >= prompt.size()) {
+            return false;
+        }
+        const auto found = m_suspects.find(promptDigest(target, prompt.substr(0, length)));
+        if (found != m_suspects.end() && found->second.crashes >= crashesUntilQuarantine) {
+            return true;
+        }
+    }
+    return false;
 }
 
 std::vector<base::Digest> SuspectTable::quarantined() const
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -236,9 +236,19 @@
     CHECK(SuspectVerdict::RunAlone == table.judge(digest));
 }
 
+TEST(SuspectTable, quarantinesPromptsThatBeginWithAQuarantinedOne)
+{
+    const base::TargetName model("small");
+    table.quarantine(promptDigest(model, "bad"), model, "bad");
+    CHECK(table.extendsQuarantined(model, "bad and more"));
+    CHECK_FALSE(table.extendsQuarantined(model, "ba"));
+    CHECK_FALSE(table.extendsQuarantined(model, "good and more"));
+    CHECK_FALSE(table.extendsQuarantined(base::TargetName("large"), "bad and more"));
+}
+
 TEST(SuspectTable, remembersABoundedNumber)
 {
-    table.quarantine(digest);
+    table.quarantine(digest, base::TargetName("small"), "a");
     table.crashed(base::Digest("b"), "runner-0", false);
     table.crashed(base::Digest("c"), "runner-0", false);
     CHECK(SuspectVerdict::Clear == table.judge(digest));
