--- a/tests/bench/distribution.cpp
+++ b/tests/bench/distribution.cpp
@@ -30,6 +30,7 @@
 constexpr std::chrono::seconds settle{5};
 constexpr std::chrono::milliseconds betweenRevisions{1000};
 constexpr std::chrono::seconds idleTime{10};
+constexpr std::chrono::seconds giveUp{30};
 
 /** Counts the bytes of the requests that instances send each other. */
 class ByteCount
@@ -73,6 +74,10 @@
     store.propose(proposalOf(index, declaration));
     for (const auto &instance : instances) {
         while (!instance->has(static_cast<std::uint64_t>(index) + 1)) {
+            if (SteadyClock::now() - begin > giveUp) {
+                std::cerr << fmt::format("{} does not have revision {}\n", instance->self().name, index + 1);
+                std::exit(EXIT_FAILURE);
+            }
             std::this_thread::sleep_for(std::chrono::microseconds(200));
         }
     }
@@ -119,9 +124,14 @@
                              milliseconds[milliseconds.size() / 2], milliseconds.back(), callsPerSecond,
                              (changes - idleShare) / revisions, bytesPerSecond)
               << std::flush;
+    // Each waits for its watch: all at once.
+    std::vector<std::jthread> stopping;
     for (const auto &instance : instances) {
-        instance->stop();
+        stopping.emplace_back([&instance] {
+            instance->stop();
+        });
     }
+    stopping.clear();
     threads.stop();
 }
 
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import json
 import os
+import tempfile
 import unittest
 
 import stack
@@ -23,10 +24,10 @@
         with open(EXAMPLE, encoding="utf-8") as text:
             document = json.load(text)
         document["kinds"][0].update(changes)
-        path = self.stack.path(f"declaration-{len(os.listdir(self.stack.folder))}.json")
-        with open(path, "w", encoding="utf-8") as text:
+        with tempfile.NamedTemporaryFile("w", dir=self.stack.folder, suffix=".json", delete=False,
+                                         encoding="utf-8") as text:
             json.dump(document, text)
-        return path
+        return text.name
 
     def apply(self, *words, **changes):
         """Applies the example with changes; returns the exit code and the output."""
@@ -97,7 +98,7 @@
                 lambda name: self.apply("--expect", "1", "--who", name, priority=int(name[-1])), operators))
         codes = [code for code, _ in answers]
         self.assertEqual(codes.count(OK), 1)
-        self.assertEqual(codes.count(LOST_RACE), len(operators) - 1)
+        self.assertEqual(codes.count(LOST_RACE), len(operators) - 1, answers)
         winner = operators[codes.index(OK)]
         for code, output in answers:
             if code == LOST_RACE:
