--- a/tests/bench/distribution.cpp
+++ b/tests/bench/distribution.cpp
@@ -1,9 +1,5 @@
-#include "config/configurationserver.h"
-#include "config/distributor.h"
-#include "fakekeyvalue.h"
+#include "configurationinstance.h"
 #include "logging/eventlog.h"
-#include "wire/frameserver.h"
-#include "wire/iothreads.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -25,6 +21,7 @@
 using namespace briarhinge;
 using namespace briarhinge::config;
 using tests::FakeKeyValue;
+using Instance = tests::ConfigurationInstance;
 using SteadyClock = std::chrono::steady_clock;
 
 constexpr std::size_t zoneCount = 7;
@@ -33,6 +30,7 @@
 constexpr std::chrono::seconds settle{5};
 constexpr std::chrono::milliseconds betweenRevisions{1000};
 constexpr std::chrono::seconds idleTime{10};
+constexpr std::chrono::seconds giveUp{30};
 
 /** Counts the bytes of the requests that instances send each other. */
 class ByteCount
@@ -52,73 +50,6 @@
     std::atomic<std::uint64_t> m_bytes{0};
 };
 
-/** One process of the system, as far as its configuration goes. */
-class Instance
-{
-public:
-    Instance(std::size_t index, wire::IoThreads &threads, FakeKeyValue &keyValue, logging::EventLog &log,
-             ByteCount &bytes, const DistributionTimes &times)
-        : m_server(
-            threads.context(), log,
-            [this](const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame) {
-                if (const auto *fetch = frame.message.AsFetchConfiguration()) {
-                    m_answers->received(session, frame.request_id, *fetch);
-                }
-            },
-            [](const auto &, const auto &) {})
-    {
-        const auto port = std::get<std::uint16_t>(m_server.listen({"127.0.0.1", 0}));
-        m_self = {fmt::format("vm-{}", index),
-                  base::ZoneName(fmt::format("zone-{}", index % zoneCount)),
-                  {"127.0.0.1", port}};
-        m_answers = std::make_unique<ConfigurationServer>(threads.context(), m_inForce,
-                                                          [this](base::Revision seen, const wire::Address &holder) {
-                                                              m_distributor->seen(seen, holder);
-                                                          });
-        m_inForce.listen([this] {
-            m_reached = m_inForce.revision().value();
-        });
-        m_distributor = std::make_unique<Distributor<FakeKeyValue>>(
-            m_self, keyValue, m_inForce,
-            [&threads, &bytes](const wire::Address &address) {
-                return std::make_shared<wire::FrameChannel>(threads.context(), address, [&bytes](wire::FrameT &frame) {
-                    bytes.add(frame);
-                });
-            },
-            log, times);
-    }
-
-    const Peer &self() const
-    {
-        return m_self;
-    }
-
-    void start(const std::vector<Peer> &peers)
-    {
-        m_distributor->updatePeers(peers);
-        m_distributor->start();
-    }
-
-    void stop()
-    {
-        m_distributor->stop();
-        m_server.stop();
-    }
-
-    bool has(std::uint64_t revision) const
-    {
-        return m_reached >= revision;
-    }
-
-private:
-    InForce m_inForce;
-    std::unique_ptr<ConfigurationServer> m_answers;
-    wire::FrameServer m_server;
-    Peer m_self;
-    std::unique_ptr<Distributor<FakeKeyValue>> m_distributor;
-    std::atomic<std::uint64_t> m_reached{0};
-};
-
 std::uint64_t callsOf(const FakeKeyValue &keyValue)
 {
     return keyValue.reads + keyValue.writes + keyValue.watches;
@@ -143,6 +74,10 @@
     store.propose(proposalOf(index, declaration));
     for (const auto &instance : instances) {
         while (!instance->has(static_cast<std::uint64_t>(index) + 1)) {
+            if (SteadyClock::now() - begin > giveUp) {
+                std::cerr << fmt::format("{} does not have revision {}\n", instance->self().name, index + 1);
+                std::exit(EXIT_FAILURE);
+            }
             std::this_thread::sleep_for(std::chrono::microseconds(200));
         }
     }
@@ -159,7 +94,10 @@
     std::vector<std::unique_ptr<Instance>> instances;
     std::vector<Peer> peers;
     for (std::size_t i = 0; i < count; ++i) {
-        instances.push_back(std::make_unique<Instance>(i, threads, keyValue, log, bytes, times));
+        instances.push_back(std::make_unique<Instance>(fmt::format("vm-{}", i), fmt::format("zone-{}", i % zoneCount),
+                                                       threads, keyValue, log, times, [&bytes](wire::FrameT &frame) {
+                                                           bytes.add(frame);
+                                                       }));
         peers.push_back(instances.back()->self());
     }
     for (const auto &instance : instances) {
@@ -186,9 +124,14 @@
                              milliseconds[milliseconds.size() / 2], milliseconds.back(), callsPerSecond,
                              (changes - idleShare) / revisions, bytesPerSecond)
               << std::flush;
+    // Each waits for its watch: all at once.
+    std::vector<std::jthread> stopping;
     for (const auto &instance : instances) {
-        instance->stop();
+        stopping.emplace_back([&instance] {
+            instance->stop();
+        });
     }
+    stopping.clear();
     threads.stop();
 }
 
