--- a/tests/test_ownership.cpp
+++ b/tests/test_ownership.cpp
@@ -86,7 +86,7 @@
               [this] {
                   m_keeper.superseded();
               })
-        , m_service(m_clock, m_log, dispatcher, m_policies,
+        , m_service(m_clock, m_log, dispatcher, m_policies, m_invariants,
                     [this](const base::ProgramId &root) {
                         return m_owners.serves(root);
                     })
@@ -145,6 +145,9 @@
 private:
     wire::IoThreads m_threads{1};
     base::SystemClock m_clock;
+    base::InvariantMonitor m_invariants{[](const std::string &violation) {
+        FAIL(violation.c_str());
+    }};
     entry::FixedPolicies m_policies;
     entry::OwnerMap m_owners;
     Log m_log;
