--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -57,6 +57,11 @@
 inline constexpr EventKind callStalled{540, "call-stalled", Level::Warning};
 inline constexpr EventKind callSuspected{541, "call-suspected", Level::Warning};
 inline constexpr EventKind callLimited{542, "call-limited", Level::Info};
+inline constexpr EventKind configurationInForce{700, "configuration-in-force", Level::Info};
+inline constexpr EventKind configurationRefused{701, "configuration-refused", Level::Error};
+inline constexpr EventKind configurationGap{702, "configuration-gap", Level::Warning};
+inline constexpr EventKind configurationFromPeers{703, "configuration-from-peers", Level::Warning};
+inline constexpr EventKind operatorDrain{704, "operator-drain", Level::Info};
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
 // clang-format off
@@ -92,6 +97,11 @@
     callStalled,
     callSuspected,
     callLimited,
+    configurationInForce,
+    configurationRefused,
+    configurationGap,
+    configurationFromPeers,
+    operatorDrain,
     invariantViolated,
 };
 // clang-format on
