Entry: A lost owner is followed by one attempt, not two

Cause: the end of the connection and the change of the owner in the table both tell of one loss. Each started an attempt at the next owner; when the first of them had streamed a piece before the second began, the caller got the answer's beginning twice. Before: RequestRouter.LossThatIsToldTwiceIsFollowedByOneAttempt sees 3 attempts.

--- a/src/libbriarhinge/entry/requestrouter.cpp
+++ b/src/libbriarhinge/entry/requestrouter.cpp
@@ -159,6 +159,8 @@
         if (routed->isFinished || routed->attempt != attempt) {
             return;
         }
+        // The connection and the change of the owner may both tell of one loss: only one attempt follows it.
+        ++routed->attempt;
         routed->mayHaveRun = routed->mayHaveRun || mayHaveRun;
         mayHaveRun = routed->mayHaveRun;
         // Another run may word its answer differently: what the caller has already must not be continued by it.
