--- a/src/briarhinged/runnerprocess.h
+++ b/src/briarhinged/runnerprocess.h
@@ -143,6 +143,7 @@
     {
         runner::RunnerPolicy policy;
         policy.concurrency.most = settings.concurrency;
+        policy.concurrency.tokenGapTarget = settings.tokenGapTarget;
         policy.queueWaitLimit = settings.queueWaitLimit;
         policy.callTimeout = settings.callTimeout;
         policy.toolTimeouts = settings.toolTimeouts;
