Tests: Ports lie outside the range of outgoing connections

Cause: a runner process did not become ready in 15 s in one of 79 tests (test_drained_runner_takes_no_new_work) while other stacks ran: a port that was free when asked for can be taken by an outgoing connection before its server binds. Not shown: that this was the cause of that one case; its log was gone with its stack.

--- a/tests/system/stack.py
+++ b/tests/system/stack.py
@@ -1,5 +1,6 @@
 """Starts the stand-ins and the daemons of one deployment on 127.0.0.1 and ends them by their ids."""
 
+import itertools
 import json
 import os
 import shutil
@@ -18,11 +19,22 @@
 STOP_TIMEOUT_S = 20
 
 
+# Below the ports that the kernel gives to outgoing connections: one of those could take a port before its server does.
+FIRST_PORT = 10_000
+PORTS = 20_000
+_ports = itertools.count(os.getpid() * 101)
+
+
 def free_port():
     """Returns a port of 127.0.0.1 that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = FIRST_PORT + next(_ports) % PORTS
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def ask(method, url, body=None, timeout=30):
