--- a/tests/bench/distribution.cpp
+++ b/tests/bench/distribution.cpp
@@ -126,6 +126,7 @@
               << std::flush;
     // Each waits for its watch: all at once.
     std::vector<std::jthread> stopping;
+    stopping.reserve(instances.size());
     for (const auto &instance : instances) {
         stopping.emplace_back([&instance] {
             instance->stop();
--- a/tests/fuzz/main.cpp
+++ b/tests/fuzz/main.cpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 /** The entry point that libFuzzer looks for. */
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer sets the name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     briarhinge::fuzz::feed({data, size});
--- a/tests/test_distribution.cpp
+++ b/tests/test_distribution.cpp
@@ -32,6 +32,7 @@
 std::vector<Peer> peersOf(int count)
 {
     std::vector<Peer> peers;
+    peers.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         peers.push_back({"vm-" + std::to_string(i),
                          base::ZoneName("zone-" + std::to_string(i % 3)),
