Measure: The kinds have their priorities declared

Cause: without a declaration every kind had the same priority, so the highest class went before nothing.

--- a/util/measurement/bench.py
+++ b/util/measurement/bench.py
@@ -15,6 +15,7 @@
 ENGINE_FLAGS = ("--step-us", "10000", "--sequence-us", "500", "--prefill-ns", "40000", "--batch", "8",
                 "--cache-tokens", "24000", "--threads", "24")
 RUNNER_FLAGS = ("--concurrency", "8", "--io-threads", "1", "--http-threads", "4", "--engine-cache-tokens", "24000")
+PRIORITIES = {"high": 100, "normal": 50, "low": 0}
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -29,6 +30,20 @@
     fault: str = ""
 
 
+def declare(running):
+    """Applies a declaration with the priorities of the kinds and waits until it is in force everywhere."""
+    budget = {"tokens": 100_000_000, "money": 1_000_000, "calls": 1000}
+    kinds = [{"name": kind.name, "priority": PRIORITIES[kind.group], "budget": budget, "wallTime": "1h",
+              "cacheWeight": 0.1}
+             for kind in workload.KINDS]
+    path = running.path("declaration.json")
+    with open(path, "w", encoding="utf-8") as declaration:
+        json.dump({"deployment": "measure", "kinds": kinds, "pools": [], "accounts": []}, declaration)
+    code, _, errors = running.ctl("apply", path, "--wait")
+    if code != 0:
+        raise RuntimeError(f"the declaration was refused: {errors}")
+
+
 def start(deployment):
     """Starts the processes of a deployment over two zones."""
     running = stack.Stack()
@@ -43,6 +58,7 @@
             running.entry(f"entry-{i}", "rwc-" + "ab"[i % 2], *deployment.entry_flags)
         running.publish()
         running.wait_ready()
+        declare(running)
     except BaseException:
         running.close()
         raise
