--- a/standins/engine/batcher.cpp
+++ b/standins/engine/batcher.cpp
@@ -102,7 +102,6 @@
             stepTime = admit() + m_speed.step + m_speed.perSequence * m_running.size();
         }
         std::this_thread::sleep_for(stepTime);
-        const std::lock_guard lock(m_mutex);
         makeTokens();
     }
 }
@@ -131,26 +130,41 @@
 
 void Batcher::makeTokens()
 {
+    // Only this thread changes the running sequences. Their callbacks wait for threads of HTTP, which may wait for the
+    // lock: they are called without it.
     for (auto running = m_running.begin(); running != m_running.end();) {
-        std::string text = tokenText(running->seed, running->made++);
-        const std::uint64_t before = running->answer.size();
-        running->answer += text;
-        ++m_account.completionTokens;
-        bool listening = true;
-        if (running->answer.size() > running->sequence.resumeFrom) {
-            const std::uint64_t from = std::max(before, running->sequence.resumeFrom);
-            listening = running->sequence.token(running->answer.substr(from));
-        }
+        const bool listening = makeToken(*running);
         if (listening && running->made < running->answerTokens) {
             ++running;
             continue;
         }
+        const Running ended = std::move(*running);
+        {
+            const std::lock_guard lock(m_mutex);
+            running = m_running.erase(running);
+            if (listening) {
+                m_cache.touch(blocksOf(ended.sequence.prompt + ended.answer));
+            }
+        }
         if (listening) {
-            m_cache.touch(blocksOf(running->sequence.prompt + running->answer));
-            running->sequence.done(running->promptTokens, running->cachedTokens, running->made);
+            ended.sequence.done(ended.promptTokens, ended.cachedTokens, ended.made);
         }
-        running = m_running.erase(running);
     }
 }
 
+bool Batcher::makeToken(Running &running)
+{
+    const std::uint64_t before = running.answer.size();
+    running.answer += tokenText(running.seed, running.made++);
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_account.completionTokens;
+    }
+    if (running.answer.size() <= running.sequence.resumeFrom) {
+        return true;
+    }
+    const std::uint64_t from = std::max(before, running.sequence.resumeFrom);
+    return running.sequence.token(running.answer.substr(from));
+}
+
 }
--- a/standins/engine/batcher.h
+++ b/standins/engine/batcher.h
@@ -95,6 +95,8 @@
     void loop(const std::stop_token &stop);
     std::chrono::nanoseconds admit();
     void makeTokens();
+    /** @return whether anyone still listens */
+    bool makeToken(Running &running);
 
     const Speed m_speed;
     std::mutex m_mutex;
