Stand-ins: Requests no longer starve each other of threads

Cause, by backtrace: all 8 threads of the stalled engine stood in extract_vector().get(), waiting for bodies that need one of these threads. Left: the handlers should be given the body (extract, then handle); 64 callers at once can still starve them.

--- a/standins/common/httpstandin.cpp
+++ b/standins/common/httpstandin.cpp
@@ -16,7 +16,8 @@
 /** Reads "--name value" pairs. */
 std::map<std::string, std::string> readOptions(int argc, char **argv)
 {
-    std::map<std::string, std::string> options{{"threads", "8"}};
+    // Handlers wait for bodies on these threads, which the bodies need as well: more threads than callers at once.
+    std::map<std::string, std::string> options{{"threads", "64"}};
     for (int i = 1; i + 1 < argc; i += 2) {
         options[std::string(argv[i]).substr(2)] = argv[i + 1];
     }
