Stand-ins: A request is handled once its body has arrived; one reading of a revision record

RevisionStore read and decoded a record in two places with the same lines; both now call readRecord.

--- a/src/libbriarhinge/config/revisionstore.h
+++ b/src/libbriarhinge/config/revisionstore.h
@@ -106,19 +106,7 @@
     /** @return the accepted revision */
     HeadResult head()
     {
-        const platform::ReadResult read = m_keyValue.read(headKey);
-        if (const auto *lost = std::get_if<platform::PlatformUnavailable>(&read)) {
-            return StoreUnavailable{lost->reason};
-        }
-        const auto *value = std::get_if<platform::KeyValue>(&read);
-        if (value == nullptr) {
-            return NoConfiguration{};
-        }
-        const auto record = decodeRecord(value->value);
-        if (!record) {
-            return BrokenRecord{headKey};
-        }
-        return Head{*record, value->version};
+        return readRecord(headKey);
     }
 
     /** @param revision one that was accepted @return its record */
@@ -306,7 +294,16 @@
 
     RevisionResult readKept(base::Revision revision)
     {
-        const std::string key = revisionKey(revision);
+        const HeadResult read = readRecord(revisionKey(revision));
+        if (const auto *kept = std::get_if<Head>(&read)) {
+            return kept->record;
+        }
+        return withoutHead<RevisionResult>(read);
+    }
+
+    /** @param key the head or a kept revision @return its record with the key's version */
+    HeadResult readRecord(const std::string &key)
+    {
         const platform::ReadResult read = m_keyValue.read(key);
         if (const auto *lost = std::get_if<platform::PlatformUnavailable>(&read)) {
             return StoreUnavailable{lost->reason};
@@ -319,7 +316,7 @@
         if (!record) {
             return BrokenRecord{key};
         }
-        return *record;
+        return Head{*record, value->version};
     }
 
     KeyValueT &m_keyValue;
--- a/standins/common/httpstandin.cpp
+++ b/standins/common/httpstandin.cpp
@@ -16,14 +16,26 @@
 /** Reads "--name value" pairs. */
 std::map<std::string, std::string> readOptions(int argc, char **argv)
 {
-    // Handlers wait for bodies on these threads, which the bodies need as well: more threads than callers at once.
-    std::map<std::string, std::string> options{{"threads", "64"}};
+    std::map<std::string, std::string> options{{"threads", "8"}};
     for (int i = 1; i + 1 < argc; i += 2) {
         options[std::string(argv[i]).substr(2)] = argv[i + 1];
     }
     return options;
 }
 
+/** Reads the body without keeping a thread of HTTP waiting: the body may need that thread to arrive. */
+void take(http_request request, const Handler &handler)
+{
+    request.extract_vector().then([request, handler](const pplx::task<std::vector<unsigned char>> &read) {
+        try {
+            const std::vector<unsigned char> bytes = read.get();
+            handler(request, {bytes.begin(), bytes.end()});
+        } catch (const std::exception &error) {
+            request.reply(status_codes::InternalError, error.what());
+        }
+    });
+}
+
 }
 
 std::map<std::string, std::string> queryOf(const http_request &request)
@@ -41,20 +53,13 @@
     return found == query.end() ? fallback : std::stoull(found->second);
 }
 
-std::string bodyOf(const http_request &request)
-{
-    const auto bytes = request.extract_vector().get();
-    return {bytes.begin(), bytes.end()};
-}
-
 void replyJson(const http_request &request, web::http::status_code status, const nlohmann::json &body)
 {
     request.reply(status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), "application/json");
 }
 
-int serve(
-    int argc, char **argv, const std::string &name,
-    const std::function<std::function<void(http_request)>(const std::map<std::string, std::string> &)> &makeHandler)
+int serve(int argc, char **argv, const std::string &name,
+          const std::function<Handler(const std::map<std::string, std::string> &)> &makeHandler)
 {
     sigset_t signals;
     sigemptyset(&signals);
@@ -68,7 +73,9 @@
     }
     crossplat::threadpool::initialize_with_threads(std::stoul(options.at("threads")));
     web::http::experimental::listener::http_listener listener("http://" + options.at("listen"));
-    listener.support(makeHandler(options));
+    listener.support([handler = makeHandler(options)](const http_request &request) {
+        take(request, handler);
+    });
     try {
         listener.open().get();
     } catch (const std::exception &error) {
--- a/standins/common/httpstandin.h
+++ b/standins/common/httpstandin.h
@@ -22,12 +22,12 @@
 std::uint64_t numberOf(const std::map<std::string, std::string> &query, const std::string &name,
                        std::uint64_t fallback);
 
-/** @return the whole body as text */
-std::string bodyOf(const http_request &request);
-
 /** Replies with JSON. */
 void replyJson(const http_request &request, web::http::status_code status, const nlohmann::json &body);
 
+/** Answers a request whose body has arrived in full. */
+using Handler = std::function<void(const http_request &request, const std::string &body)>;
+
 /**
  * Serves one stand-in until SIGTERM or SIGINT.
  *
@@ -36,8 +36,7 @@
  * @param makeHandler given the options, makes what answers the requests
  * @return the exit code
  */
-int serve(
-    int argc, char **argv, const std::string &name,
-    const std::function<std::function<void(http_request)>(const std::map<std::string, std::string> &)> &makeHandler);
+int serve(int argc, char **argv, const std::string &name,
+          const std::function<Handler(const std::map<std::string, std::string> &)> &makeHandler);
 
 }
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -48,17 +48,17 @@
         }
     }
 
-    void handle(const http_request &request)
+    void handle(const http_request &request, const std::string &text)
     {
         const std::string path = request.relative_uri().path();
         if (path == "/v1/chat/completions") {
-            complete(request);
+            complete(request, text);
         } else if (path == "/v1/cache/hold" || path == "/v1/cache/release") {
-            changeHold(request, path.ends_with("hold"));
+            changeHold(request, text, path.ends_with("hold"));
         } else if (path == "/v1/cache/renew") {
-            renewHolds(request);
+            renewHolds(request, text);
         } else if (path == "/v1/orders") {
-            order(request);
+            order(request, text);
         } else if (path == "/v1/events") {
             replyJson(request, status_codes::OK, laggingEvents(numberOf(queryOf(request), "after", 0)));
         } else if (path == "/v1/load") {
@@ -82,9 +82,9 @@
                 {"held", account.held}};
     }
 
-    void complete(const http_request &request)
+    void complete(const http_request &request, const std::string &text)
     {
-        const json body = json::parse(bodyOf(request), nullptr, false);
+        const json body = json::parse(text, nullptr, false);
         if (!body.is_object() || !body.contains("messages") || body["messages"].empty()) {
             replyJson(request, status_codes::BadRequest, {{"error", "messages must be given"}});
             return;
@@ -154,9 +154,9 @@
         buffer.sync().wait();
     }
 
-    void changeHold(const http_request &request, bool hold)
+    void changeHold(const http_request &request, const std::string &text, bool hold)
     {
-        const json body = json::parse(bodyOf(request));
+        const json body = json::parse(text);
         if (hold) {
             m_batcher.hold(body.value("user", ""), body.value("prompt", ""),
                            std::chrono::milliseconds(body.value("ttl_ms", 1000)));
@@ -166,9 +166,9 @@
         replyJson(request, status_codes::OK, json::object());
     }
 
-    void renewHolds(const http_request &request)
+    void renewHolds(const http_request &request, const std::string &text)
     {
-        const json body = json::parse(bodyOf(request));
+        const json body = json::parse(text);
         const json users = body.value("users", json::array());
         for (const json &user : users) {
             m_batcher.renew(user.get<std::string>(), std::chrono::milliseconds(body.value("ttl_ms", 1000)));
@@ -176,9 +176,9 @@
         replyJson(request, status_codes::OK, json::object());
     }
 
-    void order(const http_request &request)
+    void order(const http_request &request, const std::string &text)
     {
-        const json body = json::parse(bodyOf(request));
+        const json body = json::parse(text);
         const std::uint64_t fence = body.value("fence", std::uint64_t{0});
         const std::lock_guard lock(m_mutex);
         if (m_checksFencing && fence < m_fence) {
@@ -237,8 +237,8 @@
 {
     return serve(argc, argv, "standin-engine", [](const auto &options) {
         auto engine = std::make_shared<Engine>(options);
-        return [engine](const http_request &request) {
-            engine->handle(request);
+        return [engine](const http_request &request, const std::string &body) {
+            engine->handle(request, body);
         };
     });
 }
--- a/standins/keyvalue/main.cpp
+++ b/standins/keyvalue/main.cpp
@@ -53,11 +53,12 @@
 class Service
 {
 public:
-    void handle(const http_request &request)
+    void handle(const http_request &request, const std::string &body)
     {
         const std::string path = request.relative_uri().path();
         if (path == "/admin/faults") {
-            setFaults(request);
+            setFaults(body);
+            replyJson(request, status_codes::OK, json::object());
             return;
         }
         if (path == "/admin/counts") {
@@ -79,7 +80,7 @@
         } else if (request.method() == web::http::methods::GET) {
             read(request, path);
         } else {
-            write(request, path);
+            write(request, path, body);
         }
     }
 
@@ -94,15 +95,14 @@
         return true;
     }
 
-    void setFaults(const http_request &request)
+    void setFaults(const std::string &body)
     {
-        const json faults = json::parse(bodyOf(request));
+        const json faults = json::parse(body);
         m_delayMs = faults.value("delayMs", m_delayMs.load());
         m_outage = faults.value("outage", m_outage.load());
         m_loseAnswers = faults.value("loseAnswers", m_loseAnswers.load());
         m_writeLimit.setRate(faults.value("writesPerSecond", defaultWritesPerSecond));
         m_readLimit.setRate(faults.value("readsPerSecond", defaultReadsPerSecond));
-        replyJson(request, status_codes::OK, json::object());
     }
 
     void read(const http_request &request, const std::string &path)
@@ -130,14 +130,13 @@
         request.reply(response);
     }
 
-    void write(const http_request &request, const std::string &path)
+    void write(const http_request &request, const std::string &path, const std::string &value)
     {
         ++m_writes;
         if (limited(request, m_writeLimit)) {
             return;
         }
         const auto query = queryOf(request);
-        const std::string value = bodyOf(request);
         m_bytesWritten += value.size();
         if (value.size() > maxValueBytes) {
             request.reply(status_codes::RequestEntityTooLarge, "value over 1 MB");
@@ -231,8 +230,8 @@
 {
     return serve(argc, argv, "standin-keyvalue", [](const auto &) {
         auto service = std::make_shared<Service>();
-        return [service](const http_request &request) {
-            service->handle(request);
+        return [service](const http_request &request, const std::string &body) {
+            service->handle(request, body);
         };
     });
 }
--- a/standins/tool/main.cpp
+++ b/standins/tool/main.cpp
@@ -25,10 +25,10 @@
     {
     }
 
-    void handle(const http_request &request)
+    void handle(const http_request &request, const std::string &text)
     {
         const std::vector<std::string> parts = web::uri::split_path(request.relative_uri().path());
-        const json body = json::parse(bodyOf(request), nullptr, false);
+        const json body = json::parse(text, nullptr, false);
         if (parts.size() != 3 || parts[1] != "tools" || !body.is_object()) {
             replyJson(request, status_codes::BadRequest, {{"error", "POST /v1/tools/NAME with a JSON object"}});
             return;
@@ -81,8 +81,8 @@
     return serve(argc, argv, "standin-tool", [](const auto &options) {
         const auto effects = options.find("effects");
         auto service = std::make_shared<ToolService>(effects == options.end() ? "/dev/null" : effects->second);
-        return [service](const http_request &request) {
-            service->handle(request);
+        return [service](const http_request &request, const std::string &body) {
+            service->handle(request, body);
         };
     });
 }
--- a/standins/vmlist/main.cpp
+++ b/standins/vmlist/main.cpp
@@ -20,12 +20,12 @@
     }
 
     /** PUT /admin/vms replaces the list; PUT /admin/lag?ms=N sets the lag; GET /v1/vms reads it. */
-    void handle(const http_request &request)
+    void handle(const http_request &request, const std::string &body)
     {
         const std::string path = request.relative_uri().path();
         if (path == "/admin/vms") {
             const std::lock_guard lock(m_mutex);
-            m_versions.push_back({std::chrono::steady_clock::now() + m_lag, json::parse(bodyOf(request))});
+            m_versions.push_back({std::chrono::steady_clock::now() + m_lag, json::parse(body)});
             replyJson(request, status_codes::OK, json::object());
             return;
         }
@@ -68,8 +68,8 @@
 {
     return serve(argc, argv, "standin-vmlist", [](const auto &options) {
         auto list = std::make_shared<VmList>(std::chrono::milliseconds(numberOf(options, "lag", 0)));
-        return [list](const http_request &request) {
-            list->handle(request);
+        return [list](const http_request &request, const std::string &body) {
+            list->handle(request, body);
         };
     });
 }
