--- a/src/briarhingectl/configurationcommands.cpp
+++ b/src/briarhingectl/configurationcommands.cpp
@@ -5,7 +5,7 @@
 #include "config/revisionstore.h"
 #include "config/validator.h"
 #include "output.h"
-#include "platform/httpkeyvalue.h"
+#include "keyvalue/httpkeyvalue.h"
 #include "processcommands.h"
 
 #include <charconv>
@@ -24,7 +24,7 @@
 {
 
 using nlohmann::json;
-using Store = config::RevisionStore<platform::HttpKeyValue>;
+using Store = config::RevisionStore<keyvalue::HttpKeyValue>;
 
 constexpr base::Milliseconds keyValueTimeout{5000};
 
@@ -206,7 +206,7 @@
 
 std::variant<std::vector<config::RevisionRecord>, ExitCode> readHistory(const CommandLine &line)
 {
-    platform::HttpKeyValue keyValue(line.keyValue, keyValueTimeout);
+    keyvalue::HttpKeyValue keyValue(line.keyValue, keyValueTimeout);
     auto result = Store(keyValue).history();
     if (auto *records = std::get_if<std::vector<config::RevisionRecord>>(&result)) {
         return std::move(*records);
@@ -222,7 +222,7 @@
     if (const auto *failed = std::get_if<ExitCode>(&wanted)) {
         return *failed;
     }
-    platform::HttpKeyValue keyValue(line.keyValue, keyValueTimeout);
+    keyvalue::HttpKeyValue keyValue(line.keyValue, keyValueTimeout);
     const config::HeadResult head = Store(keyValue).head();
     const auto *present = std::get_if<config::Head>(&head);
     if (present == nullptr && !std::holds_alternative<config::NoConfiguration>(head)) {
@@ -245,7 +245,7 @@
     if (const auto *failed = std::get_if<ExitCode>(&wanted)) {
         return *failed;
     }
-    platform::HttpKeyValue keyValue(line.keyValue, keyValueTimeout);
+    keyvalue::HttpKeyValue keyValue(line.keyValue, keyValueTimeout);
     Store store(keyValue);
     return changeTo(line, store, "apply", std::get<std::string>(wanted));
 }
@@ -256,7 +256,7 @@
     if (!revision) {
         return fail("rollback takes a revision such as 3, not \"" + line.words[1] + "\"", ExitCode::Usage);
     }
-    platform::HttpKeyValue keyValue(line.keyValue, keyValueTimeout);
+    keyvalue::HttpKeyValue keyValue(line.keyValue, keyValueTimeout);
     Store store(keyValue);
     const config::RevisionResult old = store.revision(base::Revision(*revision));
     const auto *record = std::get_if<config::RevisionRecord>(&old);
@@ -268,7 +268,7 @@
 
 ExitCode show(const CommandLine &line)
 {
-    platform::HttpKeyValue keyValue(line.keyValue, keyValueTimeout);
+    keyvalue::HttpKeyValue keyValue(line.keyValue, keyValueTimeout);
     Store store(keyValue);
     if (line.words.size() == 1) {
         const config::HeadResult head = store.head();
--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -161,7 +161,7 @@
           [this](const http::OperatorRequest &request, const auto &reply) {
               m_operators.handle(request, reply);
           })
-    , m_vmList(settings.vmListUrl, settings.vmListInterval, [this](const platform::VmListResult &result) {
+    , m_vmList(settings.vmListUrl, settings.vmListInterval, [this](const membership::VmListResult &result) {
         takeVmList(result);
     })
 {
@@ -251,9 +251,9 @@
     return operators::statusReply(m_configuration.inForce(), {m_draining, inProgress()});
 }
 
-void EntryProcess::takeVmList(const platform::VmListResult &result)
+void EntryProcess::takeVmList(const membership::VmListResult &result)
 {
-    if (const auto *vms = std::get_if<std::vector<platform::Vm>>(&result)) {
+    if (const auto *vms = std::get_if<std::vector<membership::Vm>>(&result)) {
         m_directory.update(*vms);
         m_configuration.updatePeers(*vms);
         m_operators.update(*vms);
@@ -261,7 +261,7 @@
         return;
     }
     m_log.write(logging::events::platformUnavailable,
-                {{"service", "vm-list"}, {"reason", std::get<platform::PlatformUnavailable>(result).reason}});
+                {{"service", "vm-list"}, {"reason", std::get<keyvalue::PlatformUnavailable>(result).reason}});
 }
 
 void EntryProcess::keepOwnership(const std::stop_token &stop)
--- a/src/briarhinged/entryprocess.h
+++ b/src/briarhinged/entryprocess.h
@@ -10,8 +10,8 @@
 #include "metrics/metrics.h"
 #include "operators/operatorservice.h"
 #include "placement/rundispatcher.h"
-#include "platform/httpkeyvalue.h"
-#include "platform/vmlistfollower.h"
+#include "keyvalue/httpkeyvalue.h"
+#include "membership/vmlistfollower.h"
 #include "service/programservice.h"
 #include "settings/settings.h"
 #include "state/keyvaluelog.h"
@@ -43,14 +43,14 @@
 
 private:
     using Policies = config::DeclaredPolicies<entry::FixedPolicies>;
-    using Log = state::KeyValueLog<platform::HttpKeyValue>;
+    using Log = state::KeyValueLog<keyvalue::HttpKeyValue>;
     using Service = service::ProgramService<base::SystemClock, Log, placement::RunDispatcher, Policies>;
-    using Keeper = entry::OwnershipKeeper<platform::HttpKeyValue, Log, Service>;
+    using Keeper = entry::OwnershipKeeper<keyvalue::HttpKeyValue, Log, Service>;
 
     std::shared_ptr<wire::FrameChannel> makeChannel(const wire::Address &address);
     void handleLocal(const api::ClientRequest &request, const api::ClientSink &sink);
     api::ClientReply answerOperator(wire::OperatorVerb verb);
-    void takeVmList(const platform::VmListResult &result);
+    void takeVmList(const membership::VmListResult &result);
     void keepOwnership(const std::stop_token &stop);
     void sweepPrograms(const std::stop_token &stop);
 
@@ -64,8 +64,8 @@
     Policies m_policies;
     operators::OperatorService m_operators;
     /** Connections of their own, so that the log never waits behind a watch. */
-    platform::HttpKeyValue m_logService;
-    platform::HttpKeyValue m_keeperService;
+    keyvalue::HttpKeyValue m_logService;
+    keyvalue::HttpKeyValue m_keeperService;
     entry::OwnerMap m_owners;
     Log m_recordLog;
     placement::RunnerDirectory m_directory;
@@ -78,7 +78,7 @@
     std::atomic<bool> m_draining{false};
     std::atomic<bool> m_hasVmList{false};
     std::atomic<bool> m_hasTable{false};
-    platform::VmListFollower m_vmList;
+    membership::VmListFollower m_vmList;
     std::jthread m_beatThread;
     std::jthread m_keeperThread;
     std::jthread m_sweepThread;
--- a/src/briarhinged/runnerprocess.h
+++ b/src/briarhinged/runnerprocess.h
@@ -6,7 +6,7 @@
 #include "metrics/metrics.h"
 #include "operators/localanswers.h"
 #include "operators/operatorservice.h"
-#include "platform/vmlistfollower.h"
+#include "membership/vmlistfollower.h"
 #include "runner/runnerservice.h"
 #include "settings/settings.h"
 #include "wire/frameserver.h"
@@ -36,8 +36,8 @@
               },
               log)
         , m_vmList(settings.vmListUrl, settings.vmListInterval * vmListSlowdown,
-                   [this](const platform::VmListResult &result) {
-                       if (const auto *vms = std::get_if<std::vector<platform::Vm>>(&result)) {
+                   [this](const membership::VmListResult &result) {
+                       if (const auto *vms = std::get_if<std::vector<membership::Vm>>(&result)) {
                            m_configuration.updatePeers(*vms);
                        }
                    })
@@ -168,7 +168,7 @@
     logging::EventLog &m_log;
     wire::IoThreads m_threads;
     config::ConfigurationNode m_configuration;
-    platform::VmListFollower m_vmList;
+    membership::VmListFollower m_vmList;
     metrics::Metrics m_metrics;
     base::MonotonicClock m_clock;
     runner::RunnerService<UpstreamT> m_service;
--- a/src/libbriarhinge/config/configurationnode.cpp
+++ b/src/libbriarhinge/config/configurationnode.cpp
@@ -30,11 +30,11 @@
     m_distributor.stop();
 }
 
-void ConfigurationNode::updatePeers(const std::vector<platform::Vm> &vms)
+void ConfigurationNode::updatePeers(const std::vector<membership::Vm> &vms)
 {
     std::vector<Peer> peers;
     peers.reserve(vms.size());
-    for (const platform::Vm &vm : vms) {
+    for (const membership::Vm &vm : vms) {
         peers.push_back({vm.name, vm.zone, vm.address});
     }
     m_distributor.updatePeers(std::move(peers));
--- a/src/libbriarhinge/config/configurationnode.h
+++ b/src/libbriarhinge/config/configurationnode.h
@@ -2,8 +2,8 @@
 
 #include "config/configurationserver.h"
 #include "config/distributor.h"
-#include "platform/httpkeyvalue.h"
-#include "platform/vmlist.h"
+#include "keyvalue/httpkeyvalue.h"
+#include "membership/vmlist.h"
 
 #include <string>
 
@@ -14,7 +14,7 @@
 class ConfigurationNode
 {
 public:
-    using Distribution = Distributor<platform::HttpKeyValue>;
+    using Distribution = Distributor<keyvalue::HttpKeyValue>;
 
     /**
      * @param self this process
@@ -33,7 +33,7 @@
     void stop();
 
     /** Takes in the VM list. @param vms every VM */
-    void updatePeers(const std::vector<platform::Vm> &vms);
+    void updatePeers(const std::vector<membership::Vm> &vms);
 
     /**
      * Looks at a frame that arrived.
@@ -51,7 +51,7 @@
     const InForce &inForce() const;
 
 private:
-    platform::HttpKeyValue m_keyValue;
+    keyvalue::HttpKeyValue m_keyValue;
     InForce m_inForce;
     Distribution m_distributor;
     ConfigurationServer m_server;
--- a/src/libbriarhinge/config/distributor.h
+++ b/src/libbriarhinge/config/distributor.h
@@ -42,7 +42,7 @@
  * Kogan, CS-TR-170-88, section 4). Revisions number the stream, so a higher one on any frame shows a gap. A process
  * that reaches nobody on its list is the root of its part of the network and watches the service itself.
  */
-template <platform::KeyValueService KeyValueT>
+template <keyvalue::KeyValueService KeyValueT>
 class Distributor
 {
 public:
@@ -350,15 +350,15 @@
     /** Waits for a change of the head. @return whether the service answered */
     bool watch()
     {
-        const platform::WatchResult result = m_keyValue.watch(headKey, m_watched, m_times.hold);
-        const auto *changes = std::get_if<platform::Changes>(&result);
+        const keyvalue::WatchResult result = m_keyValue.watch(headKey, m_watched, m_times.hold);
+        const auto *changes = std::get_if<keyvalue::Changes>(&result);
         if (changes == nullptr) {
             return false;
         }
         if (changes->seen < m_watched) {
-            m_watched = platform::KeyVersion(0);
+            m_watched = keyvalue::KeyVersion(0);
         }
-        for (const platform::KeyValue &change : changes->changed) {
+        for (const keyvalue::KeyValue &change : changes->changed) {
             const auto record = decodeRecord(change.value);
             if (change.key == headKey && record) {
                 offer(record->audit.to, record->declaration);
@@ -403,7 +403,7 @@
     /** The rest is used by the thread only. */
     std::map<wire::Address, std::shared_ptr<wire::FrameChannel>> m_channels;
     std::map<wire::Address, std::chrono::steady_clock::time_point> m_avoidUntil;
-    platform::KeyVersion m_watched;
+    keyvalue::KeyVersion m_watched;
     std::jthread m_thread;
 };
 
--- a/src/libbriarhinge/config/revisionstore.h
+++ b/src/libbriarhinge/config/revisionstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "config/revisionrecord.h"
-#include "platform/keyvalue.h"
+#include "keyvalue/keyvalue.h"
 
 #include <functional>
 #include <string>
@@ -75,7 +75,7 @@
 struct Head
 {
     RevisionRecord record;
-    platform::KeyVersion version;
+    keyvalue::KeyVersion version;
 };
 
 using HeadResult = std::variant<Head, NoConfiguration, BrokenRecord, StoreUnavailable>;
@@ -90,7 +90,7 @@
  * replaced its value is kept under a key of its own by create-if-absent. So a revision and its audit entry appear at
  * once or not at all, and at every moment each revision from 1 up to the head can be read.
  */
-template <platform::KeyValueService KeyValueT>
+template <keyvalue::KeyValueService KeyValueT>
 class RevisionStore
 {
 public:
@@ -139,12 +139,12 @@
         std::vector<RevisionRecord> records;
         std::string after;
         while (true) {
-            const platform::ListResult page = m_keyValue.list(revisionPrefix, after, pageSize);
-            if (const auto *lost = std::get_if<platform::PlatformUnavailable>(&page)) {
+            const keyvalue::ListResult page = m_keyValue.list(revisionPrefix, after, pageSize);
+            if (const auto *lost = std::get_if<keyvalue::PlatformUnavailable>(&page)) {
                 return StoreUnavailable{lost->reason};
             }
-            const auto &keys = std::get<std::vector<platform::KeyValue>>(page);
-            for (const platform::KeyValue &key : keys) {
+            const auto &keys = std::get<std::vector<keyvalue::KeyValue>>(page);
+            for (const keyvalue::KeyValue &key : keys) {
                 auto record = decodeRecord(key.value);
                 if (!record) {
                     return BrokenRecord{key.key};
@@ -234,7 +234,7 @@
                 return *failed;
             }
         }
-        return replaceHead(proposal, found == nullptr ? platform::KeyVersion(0) : found->version, mayHaveWritten);
+        return replaceHead(proposal, found == nullptr ? keyvalue::KeyVersion(0) : found->version, mayHaveWritten);
     }
 
     /** The expected revision has a successor or never was: it is this proposal's own, or another's. */
@@ -267,25 +267,25 @@
     /** Keeps the head under a key of its own. That it is there already is as good: its value can't differ. */
     std::variant<std::monostate, TryAgain> keep(const Head &present)
     {
-        const platform::WriteResult kept =
-            m_keyValue.write(revisionKey(present.record.audit.to), encode(present.record), platform::KeyVersion(0), {});
-        if (const auto *lost = std::get_if<platform::PlatformUnavailable>(&kept)) {
+        const keyvalue::WriteResult kept =
+            m_keyValue.write(revisionKey(present.record.audit.to), encode(present.record), keyvalue::KeyVersion(0), {});
+        if (const auto *lost = std::get_if<keyvalue::PlatformUnavailable>(&kept)) {
             return TryAgain{lost->reason};
         }
         return std::monostate{};
     }
 
-    Attempt replaceHead(const Proposal &proposal, platform::KeyVersion version, bool &mayHaveWritten)
+    Attempt replaceHead(const Proposal &proposal, keyvalue::KeyVersion version, bool &mayHaveWritten)
     {
         const base::Revision next(proposal.expected.value() + 1);
         const RevisionRecord record{
             {proposal.who, proposal.when, proposal.what, proposal.expected, next, proposal.nonce},
             proposal.declaration};
-        const platform::WriteResult written = m_keyValue.write(headKey, encode(record), version, {});
-        if (std::holds_alternative<platform::KeyVersion>(written)) {
+        const keyvalue::WriteResult written = m_keyValue.write(headKey, encode(record), version, {});
+        if (std::holds_alternative<keyvalue::KeyVersion>(written)) {
             return ProposalResult(Accepted{next, false});
         }
-        if (const auto *lost = std::get_if<platform::PlatformUnavailable>(&written)) {
+        if (const auto *lost = std::get_if<keyvalue::PlatformUnavailable>(&written)) {
             mayHaveWritten = true;
             return TryAgain{lost->reason};
         }
@@ -304,11 +304,11 @@
     /** @param key the head or a kept revision @return its record with the key's version */
     HeadResult readRecord(const std::string &key)
     {
-        const platform::ReadResult read = m_keyValue.read(key);
-        if (const auto *lost = std::get_if<platform::PlatformUnavailable>(&read)) {
+        const keyvalue::ReadResult read = m_keyValue.read(key);
+        if (const auto *lost = std::get_if<keyvalue::PlatformUnavailable>(&read)) {
             return StoreUnavailable{lost->reason};
         }
-        const auto *value = std::get_if<platform::KeyValue>(&read);
+        const auto *value = std::get_if<keyvalue::KeyValue>(&read);
         if (value == nullptr) {
             return NoConfiguration{};
         }
--- a/src/libbriarhinge/entry/ownershipkeeper.h
+++ b/src/libbriarhinge/entry/ownershipkeeper.h
@@ -2,7 +2,7 @@
 
 #include "entry/ownermap.h"
 #include "logging/eventlog.h"
-#include "platform/keyvalue.h"
+#include "keyvalue/keyvalue.h"
 #include "service/concepts.h"
 #include "state/logreader.h"
 #include "state/partitiontable.h"
@@ -53,7 +53,7 @@
  * What it believes may be stale at any moment. Only two things make ownership safe: the table changes by
  * compare-and-swap, and the log of an owner that did not hand over is sealed before the table names another.
  */
-template <platform::KeyValueService KeyValueT, OwnedLog LogT, ProgramHolder ProgramsT>
+template <keyvalue::KeyValueService KeyValueT, OwnedLog LogT, ProgramHolder ProgramsT>
 class OwnershipKeeper
 {
 public:
@@ -125,7 +125,7 @@
     void waitForChange(base::Milliseconds limit)
     {
         const auto result = m_service.watch(tableKey, m_tableVersion, limit);
-        const auto *changes = std::get_if<platform::Changes>(&result);
+        const auto *changes = std::get_if<keyvalue::Changes>(&result);
         m_isTableStale = m_isTableStale || changes == nullptr || !changes->changed.empty();
     }
 
@@ -175,10 +175,10 @@
         const bool isMarked = m_leavingSince.has_value() || !m_isResigning;
         if (m_lease && isMarked) {
             const auto kept = m_service.keepLease(*m_lease);
-            if (std::holds_alternative<platform::LeaseId>(kept)) {
+            if (std::holds_alternative<keyvalue::LeaseId>(kept)) {
                 return true;
             }
-            if (std::holds_alternative<platform::PlatformUnavailable>(kept)) {
+            if (std::holds_alternative<keyvalue::PlatformUnavailable>(kept)) {
                 return false;
             }
             m_lease.reset();
@@ -192,7 +192,7 @@
     bool registerEntry()
     {
         const auto opened = m_service.openLease(m_leaseTime);
-        const auto *lease = std::get_if<platform::LeaseId>(&opened);
+        const auto *lease = std::get_if<keyvalue::LeaseId>(&opened);
         if (lease == nullptr) {
             return false;
         }
@@ -200,13 +200,13 @@
         self.leaving = m_isResigning;
         const std::string key = entriesPrefix + self.name;
         const auto read = m_service.read(key);
-        if (std::holds_alternative<platform::PlatformUnavailable>(read)) {
+        if (std::holds_alternative<keyvalue::PlatformUnavailable>(read)) {
             return false;
         }
-        const auto *present = std::get_if<platform::KeyValue>(&read);
+        const auto *present = std::get_if<keyvalue::KeyValue>(&read);
         const auto written = m_service.write(key, state::encodeEntry(self),
-                                             present == nullptr ? platform::KeyVersion(0) : present->version, *lease);
-        if (!std::holds_alternative<platform::KeyVersion>(written)) {
+                                             present == nullptr ? keyvalue::KeyVersion(0) : present->version, *lease);
+        if (!std::holds_alternative<keyvalue::KeyVersion>(written)) {
             return false;
         }
         m_lease = *lease;
@@ -219,12 +219,12 @@
     bool readLive()
     {
         const auto listed = m_service.list(entriesPrefix, "", maxEntries);
-        const auto *keys = std::get_if<std::vector<platform::KeyValue>>(&listed);
+        const auto *keys = std::get_if<std::vector<keyvalue::KeyValue>>(&listed);
         if (keys == nullptr) {
             return false;
         }
         m_live.clear();
-        for (const platform::KeyValue &key : *keys) {
+        for (const keyvalue::KeyValue &key : *keys) {
             if (const auto entry = state::decodeEntry(key.value)) {
                 m_live.push_back(*entry);
             }
@@ -248,10 +248,10 @@
             return true;
         }
         const auto read = m_service.read(tableKey);
-        if (std::holds_alternative<platform::PlatformUnavailable>(read)) {
+        if (std::holds_alternative<keyvalue::PlatformUnavailable>(read)) {
             return false;
         }
-        const auto *found = std::get_if<platform::KeyValue>(&read);
+        const auto *found = std::get_if<keyvalue::KeyValue>(&read);
         if (found == nullptr) {
             return !targets().empty() && writeTable(state::initialTable(targets()));
         }
@@ -279,10 +279,10 @@
     bool writeTable(const state::PartitionTable &table)
     {
         const auto written = m_service.write(tableKey, state::encodeTable(table), m_tableVersion, std::nullopt);
-        const auto *version = std::get_if<platform::KeyVersion>(&written);
+        const auto *version = std::get_if<keyvalue::KeyVersion>(&written);
         if (version == nullptr) {
             m_isTableStale = true;
-            m_isWriteLost = std::holds_alternative<platform::PlatformUnavailable>(written);
+            m_isWriteLost = std::holds_alternative<keyvalue::PlatformUnavailable>(written);
             return false;
         }
         m_tableVersion = *version;
@@ -570,7 +570,7 @@
     {
         const base::ProcessId self = m_owners.self().incarnation;
         for (int i = 0; i < removalsPerPass && m_removedTo < m_keptFrom; ++i) {
-            if (std::holds_alternative<platform::PlatformUnavailable>(
+            if (std::holds_alternative<keyvalue::PlatformUnavailable>(
                     m_service.remove(state::logKey(self, m_removedTo)))) {
                 return false;
             }
@@ -627,12 +627,12 @@
     logging::EventLog &m_events;
     const base::Milliseconds m_leaseTime;
     std::function<base::ProcessId()> m_makeIncarnation;
-    std::optional<platform::LeaseId> m_lease;
+    std::optional<keyvalue::LeaseId> m_lease;
     /** When the other entries could first see that this one is stopping. */
     std::optional<SteadyClock::time_point> m_leavingSince;
     std::vector<state::EntryInfo> m_live;
     state::PartitionTable m_table;
-    platform::KeyVersion m_tableVersion;
+    keyvalue::KeyVersion m_tableVersion;
     /** Positions of the own log before this one are not needed. */
     state::LogPosition m_keptFrom{1};
     state::LogPosition m_removedTo{1};
--- a/src/libbriarhinge/platform/httpkeyvalue.cpp
+++ b/src/libbriarhinge/keyvalue/httpkeyvalue.cpp
@@ -1,9 +1,9 @@
-#include "platform/httpkeyvalue.h"
+#include "keyvalue/httpkeyvalue.h"
 
 #include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
 
-namespace briarhinge::platform
+namespace briarhinge::keyvalue
 {
 
 namespace
--- a/src/libbriarhinge/platform/httpkeyvalue.h
+++ b/src/libbriarhinge/keyvalue/httpkeyvalue.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "platform/keyvalue.h"
+#include "keyvalue/keyvalue.h"
 
 #include <memory>
 
-namespace briarhinge::platform
+namespace briarhinge::keyvalue
 {
 
 /** Asks the platform's key-value service by HTTP. */
--- a/src/libbriarhinge/platform/keyvalue.h
+++ b/src/libbriarhinge/keyvalue/keyvalue.h
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace briarhinge::platform
+namespace briarhinge::keyvalue
 {
 
 /** Version of one key; every write gives a higher one, 0 means that the key does not exist. */
--- a/src/libbriarhinge/platform/vmlist.cpp
+++ b/src/libbriarhinge/membership/vmlist.cpp
@@ -1,9 +1,9 @@
-#include "platform/vmlist.h"
+#include "membership/vmlist.h"
 
 #include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
 
-namespace briarhinge::platform
+namespace briarhinge::membership
 {
 
 namespace
@@ -60,7 +60,7 @@
     try {
         const auto response = d->client.request(web::http::methods::GET, "/v1/vms").get();
         if (response.status_code() != web::http::status_codes::OK) {
-            return PlatformUnavailable{"the VM list answered " + std::to_string(response.status_code())};
+            return keyvalue::PlatformUnavailable{"the VM list answered " + std::to_string(response.status_code())};
         }
         const std::string body = response.extract_utf8string(true).get();
         const json parsed = json::parse(body);
@@ -71,7 +71,7 @@
         d->lastBytes = body.size();
         return vms;
     } catch (const std::exception &error) {
-        return PlatformUnavailable{error.what()};
+        return keyvalue::PlatformUnavailable{error.what()};
     }
 }
 
--- a/src/libbriarhinge/platform/vmlist.h
+++ b/src/libbriarhinge/membership/vmlist.h
@@ -2,7 +2,7 @@
 
 #include "base/ids.h"
 #include "base/units.h"
-#include "platform/keyvalue.h"
+#include "keyvalue/keyvalue.h"
 #include "wire/address.h"
 
 #include <memory>
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace briarhinge::platform
+namespace briarhinge::membership
 {
 
 /** One VM as the platform lists it; the list lags. */
@@ -29,7 +29,7 @@
     bool operator==(const Vm &) const = default;
 };
 
-using VmListResult = std::variant<std::vector<Vm>, PlatformUnavailable>;
+using VmListResult = std::variant<std::vector<Vm>, keyvalue::PlatformUnavailable>;
 
 /** Reads the platform's list of live and leaving VMs by HTTP. */
 class VmListClient
--- a/src/libbriarhinge/platform/vmlistfollower.cpp
+++ b/src/libbriarhinge/membership/vmlistfollower.cpp
@@ -1,10 +1,10 @@
-#include "platform/vmlistfollower.h"
+#include "membership/vmlistfollower.h"
 
 #include <algorithm>
 #include <condition_variable>
 #include <mutex>
 
-namespace briarhinge::platform
+namespace briarhinge::membership
 {
 
 namespace
--- a/src/libbriarhinge/platform/vmlistfollower.h
+++ b/src/libbriarhinge/membership/vmlistfollower.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/vmlist.h"
+#include "membership/vmlist.h"
 
 #include <functional>
 #include <string>
 #include <thread>
 
-namespace briarhinge::platform
+namespace briarhinge::membership
 {
 
 /**
--- a/src/libbriarhinge/operators/operatorservice.cpp
+++ b/src/libbriarhinge/operators/operatorservice.cpp
@@ -19,7 +19,7 @@
 constexpr base::Milliseconds answerLimit{2000};
 constexpr std::uint16_t statusOk = 200;
 
-json describe(const platform::Vm &vm)
+json describe(const membership::Vm &vm)
 {
     json object{{"name", vm.name}, {"role", vm.role}, {"zone", vm.zone.value()}, {"leaving", vm.leaving}};
     if (!vm.pool.value().empty()) {
@@ -32,11 +32,11 @@
 class Gathering
 {
 public:
-    Gathering(const std::vector<platform::Vm> &vms, std::function<void(const api::ClientReply &)> reply)
+    Gathering(const std::vector<membership::Vm> &vms, std::function<void(const api::ClientReply &)> reply)
         : m_left(vms.size())
         , m_reply(std::move(reply))
     {
-        for (const platform::Vm &vm : vms) {
+        for (const membership::Vm &vm : vms) {
             m_processes[vm.name] = describe(vm);
             m_processes[vm.name]["reachable"] = false;
         }
@@ -86,7 +86,7 @@
     std::map<std::string, json> m_processes;
 };
 
-bool isEntry(const platform::Vm &vm)
+bool isEntry(const membership::Vm &vm)
 {
     return vm.role == "entry";
 }
@@ -99,12 +99,12 @@
 {
 }
 
-void OperatorService::update(const std::vector<platform::Vm> &vms)
+void OperatorService::update(const std::vector<membership::Vm> &vms)
 {
     const std::lock_guard lock(m_mutex);
     m_vms = vms;
     std::erase_if(m_channels, [&](const auto &channel) {
-        return std::none_of(vms.begin(), vms.end(), [&](const platform::Vm &vm) {
+        return std::none_of(vms.begin(), vms.end(), [&](const membership::Vm &vm) {
             return vm.address == channel.first;
         });
     });
@@ -114,7 +114,7 @@
 {
     const std::vector<std::string> &path = request.path;
     if (!request.isPost && path == std::vector<std::string>{"status"}) {
-        askAll(vmsWhere([](const platform::Vm &) {
+        askAll(vmsWhere([](const membership::Vm &) {
                    return true;
                }),
                wire::OperatorVerb::Status, reply);
@@ -125,7 +125,7 @@
         return;
     }
     if (request.isPost && path.size() == 2 && path[0] == "drain") {
-        const auto named = vmsWhere([&](const platform::Vm &vm) {
+        const auto named = vmsWhere([&](const membership::Vm &vm) {
             return vm.name == path[1];
         });
         if (named.empty()) {
@@ -139,7 +139,7 @@
     reply(api::toReply(api::BadRequest{"path-unknown", "operators may GET status or programs and POST drain/NAME"}));
 }
 
-void OperatorService::askAll(const std::vector<platform::Vm> &vms, wire::OperatorVerb verb, const Reply &reply)
+void OperatorService::askAll(const std::vector<membership::Vm> &vms, wire::OperatorVerb verb, const Reply &reply)
 {
     auto gathering = std::make_shared<Gathering>(vms, reply);
     if (vms.empty()) {
@@ -150,7 +150,7 @@
     timer->async_wait([gathering, timer](boost::system::error_code) {
         gathering->timeIsUp();
     });
-    for (const platform::Vm &vm : vms) {
+    for (const membership::Vm &vm : vms) {
         wire::OperatorRequestT request;
         request.verb = verb;
         wire::MessageUnion message;
@@ -161,10 +161,10 @@
     }
 }
 
-std::vector<platform::Vm> OperatorService::vmsWhere(const std::function<bool(const platform::Vm &)> &predicate) const
+std::vector<membership::Vm> OperatorService::vmsWhere(const std::function<bool(const membership::Vm &)> &predicate) const
 {
     const std::lock_guard lock(m_mutex);
-    std::vector<platform::Vm> found;
+    std::vector<membership::Vm> found;
     std::copy_if(m_vms.begin(), m_vms.end(), std::back_inserter(found), predicate);
     return found;
 }
--- a/src/libbriarhinge/operators/operatorservice.h
+++ b/src/libbriarhinge/operators/operatorservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "http/callerendpoint.h"
-#include "platform/vmlist.h"
+#include "membership/vmlist.h"
 #include "wire/framechannel.h"
 
 #include <functional>
@@ -26,7 +26,7 @@
     OperatorService(boost::asio::io_context &context, ChannelFactory makeChannel);
 
     /** Takes in the VM list. @param vms every VM */
-    void update(const std::vector<platform::Vm> &vms);
+    void update(const std::vector<membership::Vm> &vms);
 
     /** Answers a request. @param request what the operator asks @param reply gets the answer */
     void handle(const http::OperatorRequest &request, const std::function<void(const api::ClientReply &)> &reply);
@@ -34,14 +34,14 @@
 private:
     using Reply = std::function<void(const api::ClientReply &)>;
 
-    void askAll(const std::vector<platform::Vm> &vms, wire::OperatorVerb verb, const Reply &reply);
-    std::vector<platform::Vm> vmsWhere(const std::function<bool(const platform::Vm &)> &predicate) const;
+    void askAll(const std::vector<membership::Vm> &vms, wire::OperatorVerb verb, const Reply &reply);
+    std::vector<membership::Vm> vmsWhere(const std::function<bool(const membership::Vm &)> &predicate) const;
     std::shared_ptr<wire::FrameChannel> channelTo(const wire::Address &address);
 
     boost::asio::io_context &m_context;
     ChannelFactory m_makeChannel;
     mutable std::mutex m_mutex;
-    std::vector<platform::Vm> m_vms;
+    std::vector<membership::Vm> m_vms;
     std::map<wire::Address, std::shared_ptr<wire::FrameChannel>> m_channels;
 };
 
--- a/src/libbriarhinge/placement/runnerdirectory.cpp
+++ b/src/libbriarhinge/placement/runnerdirectory.cpp
@@ -12,7 +12,7 @@
 /** Weight of the newest call in the smoothed mean. */
 constexpr double newestWeight = 0.1;
 
-bool serves(const platform::Vm &vm, const base::TargetName &target)
+bool serves(const membership::Vm &vm, const base::TargetName &target)
 {
     return std::find(vm.serves.begin(), vm.serves.end(), target) != vm.serves.end();
 }
@@ -24,11 +24,11 @@
 {
 }
 
-void RunnerDirectory::update(const std::vector<platform::Vm> &vms)
+void RunnerDirectory::update(const std::vector<membership::Vm> &vms)
 {
     const std::lock_guard lock(m_mutex);
     std::set<std::string> listed;
-    for (const platform::Vm &vm : vms) {
+    for (const membership::Vm &vm : vms) {
         if (vm.role != "runner") {
             continue;
         }
--- a/src/libbriarhinge/placement/runnerdirectory.h
+++ b/src/libbriarhinge/placement/runnerdirectory.h
@@ -3,7 +3,7 @@
 #include "core/step.h"
 #include "placement/runnerhealth.h"
 #include "placement/runnerview.h"
-#include "platform/vmlist.h"
+#include "membership/vmlist.h"
 #include "wire/framechannel.h"
 
 #include <functional>
@@ -36,7 +36,7 @@
     explicit RunnerDirectory(ChannelFactory makeChannel);
 
     /** Takes in the VM list. @param vms every VM; those that are no runners are passed over */
-    void update(const std::vector<platform::Vm> &vms);
+    void update(const std::vector<membership::Vm> &vms);
 
     /**
      * @param target a model or tool
@@ -80,7 +80,7 @@
 private:
     struct Runner
     {
-        platform::Vm vm;
+        membership::Vm vm;
         RunnerView view;
         RunnerHealth health;
         /** The runner process itself said so. */
--- a/src/libbriarhinge/state/keyvaluelog.h
+++ b/src/libbriarhinge/state/keyvaluelog.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/keyvalue.h"
+#include "keyvalue/keyvalue.h"
 #include "service/concepts.h"
 #include "state/logkeys.h"
 #include "state/recordcodec.h"
@@ -33,7 +33,7 @@
  * superseded and nothing more is stored. One write is under way at a time, so the order of the log is the order of
  * the appends, and at most one position is ever in doubt.
  */
-template <platform::KeyValueService KeyValueT>
+template <keyvalue::KeyValueService KeyValueT>
 class KeyValueLog
 {
 public:
@@ -317,8 +317,8 @@
             }
             value = encodeBatch(nonces.back(), records);
         }
-        if (std::holds_alternative<platform::KeyVersion>(
-                m_service.write(key, value, platform::KeyVersion(0), std::nullopt))) {
+        if (std::holds_alternative<keyvalue::KeyVersion>(
+                m_service.write(key, value, keyvalue::KeyVersion(0), std::nullopt))) {
             return Written::Stored;
         }
         return readBack(key, nonces);
@@ -327,8 +327,8 @@
     /** Decides by the nonce whether a write whose answer was lost, or that met a key, was this log's own. */
     Written readBack(const std::string &key, const std::vector<std::string> &nonces)
     {
-        const platform::ReadResult read = m_service.read(key);
-        const auto *found = std::get_if<platform::KeyValue>(&read);
+        const keyvalue::ReadResult read = m_service.read(key);
+        const auto *found = std::get_if<keyvalue::KeyValue>(&read);
         if (found == nullptr) {
             return Written::InDoubt;
         }
--- a/src/libbriarhinge/state/logreader.h
+++ b/src/libbriarhinge/state/logreader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/keyvalue.h"
+#include "keyvalue/keyvalue.h"
 #include "state/logkeys.h"
 #include "state/recordcodec.h"
 
@@ -23,7 +23,7 @@
 };
 
 /** Reads, seals and removes the logs of other incarnations. */
-template <platform::KeyValueService KeyValueT>
+template <keyvalue::KeyValueService KeyValueT>
 class LogReader
 {
 public:
@@ -40,11 +40,11 @@
         std::string after;
         while (true) {
             const auto listed = m_service.list(logPrefix(incarnation), after, keysPerRead);
-            if (const auto *lost = std::get_if<platform::PlatformUnavailable>(&listed)) {
+            if (const auto *lost = std::get_if<keyvalue::PlatformUnavailable>(&listed)) {
                 return LogError{lost->reason};
             }
-            const auto &keys = std::get<std::vector<platform::KeyValue>>(listed);
-            for (const platform::KeyValue &key : keys) {
+            const auto &keys = std::get<std::vector<keyvalue::KeyValue>>(listed);
+            for (const keyvalue::KeyValue &key : keys) {
                 if (const auto error = addBatch(key, content)) {
                     return *error;
                 }
@@ -75,7 +75,7 @@
                 return std::nullopt;
             }
             // Whether this created the seal shows at the next read, also when the answer was lost.
-            m_service.write(logKey(incarnation, log.next), encodeSeal(sealer.value()), platform::KeyVersion(0),
+            m_service.write(logKey(incarnation, log.next), encodeSeal(sealer.value()), keyvalue::KeyVersion(0),
                             std::nullopt);
         }
         return LogError{"the log of \"" + incarnation.value() + "\" grows still"};
@@ -91,14 +91,14 @@
     std::optional<LogError> remove(const base::ProcessId &incarnation)
     {
         std::string after;
-        std::optional<platform::KeyValue> previous;
+        std::optional<keyvalue::KeyValue> previous;
         while (true) {
             const auto listed = m_service.list(logPrefix(incarnation), after, keysPerRead);
-            if (const auto *lost = std::get_if<platform::PlatformUnavailable>(&listed)) {
+            if (const auto *lost = std::get_if<keyvalue::PlatformUnavailable>(&listed)) {
                 return LogError{lost->reason};
             }
-            const auto &keys = std::get<std::vector<platform::KeyValue>>(listed);
-            for (const platform::KeyValue &key : keys) {
+            const auto &keys = std::get<std::vector<keyvalue::KeyValue>>(listed);
+            for (const keyvalue::KeyValue &key : keys) {
                 if (isSeal(key)) {
                     return previous ? mark(*previous) : std::nullopt;
                 }
@@ -119,7 +119,7 @@
     static constexpr std::size_t keysPerRead = 16;
     static constexpr int maxSealAttempts = 10;
 
-    static std::optional<LogError> addBatch(const platform::KeyValue &key, LogContent &content)
+    static std::optional<LogError> addBatch(const keyvalue::KeyValue &key, LogContent &content)
     {
         const auto decoded = decodeBatch(key.value);
         if (const auto *error = std::get_if<CodecError>(&decoded)) {
@@ -132,17 +132,17 @@
         return std::nullopt;
     }
 
-    static bool isSeal(const platform::KeyValue &key)
+    static bool isSeal(const keyvalue::KeyValue &key)
     {
         const auto decoded = decodeBatch(key.value);
         const auto *batch = std::get_if<LogBatch>(&decoded);
         return batch != nullptr && batch->seal;
     }
 
-    std::optional<LogError> mark(const platform::KeyValue &last)
+    std::optional<LogError> mark(const keyvalue::KeyValue &last)
     {
         const auto written = m_service.write(last.key, encodeBatch("removed", {}), last.version, std::nullopt);
-        if (const auto *lost = std::get_if<platform::PlatformUnavailable>(&written)) {
+        if (const auto *lost = std::get_if<keyvalue::PlatformUnavailable>(&written)) {
             return LogError{lost->reason};
         }
         return std::nullopt;
--- a/tests/fakekeyvalue.h
+++ b/tests/fakekeyvalue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/keyvalue.h"
+#include "keyvalue/keyvalue.h"
 
 #include <atomic>
 #include <chrono>
@@ -25,46 +25,46 @@
         LoseRequest,
     };
 
-    platform::ReadResult read(const std::string &key)
+    keyvalue::ReadResult read(const std::string &key)
     {
         const std::lock_guard lock(m_mutex);
         ++reads;
         if (outage) {
-            return platform::PlatformUnavailable{"outage"};
+            return keyvalue::PlatformUnavailable{"outage"};
         }
         const auto found = m_keys.find(key);
         if (found == m_keys.end()) {
-            return platform::KeyMissing{};
+            return keyvalue::KeyMissing{};
         }
         return found->second;
     }
 
-    platform::WriteResult write(const std::string &key, const std::string &value, platform::KeyVersion expected,
-                                std::optional<platform::LeaseId>)
+    keyvalue::WriteResult write(const std::string &key, const std::string &value, keyvalue::KeyVersion expected,
+                                std::optional<keyvalue::LeaseId>)
     {
         const Fault fault = outage ? Fault::LoseRequest : nextFault();
         const std::lock_guard lock(m_mutex);
         ++writes;
         if (fault == Fault::LoseRequest) {
-            return platform::PlatformUnavailable{"request lost"};
+            return keyvalue::PlatformUnavailable{"request lost"};
         }
         const auto found = m_keys.find(key);
-        const platform::KeyVersion present = found == m_keys.end() ? platform::KeyVersion(0) : found->second.version;
+        const keyvalue::KeyVersion present = found == m_keys.end() ? keyvalue::KeyVersion(0) : found->second.version;
         if (present == expected) {
-            m_version = platform::KeyVersion(m_version.value() + 1);
+            m_version = keyvalue::KeyVersion(m_version.value() + 1);
             m_keys[key] = {key, value, m_version};
             m_changed.notify_all();
         }
         if (fault == Fault::LoseAnswer) {
-            return platform::PlatformUnavailable{"answer lost"};
+            return keyvalue::PlatformUnavailable{"answer lost"};
         }
         if (present != expected) {
-            return platform::VersionConflict{present};
+            return keyvalue::VersionConflict{present};
         }
         return m_version;
     }
 
-    platform::WriteResult remove(const std::string &key)
+    keyvalue::WriteResult remove(const std::string &key)
     {
         const std::lock_guard lock(m_mutex);
         ++writes;
@@ -72,14 +72,14 @@
         return m_version;
     }
 
-    platform::ListResult list(const std::string &prefix, const std::string &after, std::size_t limit)
+    keyvalue::ListResult list(const std::string &prefix, const std::string &after, std::size_t limit)
     {
         const std::lock_guard lock(m_mutex);
         ++reads;
         if (outage) {
-            return platform::PlatformUnavailable{"outage"};
+            return keyvalue::PlatformUnavailable{"outage"};
         }
-        std::vector<platform::KeyValue> found;
+        std::vector<keyvalue::KeyValue> found;
         for (const auto &[key, value] : m_keys) {
             if (key.starts_with(prefix) && key > after && found.size() < limit) {
                 found.push_back(value);
@@ -88,21 +88,21 @@
         return found;
     }
 
-    platform::LeaseResult openLease(base::Milliseconds)
+    keyvalue::LeaseResult openLease(base::Milliseconds)
     {
-        return platform::LeaseId(1);
+        return keyvalue::LeaseId(1);
     }
 
-    platform::LeaseResult keepLease(platform::LeaseId lease)
+    keyvalue::LeaseResult keepLease(keyvalue::LeaseId lease)
     {
         return lease;
     }
 
-    platform::WatchResult watch(const std::string &prefix, platform::KeyVersion after, base::Milliseconds wait)
+    keyvalue::WatchResult watch(const std::string &prefix, keyvalue::KeyVersion after, base::Milliseconds wait)
     {
         std::unique_lock lock(m_mutex);
         ++watches;
-        platform::Changes changes;
+        keyvalue::Changes changes;
         m_changed.wait_for(lock, wait, [&] {
             changes.changed.clear();
             for (const auto &[key, value] : m_keys) {
@@ -113,7 +113,7 @@
             return !changes.changed.empty() || outage;
         });
         if (outage) {
-            return platform::PlatformUnavailable{"outage"};
+            return keyvalue::PlatformUnavailable{"outage"};
         }
         changes.seen = m_version;
         return changes;
@@ -131,10 +131,10 @@
 private:
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::map<std::string, platform::KeyValue> m_keys;
-    platform::KeyVersion m_version;
+    std::map<std::string, keyvalue::KeyValue> m_keys;
+    keyvalue::KeyVersion m_version;
 };
 
-static_assert(platform::KeyValueService<FakeKeyValue>);
+static_assert(keyvalue::KeyValueService<FakeKeyValue>);
 
 }
--- a/tests/memorykeyvalue.h
+++ b/tests/memorykeyvalue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/keyvalue.h"
+#include "keyvalue/keyvalue.h"
 
 #include <condition_variable>
 #include <map>
@@ -61,66 +61,66 @@
         return values;
     }
 
-    platform::ReadResult read(const std::string &key)
+    keyvalue::ReadResult read(const std::string &key)
     {
         const std::lock_guard lock(m_mutex);
         if (m_isOut) {
-            return platform::PlatformUnavailable{"outage"};
+            return keyvalue::PlatformUnavailable{"outage"};
         }
         const auto found = m_keys.find(key);
         if (found == m_keys.end()) {
-            return platform::KeyMissing{};
+            return keyvalue::KeyMissing{};
         }
         return found->second;
     }
 
-    platform::WriteResult write(const std::string &key, const std::string &value, platform::KeyVersion expected,
-                                std::optional<platform::LeaseId> lease)
+    keyvalue::WriteResult write(const std::string &key, const std::string &value, keyvalue::KeyVersion expected,
+                                std::optional<keyvalue::LeaseId> lease)
     {
         std::unique_lock lock(m_mutex);
         m_changed.wait(lock, [this] {
             return !m_isHeld;
         });
         if (m_isOut) {
-            return platform::PlatformUnavailable{"outage"};
+            return keyvalue::PlatformUnavailable{"outage"};
         }
         ++m_writes;
         const auto found = m_keys.find(key);
-        const platform::KeyVersion present = found == m_keys.end() ? platform::KeyVersion(0) : found->second.version;
+        const keyvalue::KeyVersion present = found == m_keys.end() ? keyvalue::KeyVersion(0) : found->second.version;
         if (present == expected) {
-            m_keys[key] = {key, value, platform::KeyVersion(++m_version)};
+            m_keys[key] = {key, value, keyvalue::KeyVersion(++m_version)};
         }
         if (lease) {
             m_leaseOf[key] = *lease;
         }
         if (m_losses > 0) {
             --m_losses;
-            return platform::PlatformUnavailable{"answer lost"};
+            return keyvalue::PlatformUnavailable{"answer lost"};
         }
         if (present != expected) {
-            return platform::VersionConflict{present};
+            return keyvalue::VersionConflict{present};
         }
-        return platform::KeyVersion(m_version);
+        return keyvalue::KeyVersion(m_version);
     }
 
-    platform::WriteResult remove(const std::string &key)
+    keyvalue::WriteResult remove(const std::string &key)
     {
         const std::lock_guard lock(m_mutex);
         if (m_isOut) {
-            return platform::PlatformUnavailable{"outage"};
+            return keyvalue::PlatformUnavailable{"outage"};
         }
         ++m_writes;
         m_keys.erase(key);
-        return platform::KeyVersion(m_version);
+        return keyvalue::KeyVersion(m_version);
     }
 
-    platform::ListResult list(const std::string &prefix, const std::string &after, std::size_t limit)
+    keyvalue::ListResult list(const std::string &prefix, const std::string &after, std::size_t limit)
     {
         const std::lock_guard lock(m_mutex);
         if (m_isOut) {
-            return platform::PlatformUnavailable{"outage"};
+            return keyvalue::PlatformUnavailable{"outage"};
         }
-        std::vector<platform::KeyValue> found;
+        std::vector<keyvalue::KeyValue> found;
         for (const auto &[key, held] : m_keys) {
             if (key.starts_with(prefix) && key > after && found.size() < limit) {
                 found.push_back(held);
@@ -129,35 +129,35 @@
         return found;
     }
 
-    platform::LeaseResult openLease(base::Milliseconds)
+    keyvalue::LeaseResult openLease(base::Milliseconds)
     {
         const std::lock_guard lock(m_mutex);
         if (m_isOut) {
-            return platform::PlatformUnavailable{"outage"};
+            return keyvalue::PlatformUnavailable{"outage"};
         }
         m_leases.insert(++m_lastLease);
-        return platform::LeaseId(m_lastLease);
+        return keyvalue::LeaseId(m_lastLease);
     }
 
-    platform::LeaseResult keepLease(platform::LeaseId lease)
+    keyvalue::LeaseResult keepLease(keyvalue::LeaseId lease)
     {
         const std::lock_guard lock(m_mutex);
         if (m_isOut) {
-            return platform::PlatformUnavailable{"outage"};
+            return keyvalue::PlatformUnavailable{"outage"};
         }
         if (!m_leases.contains(lease.value())) {
-            return platform::KeyMissing{};
+            return keyvalue::KeyMissing{};
         }
         return lease;
     }
 
-    platform::WatchResult watch(const std::string &prefix, platform::KeyVersion after, base::Milliseconds)
+    keyvalue::WatchResult watch(const std::string &prefix, keyvalue::KeyVersion after, base::Milliseconds)
     {
         const std::lock_guard lock(m_mutex);
         if (m_isOut) {
-            return platform::PlatformUnavailable{"outage"};
+            return keyvalue::PlatformUnavailable{"outage"};
         }
-        platform::Changes changes{{}, platform::KeyVersion(m_version)};
+        keyvalue::Changes changes{{}, keyvalue::KeyVersion(m_version)};
         for (const auto &[key, held] : m_keys) {
             if (key.starts_with(prefix) && held.version > after) {
                 changes.changed.push_back(held);
@@ -169,8 +169,8 @@
 private:
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::map<std::string, platform::KeyValue> m_keys;
-    std::map<std::string, platform::LeaseId> m_leaseOf;
+    std::map<std::string, keyvalue::KeyValue> m_keys;
+    std::map<std::string, keyvalue::LeaseId> m_leaseOf;
     std::set<std::uint64_t> m_leases;
     std::uint64_t m_version = 0;
     std::uint64_t m_lastLease = 0;
--- a/tests/test_vmlistfollower.cpp
+++ b/tests/test_vmlistfollower.cpp
@@ -1,4 +1,4 @@
-#include "platform/vmlistfollower.h"
+#include "membership/vmlistfollower.h"
 
 #include <string>
 
@@ -11,7 +11,7 @@
 TEST(VmListFollower, ShortListIsReadAtTheGivenInterval)
 {
     constexpr std::size_t bytesOfTwentyVms = 2200;
-    CHECK(base::Milliseconds(1000) == platform::readingInterval(base::Milliseconds(1000), bytesOfTwentyVms));
+    CHECK(base::Milliseconds(1000) == membership::readingInterval(base::Milliseconds(1000), bytesOfTwentyVms));
 }
 
 TEST(VmListFollower, ListOfTheDesignSizeStaysWithinItsShareOfControl)
@@ -19,6 +19,6 @@
     constexpr std::size_t bytesOfDesignSize = 128'000;
     constexpr std::size_t msPerSecond = 1000;
     constexpr std::size_t controlBytesPerSecond = 14'000;
-    const base::Milliseconds interval = platform::readingInterval(base::Milliseconds(1000), bytesOfDesignSize);
+    const base::Milliseconds interval = membership::readingInterval(base::Milliseconds(1000), bytesOfDesignSize);
     CHECK(bytesOfDesignSize * msPerSecond / interval.count() < controlBytesPerSecond / 2);
 }
