Logging: Events go to standard output and never wait for the reader

Cause: a reader that stops reading blocked every decision behind a full pipe. Lines for which there is no room are dropped and counted (event 106).

--- a/src/libbriarhinge/logging/eventlog.cpp
+++ b/src/libbriarhinge/logging/eventlog.cpp
@@ -1,9 +1,12 @@
 #include "logging/eventlog.h"
 
 #include <nlohmann/json.hpp>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
+#include <unistd.h>
+
 namespace briarhinge::logging
 {
 
@@ -23,6 +26,32 @@
     return spdlog::level::err;
 }
 
+/** Gives formatted lines to a writer, which has a lock of its own. */
+class WriterSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+public:
+    explicit WriterSink(BoundedWriter &writer)
+        : m_writer(writer)
+    {
+    }
+
+protected:
+    void sink_it_(const spdlog::details::log_msg &message) override
+    {
+        spdlog::memory_buf_t line;
+        formatter_->format(message, line);
+        m_writer.add({line.data(), line.size()});
+    }
+
+    void flush_() override
+    {
+        m_writer.flush();
+    }
+
+private:
+    BoundedWriter &m_writer;
+};
+
 std::string jsonText(std::string_view text)
 {
     return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -36,14 +65,18 @@
 {
 }
 
-EventLog::EventLog(std::string process)
+EventLog::EventLog(std::string process, Flushing flushing)
     : m_process(jsonText(process))
-    , m_logger(std::make_shared<spdlog::logger>("events", std::make_shared<spdlog::sinks::stderr_sink_mt>()))
+    , m_writer(STDOUT_FILENO, flushing)
+    , m_logger(std::make_shared<spdlog::logger>("events", std::make_shared<WriterSink>(m_writer)))
 {
     m_logger->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\",%v}");
 }
 
-EventLog::~EventLog() = default;
+EventLog::~EventLog()
+{
+    m_writer.flush();
+}
 
 void EventLog::write(const EventKind &kind, std::initializer_list<Field> fields)
 {
@@ -54,4 +87,12 @@
     m_logger->log(spdlogLevel(kind.level), line);
 }
 
+void EventLog::flush()
+{
+    if (const std::uint64_t dropped = m_writer.takeDropped(); dropped > 0) {
+        write(events::linesDropped, {{"lines", dropped}});
+    }
+    m_writer.flush();
+}
+
 }
--- a/src/libbriarhinge/logging/eventlog.h
+++ b/src/libbriarhinge/logging/eventlog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "logging/boundedwriter.h"
 #include "logging/events.h"
 
 #include <concepts>
@@ -35,12 +36,15 @@
     bool isNumber = false;
 };
 
-/** Writes numbered events as one JSON object a line to standard error. */
+/** Writes numbered events as one JSON object a line to standard output; never waits for the reader. */
 class EventLog
 {
 public:
-    /** @param process the id of this process, a field of every line */
-    explicit EventLog(std::string process);
+    /**
+     * @param process the id of this process, a field of every line
+     * @param flushing when lines leave; with Flushing::Gathered the owner calls flush() regularly
+     */
+    explicit EventLog(std::string process, Flushing flushing = Flushing::Always);
     ~EventLog();
 
     EventLog(const EventLog &) = delete;
@@ -49,8 +53,12 @@
     /** @param kind what happened @param fields the particulars */
     void write(const EventKind &kind, std::initializer_list<Field> fields);
 
+    /** Hands gathered lines to the reader, and the count of those that were dropped. */
+    void flush();
+
 private:
     std::string m_process;
+    BoundedWriter m_writer;
     std::shared_ptr<spdlog::logger> m_logger;
 };
 
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -62,6 +62,23 @@
 inline constexpr EventKind configurationGap{702, "configuration-gap", Level::Warning};
 inline constexpr EventKind configurationFromPeers{703, "configuration-from-peers", Level::Warning};
 inline constexpr EventKind operatorDrain{704, "operator-drain", Level::Info};
+inline constexpr EventKind settingsReloaded{105, "settings-reloaded", Level::Info};
+inline constexpr EventKind linesDropped{106, "lines-dropped", Level::Warning};
+inline constexpr EventKind diskFailing{600, "disk-failing", Level::Error};
+inline constexpr EventKind diskRecovered{601, "disk-recovered", Level::Info};
+inline constexpr EventKind groupAdopted{610, "group-adopted", Level::Info};
+inline constexpr EventKind groupProposed{611, "group-proposed", Level::Info};
+inline constexpr EventKind stateFetched{612, "state-fetched", Level::Info};
+inline constexpr EventKind retirement{613, "retirement", Level::Info};
+inline constexpr EventKind storeUnreachable{614, "store-unreachable", Level::Warning};
+inline constexpr EventKind runnerChanged{620, "runner-changed", Level::Info};
+inline constexpr EventKind badEntry{621, "bad-entry", Level::Warning};
+inline constexpr EventKind routesInForce{622, "routes-in-force", Level::Info};
+inline constexpr EventKind readinessChanged{630, "readiness-changed", Level::Info};
+inline constexpr EventKind exchangeEnded{640, "exchange-ended", Level::Info};
+inline constexpr EventKind exchangeFailed{641, "exchange-failed", Level::Warning};
+inline constexpr EventKind attemptFailed{642, "attempt-failed", Level::Warning};
+inline constexpr EventKind turnNotKept{643, "turn-not-kept", Level::Warning};
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
 // clang-format off
@@ -102,6 +119,23 @@
     configurationGap,
     configurationFromPeers,
     operatorDrain,
+    settingsReloaded,
+    linesDropped,
+    diskFailing,
+    diskRecovered,
+    groupAdopted,
+    groupProposed,
+    stateFetched,
+    retirement,
+    storeUnreachable,
+    runnerChanged,
+    badEntry,
+    routesInForce,
+    readinessChanged,
+    exchangeEnded,
+    exchangeFailed,
+    attemptFailed,
+    turnNotKept,
     invariantViolated,
 };
 // clang-format on
