Turns: History and budgets on a group of turn stores

Turns are immutable records on a write quorum of at most 2f+1 disks; budgets are reservations that merge without order. The key-value service decides who belongs to the group; a change is sealed at each store and copied before it counts.

--- /dev/null
+++ b/src/libbriarhinge/turns/journal.cpp
@@ -0,0 +1,235 @@
+#include "turns/journal.h"
+
+#include "base/digest.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace briarhinge::turns
+{
+
+namespace
+{
+
+namespace fs = std::filesystem;
+
+constexpr std::string_view segmentEnding = ".turns";
+constexpr std::size_t headBytes = sizeof(std::uint32_t) + sizeof(std::uint64_t);
+/** A record is a frame or smaller; a longer one is a torn length. */
+constexpr std::size_t longestRecord = std::size_t{16} * 1024 * 1024;
+constexpr mode_t fileMode = 0600;
+
+DiskError diskError(const std::string &what)
+{
+    return DiskError{what + ": " + std::strerror(errno)};
+}
+
+std::uint64_t checksumOf(std::span<const std::uint8_t> record)
+{
+    return base::stableHash({reinterpret_cast<const char *>(record.data()), record.size()});
+}
+
+DiskResult syncFolder(const std::string &folder)
+{
+    const int file = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (file < 0) {
+        return diskError("can't open folder " + folder);
+    }
+    const bool isSynced = ::fsync(file) == 0;
+    const DiskResult result = isSynced ? DiskResult{} : DiskResult{diskError("can't sync folder " + folder)};
+    ::close(file);
+    return result;
+}
+
+bool writeAll(int file, const std::uint8_t *bytes, std::size_t size)
+{
+    while (size > 0) {
+        const ssize_t written = ::write(file, bytes, size);
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written <= 0) {
+            return false;
+        }
+        bytes += written;
+        size -= static_cast<std::size_t>(written);
+    }
+    return true;
+}
+
+void readSegment(const std::string &path, const std::function<void(std::span<const std::uint8_t>)> &onRecord)
+{
+    std::ifstream file(path, std::ios::binary);
+    const std::vector<char> bytes{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    std::size_t at = 0;
+    while (at + headBytes <= bytes.size()) {
+        std::uint32_t length = 0;
+        std::uint64_t checksum = 0;
+        std::memcpy(&length, &bytes[at], sizeof length);
+        std::memcpy(&checksum, &bytes[at + sizeof length], sizeof checksum);
+        if (length > longestRecord || at + headBytes + length > bytes.size()) {
+            return;
+        }
+        const std::span record(reinterpret_cast<const std::uint8_t *>(bytes.data()) + at + headBytes, length);
+        if (checksumOf(record) != checksum) {
+            return;
+        }
+        onRecord(record);
+        at += headBytes + length;
+    }
+}
+
+}
+
+Journal::Journal(std::string folder)
+    : m_folder(std::move(folder))
+{
+}
+
+Journal::~Journal()
+{
+    closeSegment();
+}
+
+DiskResult Journal::open(const std::function<void(std::span<const std::uint8_t>)> &onRecord)
+{
+    std::error_code error;
+    for (const auto &entry : fs::directory_iterator(m_folder, error)) {
+        const std::string name = entry.path().filename().string();
+        if (!name.ends_with(segmentEnding)) {
+            continue;
+        }
+        std::uint64_t number = 0;
+        const char *end = name.data() + name.size() - segmentEnding.size();
+        if (std::from_chars(name.data(), end, number).ptr == end) {
+            m_oldSegments.push_back(number);
+        }
+    }
+    if (error) {
+        return DiskError{"can't list " + m_folder + ": " + error.message()};
+    }
+    std::sort(m_oldSegments.begin(), m_oldSegments.end());
+    for (const std::uint64_t segment : m_oldSegments) {
+        readSegment(pathOf(segment), onRecord);
+        const auto size = fs::file_size(pathOf(segment), error);
+        m_oldBytes += error ? 0 : size;
+    }
+    m_segment = m_oldSegments.empty() ? 0 : m_oldSegments.back();
+    return openSegment();
+}
+
+void Journal::append(std::span<const std::uint8_t> record)
+{
+    const auto length = static_cast<std::uint32_t>(record.size());
+    const std::uint64_t checksum = checksumOf(record);
+    const std::size_t at = m_pending.size();
+    m_pending.resize(at + headBytes + record.size());
+    std::memcpy(&m_pending[at], &length, sizeof length);
+    std::memcpy(&m_pending[at + sizeof length], &checksum, sizeof checksum);
+    std::copy(record.begin(), record.end(), m_pending.begin() + static_cast<std::ptrdiff_t>(at + headBytes));
+}
+
+DiskResult Journal::sync()
+{
+    if (m_pending.empty()) {
+        return {};
+    }
+    DiskResult result = m_file < 0 ? openSegment() : DiskResult{};
+    if (!std::holds_alternative<DiskError>(result)) {
+        result = writePending();
+    }
+    m_pending.clear();
+    if (std::holds_alternative<DiskError>(result)) {
+        // What lies behind a torn record can't be read: the next record begins a segment.
+        closeSegment();
+    } else if (m_isSnapshotOpen) {
+        m_isSnapshotOpen = false;
+        removeOldSegments();
+    }
+    return result;
+}
+
+DiskResult Journal::writePending()
+{
+    if (!writeAll(m_file, m_pending.data(), m_pending.size())) {
+        return diskError("can't write " + pathOf(m_segment));
+    }
+    m_written += m_pending.size();
+    if (::fdatasync(m_file) != 0) {
+        return diskError("can't sync " + pathOf(m_segment));
+    }
+    return {};
+}
+
+void Journal::beginSnapshot()
+{
+    closeSegment();
+    m_isSnapshotOpen = true;
+}
+
+std::size_t Journal::bytes() const
+{
+    return m_oldBytes + m_written;
+}
+
+DiskResult Journal::openSegment()
+{
+    const std::uint64_t number = m_segment + 1;
+    const int file = ::open(pathOf(number).c_str(), O_WRONLY | O_CREAT | O_EXCL | O_APPEND | O_CLOEXEC, fileMode);
+    if (file < 0) {
+        return diskError("can't create " + pathOf(number));
+    }
+    m_segment = number;
+    m_file = file;
+    return syncFolder(m_folder);
+}
+
+void Journal::closeSegment()
+{
+    if (m_file < 0) {
+        return;
+    }
+    ::close(m_file);
+    m_file = -1;
+    m_oldSegments.push_back(m_segment);
+    m_oldBytes += m_written;
+    m_written = 0;
+}
+
+void Journal::removeOldSegments()
+{
+    for (const std::uint64_t segment : m_oldSegments) {
+        ::unlink(pathOf(segment).c_str());
+    }
+    m_oldSegments.clear();
+    m_oldBytes = 0;
+}
+
+std::string Journal::pathOf(std::uint64_t segment) const
+{
+    return m_folder + "/" + std::to_string(segment) + std::string(segmentEnding);
+}
+
+DiskResult writeFileDurably(const std::string &folder, const std::string &name, const std::string &content)
+{
+    const std::string path = folder + "/" + name;
+    const int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, fileMode);
+    if (file < 0) {
+        return diskError("can't create " + path);
+    }
+    const bool isWritten =
+        writeAll(file, reinterpret_cast<const std::uint8_t *>(content.data()), content.size()) && ::fsync(file) == 0;
+    const DiskResult result = isWritten ? DiskResult{} : DiskResult{diskError("can't write " + path)};
+    ::close(file);
+    return std::holds_alternative<DiskError>(result) ? result : syncFolder(folder);
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/turns/statefetch.cpp
@@ -0,0 +1,131 @@
+#include "turns/statefetch.h"
+
+#include <chrono>
+
+namespace briarhinge::turns
+{
+
+namespace
+{
+
+/** A page of half a megabyte over the slowest link of 30 Mbit/s takes 140 ms; a busy disk adds to it. */
+constexpr base::Milliseconds pageTimeout{1500};
+
+std::chrono::steady_clock::time_point steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+}
+
+StateFetch::StateFetch(StorePeers &peers, TurnStore &store, QuorumRule rule, logging::EventLog &log)
+    : m_peers(peers)
+    , m_store(store)
+    , m_rule(rule)
+    , m_log(log)
+{
+}
+
+void StateFetch::fetch(DoneHandler onDone)
+{
+    m_onDone = std::move(onDone);
+    m_group = m_store.group();
+    m_open = m_group.current.size();
+    for (const StoreMember &member : m_group.current) {
+        fetchPage(member, {});
+    }
+}
+
+void StateFetch::push(DoneHandler onDone)
+{
+    m_onDone = std::move(onDone);
+    m_isPush = true;
+    m_group = m_store.group();
+    m_open = m_group.next.size();
+    for (const StoreMember &member : m_group.next) {
+        pushPage(member, {});
+    }
+}
+
+void StateFetch::fetchPage(const StoreMember &member, const std::string &after)
+{
+    wire::FetchStateT request;
+    request.epoch = m_group.epoch.value();
+    request.group = toJson(m_group);
+    request.after = after;
+    wire::MessageUnion message;
+    message.Set(std::move(request));
+    m_peers.ask(member.address, std::move(message), pageTimeout,
+                [self = shared_from_this(), member](wire::ChannelReply reply) {
+                    const auto *frame = std::get_if<wire::FrameT>(&reply);
+                    const auto *page = frame == nullptr ? nullptr : frame->message.AsStatePage();
+                    // A member that came back with an empty disk has nothing to tell about its old one.
+                    const bool isUsable =
+                        page != nullptr && page->status == wire::StoreStatus::Done && page->disk == member.disk.value();
+                    if (!isUsable) {
+                        self->memberDone(member, false);
+                        return;
+                    }
+                    self->m_store.take(*page, steadyNow());
+                    self->m_turns += page->turns.size();
+                    if (page->more && !page->turns.empty()) {
+                        self->fetchPage(member, page->turns.back()->id);
+                        return;
+                    }
+                    self->memberDone(member, true);
+                });
+}
+
+void StateFetch::pushPage(const StoreMember &member, const std::string &after)
+{
+    wire::FetchStateT own;
+    own.epoch = m_group.epoch.value();
+    own.after = after;
+    wire::StatePageT page = m_store.fetch(own);
+    if (page.status != wire::StoreStatus::Done) {
+        memberDone(member, false);
+        return;
+    }
+    const std::string last = page.more && !page.turns.empty() ? page.turns.back()->id : std::string();
+    m_turns += page.turns.size();
+    wire::StoreStateT request;
+    request.epoch = m_group.epoch.value();
+    request.group = toJson(m_group);
+    request.turns = std::move(page.turns);
+    request.budgets = std::move(page.budgets);
+    wire::MessageUnion message;
+    message.Set(std::move(request));
+    m_peers.ask(member.address, std::move(message), pageTimeout,
+                [self = shared_from_this(), member, last](wire::ChannelReply reply) {
+                    const auto *frame = std::get_if<wire::FrameT>(&reply);
+                    const auto *ended = frame == nullptr ? nullptr : frame->message.AsTurnEnded();
+                    const bool isKept = ended != nullptr && ended->status == wire::StoreStatus::Done
+                        && ended->disk == member.disk.value();
+                    if (isKept && !last.empty()) {
+                        self->pushPage(member, last);
+                        return;
+                    }
+                    self->memberDone(member, isKept);
+                });
+}
+
+void StateFetch::memberDone(const StoreMember &member, bool isWhole)
+{
+    if (isWhole) {
+        m_copied.insert(member.disk);
+    }
+    --m_open;
+    const bool isEnough = m_isPush ? m_copied.size() == m_group.next.size() : isReadWhole(m_rule, m_group, m_copied);
+    // All members are waited for: a copy from more of them mends what a slow one has missed.
+    if (m_open > 0) {
+        return;
+    }
+    m_log.write(logging::events::stateFetched,
+                {{"epoch", m_group.epoch.value()},
+                 {"members", m_copied.size()},
+                 {"turns", m_turns},
+                 {"whole", isEnough ? "yes" : "no"}});
+    m_onDone(isEnough);
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/turns/storegroup.cpp
@@ -0,0 +1,121 @@
+#include "turns/storegroup.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace briarhinge::turns
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+json membersJson(const std::vector<StoreMember> &members)
+{
+    json list = json::array();
+    for (const StoreMember &member : members) {
+        list.push_back({{"name", member.name.value()},
+                        {"zone", member.zone.value()},
+                        {"address", wire::toString(member.address)},
+                        {"disk", member.disk.value()}});
+    }
+    return list;
+}
+
+std::vector<StoreMember> parseMembers(const json &list)
+{
+    std::vector<StoreMember> members;
+    for (const json &item : list) {
+        const auto address = wire::parseAddress(item.at("address").get<std::string>());
+        if (!address) {
+            throw std::invalid_argument("member without an address");
+        }
+        members.push_back({StoreName(item.at("name").get<std::string>()),
+                           base::ZoneName(item.at("zone").get<std::string>()), *address,
+                           DiskId(item.at("disk").get<std::string>())});
+    }
+    return members;
+}
+
+std::size_t answered(const std::vector<StoreMember> &members, const Answers &answers)
+{
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [&answers](const auto &member) {
+        return answers.contains(member.disk);
+    }));
+}
+
+}
+
+std::vector<StoreMember> StoreGroup::members() const
+{
+    // Of two entries with one name the newer is the one that lives.
+    std::vector<StoreMember> all = next;
+    for (const StoreMember &member : current) {
+        const bool isListed = std::any_of(all.begin(), all.end(), [&member](const StoreMember &other) {
+            return other.name == member.name;
+        });
+        if (!isListed) {
+            all.push_back(member);
+        }
+    }
+    return all;
+}
+
+std::optional<StoreMember> StoreGroup::find(const StoreName &name) const
+{
+    for (const StoreMember &member : members()) {
+        if (member.name == name) {
+            return member;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string toJson(const StoreGroup &group)
+{
+    return json{
+        {"epoch", group.epoch.value()}, {"current", membersJson(group.current)}, {"next", membersJson(group.next)}}
+        .dump();
+}
+
+std::optional<StoreGroup> parseStoreGroup(std::string_view text)
+{
+    try {
+        const json document = json::parse(text);
+        return StoreGroup{GroupEpoch(document.at("epoch").get<std::uint64_t>()), parseMembers(document.at("current")),
+                          parseMembers(document.at("next"))};
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::size_t QuorumRule::writeQuorum(std::size_t members) const
+{
+    const std::size_t kept = tolerated + 1;
+    const std::size_t majority = members / 2 + 1;
+    return std::min(members, std::max(kept, majority));
+}
+
+std::size_t QuorumRule::readQuorum(std::size_t members) const
+{
+    return members - writeQuorum(members) + 1;
+}
+
+bool isWritten(const QuorumRule &rule, const StoreGroup &group, const Answers &answers)
+{
+    if (group.current.empty()) {
+        return false;
+    }
+    const bool inCurrent = answered(group.current, answers) >= rule.writeQuorum(group.current.size());
+    const bool inNext = group.next.empty() || answered(group.next, answers) >= rule.writeQuorum(group.next.size());
+    return inCurrent && inNext;
+}
+
+bool isReadWhole(const QuorumRule &rule, const StoreGroup &group, const Answers &answers)
+{
+    return !group.current.empty() && answered(group.current, answers) >= rule.readQuorum(group.current.size());
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/turns/turnmessages.cpp
@@ -0,0 +1,50 @@
+#include "turns/turnmessages.h"
+
+#include <limits>
+
+namespace briarhinge::turns
+{
+
+namespace
+{
+
+std::uint32_t shortened(base::Tokens tokens)
+{
+    constexpr std::uint64_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::min(tokens.value(), most));
+}
+
+}
+
+wire::TurnRecordT toWire(const Turn &turn)
+{
+    wire::TurnRecordT record;
+    record.id = turn.id.value();
+    record.parent = turn.parent.value();
+    record.input = turn.input;
+    record.output = turn.output;
+    record.engine = turn.engine;
+    return record;
+}
+
+Turn fromWire(const wire::TurnRecordT &record)
+{
+    return {TurnId(record.id), TurnId(record.parent), record.input, record.output, record.engine};
+}
+
+wire::BudgetEntryT toWire(const BudgetEntry &entry)
+{
+    wire::BudgetEntryT packed;
+    packed.attempt = entry.attempt.value();
+    packed.most = shortened(entry.most);
+    packed.settled = entry.isSettled;
+    packed.spent = shortened(entry.spent);
+    return packed;
+}
+
+BudgetEntry fromWire(const wire::BudgetEntryT &entry)
+{
+    return {AttemptId(entry.attempt), base::Tokens(entry.most), entry.settled, base::Tokens(entry.spent)};
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/turns/turnserver.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "turns/turnstore.h"
+#include "wire/frameserver.h"
+
+#include <chrono>
+#include <memory>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace briarhinge::turns
+{
+
+/** Answers requests of entries and other turn stores by frames; every answer waits for the sync that covers it. */
+class TurnServer
+{
+public:
+    /**
+     * @param context runs the connections, on one thread
+     * @param store what is kept
+     * @param journal where it is made durable
+     * @param log gets lost and regained disks
+     */
+    TurnServer(boost::asio::io_context &context, TurnStore &store, Journal &journal, logging::EventLog &log);
+
+    /** @param address where to listen @return the port, or why it can't be had */
+    std::variant<std::uint16_t, wire::ListenError> listen(const wire::Address &address);
+
+    /** Has what was appended to the journal synced soon, together with other records. */
+    void requestSync();
+
+    /** Stops accepting, syncs and closes every connection. */
+    void stop();
+
+private:
+    struct Answer
+    {
+        std::weak_ptr<wire::FrameSession> session;
+        wire::FrameT frame;
+    };
+
+    void receive(const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame);
+    void sync();
+    void tidyRegularly();
+
+    boost::asio::io_context &m_context;
+    TurnStore &m_store;
+    Journal &m_journal;
+    logging::EventLog &m_log;
+    wire::FrameServer m_server;
+    boost::asio::steady_timer m_tidyTimer;
+    std::vector<Answer> m_answers;
+    bool m_isSyncPosted = false;
+    bool m_isDiskFailing = false;
+};
+
+}
--- /dev/null
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -0,0 +1,293 @@
+#include "turns/turnstore.h"
+
+#include "turns/turnmessages.h"
+#include "wire/framecodec.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace briarhinge::turns
+{
+
+namespace
+{
+
+/** Bytes of turns in one page of the state: a frame of a size that leaves the connection free for others in between. */
+constexpr std::size_t pageBytes = std::size_t{512} * 1024;
+/** Below this size of the journal a snapshot isn't worth its writes. */
+constexpr std::size_t leastSnapshotBytes = std::size_t{32} * 1024 * 1024;
+/** A journal this many times as large as what is kept is rewritten. */
+constexpr std::size_t snapshotFactor = 3;
+
+std::size_t bytesOf(const Turn &turn)
+{
+    return turn.input.size() + turn.output.size();
+}
+
+std::unique_ptr<wire::ProgramBudgetT> budgetRecord(const base::ProgramId &program, const BudgetEntries &entries)
+{
+    auto record = std::make_unique<wire::ProgramBudgetT>();
+    record->program = program.value();
+    for (const BudgetEntry &entry : entries) {
+        record->entries.push_back(std::make_unique<wire::BudgetEntryT>(toWire(entry)));
+    }
+    return record;
+}
+
+}
+
+TurnStore::TurnStore(DiskId disk, Journal &journal, base::Milliseconds retention)
+    : m_disk(std::move(disk))
+    , m_journal(journal)
+    , m_budgets(retention)
+    , m_turns(retention, 0)
+{
+}
+
+void TurnStore::replay(std::span<const std::uint8_t> record, Time now)
+{
+    if (record.size() < wire::lengthPrefixBytes) {
+        return;
+    }
+    const auto decoded = wire::decodeFrame(record.subspan(wire::lengthPrefixBytes));
+    const auto *frame = std::get_if<wire::FrameT>(&decoded);
+    const auto *state = frame == nullptr ? nullptr : frame->message.AsStoreState();
+    if (state == nullptr) {
+        return;
+    }
+    if (const auto group = parseStoreGroup(state->group); group && group->epoch > m_group.epoch) {
+        m_group = *group;
+    }
+    for (const auto &turn : state->turns) {
+        m_turns.add(fromWire(*turn), now);
+    }
+    for (const auto &budget : state->budgets) {
+        for (const auto &entry : budget->entries) {
+            m_budgets.apply(base::ProgramId(budget->program), fromWire(*entry), now);
+        }
+    }
+}
+
+bool TurnStore::adopt(const StoreGroup &group)
+{
+    if (group.epoch <= m_group.epoch) {
+        return false;
+    }
+    m_group = group;
+    wire::StoreStateT state;
+    state.group = toJson(group);
+    journalState(std::move(state));
+    return true;
+}
+
+const StoreGroup &TurnStore::group() const
+{
+    return m_group;
+}
+
+const DiskId &TurnStore::disk() const
+{
+    return m_disk;
+}
+
+template <class Request, class Answer>
+bool TurnStore::isCurrent(const Request &request, Answer &answer)
+{
+    answer.disk = m_disk.value();
+    if (!request.group.empty()) {
+        if (const auto group = parseStoreGroup(request.group)) {
+            adopt(*group);
+        }
+    }
+    const GroupEpoch asked(request.epoch);
+    if (asked == m_group.epoch) {
+        answer.status = wire::StoreStatus::Done;
+        return true;
+    }
+    const bool isOlder = asked < m_group.epoch;
+    answer.status = isOlder ? wire::StoreStatus::StaleGroup : wire::StoreStatus::GroupNeeded;
+    answer.group = isOlder ? toJson(m_group) : std::string();
+    return false;
+}
+
+wire::TurnBegunT TurnStore::begin(const wire::BeginTurnT &request, Time now)
+{
+    wire::TurnBegunT answer;
+    if (!isCurrent(request, answer)) {
+        return answer;
+    }
+    const base::ProgramId program(request.program);
+    if (request.most > 0) {
+        const BudgetEntry entry{AttemptId(request.attempt), base::Tokens(request.most), false, base::Tokens(0)};
+        if (m_budgets.apply(program, entry, now)) {
+            wire::StoreStateT state;
+            state.budgets.push_back(budgetRecord(program, {entry}));
+            journalState(std::move(state));
+        }
+        for (const BudgetEntry &known : m_budgets.entries(program)) {
+            answer.entries.push_back(std::make_unique<wire::BudgetEntryT>(toWire(known)));
+        }
+    }
+    if (request.previous.empty()) {
+        return answer;
+    }
+    const TurnId previous(request.previous);
+    answer.known = m_turns.contains(previous);
+    if (answer.known && request.want_chain) {
+        ChainPart part = m_turns.chain(previous);
+        answer.chain = std::move(part.prompt);
+        answer.missing = part.missing.value();
+        answer.engine = std::move(part.engine);
+    }
+    return answer;
+}
+
+wire::TurnEndedT TurnStore::end(const wire::EndTurnT &request, Time now)
+{
+    wire::TurnEndedT answer;
+    if (!isCurrent(request, answer)) {
+        return answer;
+    }
+    wire::StoreStateT state;
+    if (!request.attempt.empty()) {
+        const base::ProgramId program(request.program);
+        const BudgetEntry entry{AttemptId(request.attempt), base::Tokens(0), true, base::Tokens(request.spent)};
+        if (m_budgets.apply(program, entry, now)) {
+            state.budgets.push_back(budgetRecord(program, {entry}));
+        }
+    }
+    if (request.turn && m_turns.add(fromWire(*request.turn), now)) {
+        state.turns.push_back(std::make_unique<wire::TurnRecordT>(*request.turn));
+    }
+    if (!state.budgets.empty() || !state.turns.empty()) {
+        journalState(std::move(state));
+    }
+    return answer;
+}
+
+wire::StatePageT TurnStore::fetch(const wire::FetchStateT &request)
+{
+    wire::StatePageT page;
+    if (!isCurrent(request, page)) {
+        return page;
+    }
+    if (request.after.empty()) {
+        for (const base::ProgramId &program : m_budgets.programs()) {
+            page.budgets.push_back(budgetRecord(program, m_budgets.entries(program)));
+        }
+    }
+    auto turns = m_turns.turns();
+    std::sort(turns.begin(), turns.end(), [](const Turn *left, const Turn *right) {
+        return left->id < right->id;
+    });
+    const TurnId after(request.after);
+    auto turn = std::partition_point(turns.begin(), turns.end(), [&after](const Turn *candidate) {
+        return candidate->id <= after;
+    });
+    for (std::size_t bytes = 0; turn != turns.end() && bytes < pageBytes; ++turn) {
+        bytes += bytesOf(**turn);
+        page.turns.push_back(std::make_unique<wire::TurnRecordT>(toWire(**turn)));
+    }
+    page.more = turn != turns.end();
+    return page;
+}
+
+wire::TurnEndedT TurnStore::keep(const wire::StoreStateT &request, Time now)
+{
+    wire::TurnEndedT answer;
+    if (isCurrent(request, answer)) {
+        keepRecords(request.turns, request.budgets, now);
+    }
+    return answer;
+}
+
+void TurnStore::take(const wire::StatePageT &page, Time now)
+{
+    keepRecords(page.turns, page.budgets, now);
+}
+
+void TurnStore::keepRecords(const std::vector<std::unique_ptr<wire::TurnRecordT>> &turns,
+                            const std::vector<std::unique_ptr<wire::ProgramBudgetT>> &budgets, Time now)
+{
+    wire::StoreStateT state;
+    for (const auto &turn : turns) {
+        if (m_turns.add(fromWire(*turn), now)) {
+            state.turns.push_back(std::make_unique<wire::TurnRecordT>(*turn));
+        }
+    }
+    for (const auto &budget : budgets) {
+        const base::ProgramId program(budget->program);
+        BudgetEntries changed;
+        for (const auto &entry : budget->entries) {
+            if (m_budgets.apply(program, fromWire(*entry), now)) {
+                changed.push_back(fromWire(*entry));
+            }
+        }
+        if (!changed.empty()) {
+            state.budgets.push_back(budgetRecord(program, changed));
+        }
+    }
+    if (!state.turns.empty() || !state.budgets.empty()) {
+        journalState(std::move(state));
+    }
+}
+
+void TurnStore::tidy(Time now)
+{
+    m_turns.expire(now);
+    m_budgets.expire(now);
+    std::size_t kept = 0;
+    for (const Turn *turn : m_turns.turns()) {
+        kept += bytesOf(*turn);
+    }
+    if (m_isRewriteNeeded || m_journal.bytes() > leastSnapshotBytes + snapshotFactor * kept) {
+        writeSnapshot();
+    }
+}
+
+void TurnStore::syncFailed()
+{
+    m_isRewriteNeeded = true;
+}
+
+void TurnStore::synced()
+{
+    m_isRewriteNeeded = m_isRewriteNeeded && !m_isSnapshotPending;
+    m_isSnapshotPending = false;
+}
+
+bool TurnStore::isRewriteNeeded() const
+{
+    return m_isRewriteNeeded;
+}
+
+std::size_t TurnStore::turnCount() const
+{
+    return m_turns.size();
+}
+
+void TurnStore::journalState(wire::StoreStateT state)
+{
+    wire::FrameT frame;
+    frame.message.Set(std::move(state));
+    m_journal.append(wire::encodeFrame(frame));
+}
+
+void TurnStore::writeSnapshot()
+{
+    m_journal.beginSnapshot();
+    m_isSnapshotPending = true;
+    wire::StoreStateT head;
+    head.group = toJson(m_group);
+    for (const base::ProgramId &program : m_budgets.programs()) {
+        head.budgets.push_back(budgetRecord(program, m_budgets.entries(program)));
+    }
+    journalState(std::move(head));
+    for (const Turn *turn : m_turns.turns()) {
+        wire::StoreStateT state;
+        state.turns.push_back(std::make_unique<wire::TurnRecordT>(toWire(*turn)));
+        journalState(std::move(state));
+    }
+}
+
+}
