--- /dev/null
+++ b/src/libbriarhinge/http/clientconnection.cpp
@@ -0,0 +1,283 @@
+#include "http/clientconnection.h"
+
+#include "http/socketoptions.h"
+
+#include <array>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace briarhinge::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+using Parser = beast::http::response_parser<beast::http::buffer_body>;
+
+constexpr std::size_t bodyPieceBytes = std::size_t{16} * 1024;
+constexpr std::uint32_t headLimitBytes = 32 * 1024;
+constexpr std::uint64_t bodyLimitBytes = std::uint64_t{64} * 1024 * 1024;
+constexpr std::size_t readAheadBytes = std::size_t{256} * 1024;
+constexpr unsigned firstFinalStatus = 200;
+
+bool isConnectionLost(const error_code &error)
+{
+    return error == asio::error::eof || error == beast::http::error::end_of_stream
+        || error == beast::http::error::partial_message || error.category() == asio::error::get_system_category();
+}
+
+}
+
+class ClientConnection::Private
+{
+public:
+    explicit Private(tcp::socket connected)
+        : socket(std::move(connected))
+        , input(readAheadBytes)
+    {
+    }
+
+    tcp::socket socket;
+    beast::flat_buffer input;
+    std::optional<Parser> parser;
+    std::array<char, bodyPieceBytes> piece{};
+    std::string request;
+    ResponseHandlers handlers;
+    std::function<void()> onIdleClosed;
+    bool isHead = false;
+    bool isHeadTold = false;
+    bool isSkipping = false;
+    bool isSending = false;
+    bool isBusy = false;
+    bool isWatching = false;
+    bool isReusable = true;
+    bool isClosed = false;
+};
+
+void ClientConnection::connect(asio::io_context &context, const wire::Address &address, base::Milliseconds timeout,
+                               base::Milliseconds silenceLimit, ConnectHandler onDone)
+{
+    struct Attempt
+    {
+        tcp::socket socket;
+        asio::steady_timer timer;
+    };
+    auto attempt = std::make_shared<Attempt>(Attempt{tcp::socket(context), asio::steady_timer(context, timeout)});
+    error_code error;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
+    if (error) {
+        onDone("\"" + address.host + "\" is not an IP number");
+        return;
+    }
+    attempt->timer.async_wait([attempt](error_code cancelled) {
+        if (!cancelled) {
+            error_code ignored;
+            attempt->socket.close(ignored);
+        }
+    });
+    attempt->socket.async_connect(endpoint, [attempt, silenceLimit, onDone = std::move(onDone)](error_code failed) {
+        attempt->timer.cancel();
+        if (failed || !attempt->socket.is_open()) {
+            onDone(failed ? failed.message() : std::string("timed out"));
+            return;
+        }
+        setConnectionOptions(attempt->socket, silenceLimit);
+        auto state = std::make_unique<Private>(std::move(attempt->socket));
+        onDone(std::shared_ptr<ClientConnection>(new ClientConnection(std::move(state))));
+    });
+}
+
+ClientConnection::ClientConnection(std::unique_ptr<Private> state)
+    : d(std::move(state))
+{
+}
+
+ClientConnection::~ClientConnection() = default;
+
+void ClientConnection::send(std::string request, bool isHead, ResponseHandlers handlers)
+{
+    d->request = std::move(request);
+    d->handlers = std::move(handlers);
+    d->isHead = isHead;
+    d->isBusy = true;
+    d->isSending = true;
+    if (d->isWatching) {
+        // The read that watches for the server's close ends; reading goes on with the parser.
+        error_code ignored;
+        d->socket.cancel(ignored);
+    }
+    asio::async_write(d->socket, asio::buffer(d->request), [self = shared_from_this()](error_code error, std::size_t) {
+        self->d->isSending = false;
+        // The answer, or the end of the connection, is met by the read.
+        if (error) {
+            self->d->isReusable = false;
+        }
+    });
+    d->parser.emplace();
+    d->isHeadTold = false;
+    readMore();
+}
+
+void ClientConnection::readMore()
+{
+    Parser &parser = *d->parser;
+    if (!d->isHeadTold) {
+        parser.header_limit(headLimitBytes);
+        parser.body_limit(bodyLimitBytes);
+        parser.skip(d->isHead);
+    }
+    auto &body = parser.get().body();
+    body.data = d->piece.data();
+    body.size = d->piece.size();
+    body.more = true;
+    beast::http::async_read_some(d->socket, d->input, parser,
+                                 [self = shared_from_this()](error_code error, std::size_t) {
+                                     if (self->d->isClosed) {
+                                         return;
+                                     }
+                                     if (error == beast::http::error::need_buffer) {
+                                         error = {};
+                                     }
+                                     if (error) {
+                                         self->end(isConnectionLost(error) ? Ending::BrokenOff : Ending::Malformed);
+                                         return;
+                                     }
+                                     self->headRead();
+                                 });
+}
+
+void ClientConnection::headRead()
+{
+    const auto self = shared_from_this();
+    Parser &parser = *d->parser;
+    if (!parser.is_header_done()) {
+        readMore();
+        return;
+    }
+    if (!d->isHeadTold) {
+        d->isHeadTold = true;
+        const auto &message = parser.get();
+        if (message.result_int() < firstFinalStatus) {
+            d->parser.emplace();
+            d->isHeadTold = false;
+            readMore();
+            return;
+        }
+        ResponseHead head;
+        head.status = message.result_int();
+        head.isKeptOpen = parser.keep_alive();
+        for (const auto &field : message) {
+            head.headers.add(std::string(field.name_string()), std::string(field.value()));
+        }
+        d->isReusable = d->isReusable && head.isKeptOpen;
+        d->isSkipping = d->handlers.onHead(head) == HeadVerdict::Skip;
+        if (d->isClosed) {
+            return;
+        }
+    }
+    bodyRead();
+}
+
+void ClientConnection::bodyRead()
+{
+    const std::size_t size = d->piece.size() - d->parser->get().body().size;
+    if (size > 0 && !d->isSkipping) {
+        d->handlers.onBody({d->piece.data(), size});
+    }
+    if (d->isClosed) {
+        return;
+    }
+    if (!d->parser->is_done()) {
+        readMore();
+        return;
+    }
+    if (d->isSkipping) {
+        if (!d->isReusable) {
+            end(Ending::BrokenOff);
+            return;
+        }
+        d->parser.emplace();
+        d->isHeadTold = false;
+        readMore();
+        return;
+    }
+    answerEnded();
+}
+
+void ClientConnection::answerEnded()
+{
+    const bool hasSurplus = d->input.size() > 0;
+    // A server may answer before it has read all: the rest of the request must not be taken for another one.
+    if (hasSurplus || d->isSending) {
+        d->isReusable = false;
+    }
+    d->isBusy = false;
+    const auto onEnd = std::exchange(d->handlers, {}).onEnd;
+    if (d->isReusable) {
+        watchIdle();
+    } else {
+        close();
+    }
+    onEnd(Ending::Whole);
+}
+
+void ClientConnection::end(Ending ending)
+{
+    const auto handlers = std::exchange(d->handlers, {});
+    close();
+    if (handlers.onEnd) {
+        handlers.onEnd(ending);
+    }
+}
+
+void ClientConnection::watchIdle()
+{
+    d->isWatching = true;
+    d->socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+        self->d->isWatching = false;
+        if (error || self->d->isClosed || self->d->isBusy) {
+            return;
+        }
+        self->close();
+        if (const auto onClosed = std::exchange(self->d->onIdleClosed, nullptr)) {
+            onClosed();
+        }
+    });
+}
+
+void ClientConnection::close()
+{
+    if (d->isClosed) {
+        return;
+    }
+    d->isClosed = true;
+    d->isReusable = false;
+    d->handlers = {};
+    error_code ignored;
+    d->socket.close(ignored);
+}
+
+void ClientConnection::setIdleHandler(std::function<void()> onClosed)
+{
+    d->onIdleClosed = std::move(onClosed);
+}
+
+bool ClientConnection::isReusable() const
+{
+    return d->isReusable && !d->isBusy && !d->isClosed;
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/http/serverconnection.cpp
@@ -0,0 +1,416 @@
+#include "http/serverconnection.h"
+
+#include "http/socketoptions.h"
+
+#include <array>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace briarhinge::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+using Parser = beast::http::request_parser<beast::http::string_body>;
+
+constexpr std::size_t readAheadBytes = std::size_t{64} * 1024;
+/** Time for a caller to read the last answer before the connection goes. */
+constexpr base::Milliseconds lingerLimit{1000};
+/** A body of the largest size over a slow link. */
+constexpr base::Milliseconds bodyTimeout{10'000};
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusTimeout = 408;
+constexpr unsigned statusTooLarge = 413;
+constexpr unsigned statusHeadTooLarge = 431;
+
+std::string encodeHead(const AnswerHead &head, bool isKeptOpen)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(head.status) + ' ';
+    const auto reason = beast::http::obsolete_reason(static_cast<beast::http::status>(head.status));
+    text.append(reason.data(), reason.size());
+    text += "\r\n";
+    for (const auto &[name, value] : head.headers.fields()) {
+        text += name;
+        text += ": ";
+        text += value;
+        text += "\r\n";
+    }
+    if (!isKeptOpen) {
+        text += "Connection: close\r\n";
+    }
+    return text;
+}
+
+bool hasNoBody(unsigned status)
+{
+    constexpr unsigned noContent = 204;
+    constexpr unsigned notModified = 304;
+    return status == noContent || status == notModified;
+}
+
+}
+
+class ServerConnection::Private
+{
+public:
+    Private(tcp::socket connected, std::function<ServerLimits()> readLimits, RequestHandler requestHandler,
+            CloseHandler closeHandler)
+        : socket(std::move(connected))
+        , timer(socket.get_executor())
+        , input(readAheadBytes)
+        , limitsNow(std::move(readLimits))
+        , onRequest(std::move(requestHandler))
+        , onClose(std::move(closeHandler))
+    {
+    }
+
+    tcp::socket socket;
+    asio::steady_timer timer;
+    beast::flat_buffer input;
+    std::optional<Parser> parser;
+    std::function<ServerLimits()> limitsNow;
+    ServerLimits limits;
+    RequestHandler onRequest;
+    CloseHandler onClose;
+    std::function<void()> onGone;
+    std::string outgoing;
+    std::string writing;
+    std::array<char, 1024> spare{};
+    bool isKeptOpen = true;
+    bool isHead = false;
+    bool isBusy = false;
+    bool isReading = false;
+    bool isWatching = false;
+    bool isAnswerEnded = false;
+    bool isClosingSoon = false;
+    bool isClosed = false;
+};
+
+ServerConnection::ServerConnection(tcp::socket socket, std::function<ServerLimits()> limits, RequestHandler onRequest,
+                                   CloseHandler onClose)
+    : d(std::make_unique<Private>(std::move(socket), std::move(limits), std::move(onRequest), std::move(onClose)))
+{
+}
+
+ServerConnection::~ServerConnection() = default;
+
+void ServerConnection::start()
+{
+    d->limits = d->limitsNow();
+    setConnectionOptions(d->socket, d->limits.silenceLimit);
+    readRequest();
+}
+
+void ServerConnection::setGoneHandler(std::function<void()> onGone)
+{
+    d->onGone = std::move(onGone);
+}
+
+bool ServerConnection::isBusy() const
+{
+    return d->isBusy;
+}
+
+void ServerConnection::startTimer(base::Milliseconds limit)
+{
+    d->timer.expires_after(limit);
+    d->timer.async_wait([self = shared_from_this()](error_code error) {
+        if (error || self->d->isClosed || self->d->isBusy) {
+            return;
+        }
+        const bool hasBegun = self->d->parser && self->d->parser->got_some();
+        if (hasBegun && !self->d->isAnswerEnded) {
+            self->refuse(statusTimeout);
+        } else {
+            self->closeNow();
+        }
+    });
+}
+
+void ServerConnection::readRequest()
+{
+    d->limits = d->limitsNow();
+    d->parser.emplace();
+    d->parser->header_limit(d->limits.maxHeadBytes);
+    d->parser->body_limit(d->limits.maxBodyBytes);
+    d->isAnswerEnded = false;
+    d->isReading = true;
+    startTimer(d->limits.idleTimeout);
+    headRead();
+}
+
+void ServerConnection::headRead()
+{
+    beast::http::async_read_some(
+        d->socket, d->input, *d->parser, [self = shared_from_this()](error_code error, std::size_t) {
+            if (self->d->isClosed) {
+                return;
+            }
+            Parser &parser = *self->d->parser;
+            if (error == beast::http::error::header_limit) {
+                self->refuse(statusHeadTooLarge);
+                return;
+            }
+            if (error == beast::http::error::body_limit) {
+                self->refuse(statusTooLarge);
+                return;
+            }
+            if (error) {
+                const bool isProtocol =
+                    error.category() == beast::http::make_error_code(beast::http::error::bad_method).category()
+                    && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
+                if (isProtocol) {
+                    self->refuse(statusBadRequest);
+                } else {
+                    self->closeNow();
+                }
+                return;
+            }
+            if (parser.is_done()) {
+                self->requestRead();
+                return;
+            }
+            self->startTimer(parser.is_header_done() ? bodyTimeout : self->d->limits.headTimeout);
+            self->headRead();
+        });
+}
+
+void ServerConnection::requestRead()
+{
+    d->timer.cancel();
+    d->isReading = false;
+    d->isBusy = true;
+    d->onGone = nullptr;
+    IncomingRequest request;
+    auto message = d->parser->release();
+    d->parser.reset();
+    d->isKeptOpen = message.keep_alive();
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.isKeptOpen = d->isKeptOpen;
+    d->isHead = request.method == "HEAD";
+    for (const auto &field : message) {
+        request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    watchCaller();
+    d->onRequest(shared_from_this(), std::move(request));
+}
+
+void ServerConnection::watchCaller()
+{
+    if (d->isWatching || d->isClosed || d->input.size() >= readAheadBytes / 2) {
+        return;
+    }
+    d->isWatching = true;
+    constexpr std::size_t piece = 4096;
+    d->socket.async_read_some(d->input.prepare(piece), [self = shared_from_this()](error_code error, std::size_t size) {
+        self->d->isWatching = false;
+        if (self->d->isClosed) {
+            return;
+        }
+        if (error) {
+            self->closeNow();
+            return;
+        }
+        // The beginning of the next request; it waits for the answer to the present one.
+        self->d->input.commit(size);
+        if (self->d->isBusy) {
+            self->watchCaller();
+        } else if (!self->d->isReading) {
+            self->readRequest();
+        }
+    });
+}
+
+void ServerConnection::refuse(unsigned status)
+{
+    d->isBusy = true;
+    d->isReading = false;
+    d->isKeptOpen = false;
+    answer({status, {}}, {});
+}
+
+void ServerConnection::answer(const AnswerHead &head, std::string_view body)
+{
+    if (d->isClosed) {
+        return;
+    }
+    std::string bytes = encodeHead(head, d->isKeptOpen && !d->isClosingSoon);
+    if (!hasNoBody(head.status)) {
+        bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    bytes += "\r\n";
+    if (!d->isHead) {
+        bytes += body;
+    }
+    d->isAnswerEnded = true;
+    write(std::move(bytes));
+}
+
+void ServerConnection::beginAnswer(const AnswerHead &head)
+{
+    if (d->isClosed) {
+        return;
+    }
+    write(encodeHead(head, d->isKeptOpen && !d->isClosingSoon) + "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void ServerConnection::sendPiece(std::string_view piece)
+{
+    if (d->isClosed) {
+        return;
+    }
+    std::array<char, 2 * sizeof(std::size_t)> digits{};
+    std::size_t left = piece.size();
+    std::size_t first = digits.size();
+    while (left > 0) {
+        digits[--first] = "0123456789abcdef"[left % 16];
+        left /= 16;
+    }
+    std::string bytes(&digits[first], digits.size() - first);
+    bytes += "\r\n";
+    bytes += piece;
+    bytes += "\r\n";
+    write(std::move(bytes));
+}
+
+void ServerConnection::endAnswer()
+{
+    if (d->isClosed) {
+        return;
+    }
+    d->isAnswerEnded = true;
+    write("0\r\n\r\n");
+}
+
+void ServerConnection::write(std::string bytes)
+{
+    if (d->outgoing.empty()) {
+        d->outgoing = std::move(bytes);
+    } else {
+        d->outgoing += bytes;
+    }
+    if (d->writing.empty()) {
+        writeNext();
+    }
+}
+
+void ServerConnection::writeNext()
+{
+    d->writing = std::exchange(d->outgoing, {});
+    asio::async_write(d->socket, asio::buffer(d->writing), [self = shared_from_this()](error_code error, std::size_t) {
+        self->d->writing.clear();
+        if (self->d->isClosed) {
+            return;
+        }
+        if (error) {
+            self->closeNow();
+            return;
+        }
+        if (!self->d->outgoing.empty()) {
+            self->writeNext();
+        } else if (self->d->isAnswerEnded) {
+            self->answerDone();
+        }
+    });
+}
+
+void ServerConnection::answerDone()
+{
+    d->isBusy = false;
+    d->onGone = nullptr;
+    if (!d->isKeptOpen || d->isClosingSoon) {
+        closeGracefully();
+        return;
+    }
+    if (d->isWatching) {
+        // The read that watches the caller goes on and meets the next request.
+        startTimer(d->limits.idleTimeout);
+        return;
+    }
+    readRequest();
+}
+
+void ServerConnection::closeGracefully()
+{
+    error_code ignored;
+    d->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    d->isClosingSoon = true;
+    d->timer.expires_after(lingerLimit);
+    d->timer.async_wait([self = shared_from_this()](error_code error) {
+        if (!error) {
+            self->closeNow();
+        }
+    });
+    if (!d->isWatching) {
+        drainInput();
+    }
+}
+
+void ServerConnection::drainInput()
+{
+    // Unread bytes would turn the close into a reset, which may destroy the answer on its way.
+    d->socket.async_read_some(asio::buffer(d->spare), [self = shared_from_this()](error_code error, std::size_t) {
+        if (self->d->isClosed) {
+            return;
+        }
+        if (error) {
+            self->closeNow();
+            return;
+        }
+        self->drainInput();
+    });
+}
+
+void ServerConnection::closeAfterAnswer()
+{
+    d->isClosingSoon = true;
+}
+
+void ServerConnection::closeSoon()
+{
+    d->isClosingSoon = true;
+    if (!d->isBusy && !d->isClosed && d->input.size() == 0 && !(d->parser && d->parser->got_some())) {
+        closeNow();
+    }
+}
+
+void ServerConnection::abort()
+{
+    d->onGone = nullptr;
+    closeNow();
+}
+
+void ServerConnection::closeNow()
+{
+    if (d->isClosed) {
+        return;
+    }
+    d->isClosed = true;
+    const auto self = shared_from_this();
+    error_code ignored;
+    d->timer.cancel();
+    d->socket.close(ignored);
+    if (const auto onGone = std::exchange(d->onGone, nullptr); onGone && d->isBusy) {
+        onGone();
+    }
+    if (const auto onClose = std::exchange(d->onClose, nullptr)) {
+        onClose(self);
+    }
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/http/socketoptions.cpp
@@ -0,0 +1,36 @@
+#include "http/socketoptions.h"
+
+#include <algorithm>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace briarhinge::http
+{
+
+namespace
+{
+
+constexpr int probes = 2;
+
+void setOption(boost::asio::ip::tcp::socket &socket, int level, int name, int value)
+{
+    // Not every kernel has each option; without one the timeouts of the requests still hold.
+    ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
+}
+
+}
+
+void setConnectionOptions(boost::asio::ip::tcp::socket &socket, base::Milliseconds silenceLimit)
+{
+    const auto milliseconds = static_cast<int>(silenceLimit.count());
+    const int interval = std::max(1, milliseconds / 1000 / (probes + 1));
+    setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, interval);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, interval);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, probes);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/metrics/exchangemetrics.cpp
@@ -0,0 +1,82 @@
+#include "metrics/exchangemetrics.h"
+
+#include <map>
+#include <utility>
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace briarhinge::metrics
+{
+
+namespace
+{
+
+/** Bounds in seconds around the targets of 0.15 to 0.6 s and the time limits of 1.2 to 5 s. */
+const prometheus::Histogram::BucketBoundaries latencyBounds{0.01, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5,
+                                                            0.75, 1,    1.5, 2,    3,   5};
+
+}
+
+class ExchangeMetrics::Private
+{
+public:
+    using Labels = std::pair<std::string, std::string>;
+
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &requests = prometheus::BuildCounter()
+                                                            .Name("briarhinge_requests_total")
+                                                            .Help("Callers' requests by route and outcome")
+                                                            .Register(registry);
+    prometheus::Family<prometheus::Counter> &attempts = prometheus::BuildCounter()
+                                                            .Name("briarhinge_attempts_failed_total")
+                                                            .Help("Attempts at runners that came to nothing")
+                                                            .Register(registry);
+    prometheus::Family<prometheus::Histogram> &latencies = prometheus::BuildHistogram()
+                                                               .Name("briarhinge_request_seconds")
+                                                               .Help("Time to the end of the answer")
+                                                               .Register(registry);
+    std::map<Labels, prometheus::Counter *> requestCounters;
+    std::map<Labels, prometheus::Counter *> attemptCounters;
+    std::map<std::string, prometheus::Histogram *, std::less<>> histograms;
+};
+
+ExchangeMetrics::ExchangeMetrics()
+    : d(std::make_unique<Private>())
+{
+}
+
+ExchangeMetrics::~ExchangeMetrics() = default;
+
+void ExchangeMetrics::ended(std::string_view route, std::string_view outcome, base::Milliseconds took)
+{
+    prometheus::Counter *&counter = d->requestCounters[{std::string(route), std::string(outcome)}];
+    if (counter == nullptr) {
+        counter = &d->requests.Add({{"route", std::string(route)}, {"outcome", std::string(outcome)}});
+    }
+    counter->Increment();
+    auto histogram = d->histograms.find(route);
+    if (histogram == d->histograms.end()) {
+        auto &added = d->latencies.Add({{"route", std::string(route)}}, latencyBounds);
+        histogram = d->histograms.emplace(route, &added).first;
+    }
+    histogram->second->Observe(std::chrono::duration<double>(took).count());
+}
+
+void ExchangeMetrics::attemptFailed(std::string_view service, std::string_view reason)
+{
+    prometheus::Counter *&counter = d->attemptCounters[{std::string(service), std::string(reason)}];
+    if (counter == nullptr) {
+        counter = &d->attempts.Add({{"service", std::string(service)}, {"reason", std::string(reason)}});
+    }
+    counter->Increment();
+}
+
+std::string ExchangeMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(d->registry.Collect());
+}
+
+}
