--- a/src/libbriarhinge/turns/journal.cpp
+++ b/src/libbriarhinge/turns/journal.cpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <utility>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -120,7 +121,7 @@
     for (const std::uint64_t segment : m_oldSegments) {
         readSegment(pathOf(segment), onRecord);
         const auto size = fs::file_size(pathOf(segment), error);
-        m_oldBytes += error ? 0 : size;
+        m_bytes += error ? 0 : size;
     }
     m_segment = m_oldSegments.empty() ? 0 : m_oldSegments.back();
     return openSegment();
@@ -130,54 +131,66 @@
 {
     const auto length = static_cast<std::uint32_t>(record.size());
     const std::uint64_t checksum = checksumOf(record);
-    const std::size_t at = m_pending.size();
-    m_pending.resize(at + headBytes + record.size());
-    std::memcpy(&m_pending[at], &length, sizeof length);
-    std::memcpy(&m_pending[at + sizeof length], &checksum, sizeof checksum);
-    std::copy(record.begin(), record.end(), m_pending.begin() + static_cast<std::ptrdiff_t>(at + headBytes));
+    auto &bytes = m_pending.bytes;
+    const std::size_t at = bytes.size();
+    bytes.resize(at + headBytes + record.size());
+    std::memcpy(&bytes[at], &length, sizeof length);
+    std::memcpy(&bytes[at + sizeof length], &checksum, sizeof checksum);
+    std::copy(record.begin(), record.end(), bytes.begin() + static_cast<std::ptrdiff_t>(at + headBytes));
 }
 
-DiskResult Journal::sync()
+void Journal::beginSnapshot()
 {
-    if (m_pending.empty()) {
+    m_pending = {{}, true};
+}
+
+bool Journal::hasPending() const
+{
+    return !m_pending.bytes.empty();
+}
+
+JournalBatch Journal::takeBatch()
+{
+    return std::exchange(m_pending, {});
+}
+
+DiskResult Journal::write(const JournalBatch &batch)
+{
+    if (batch.bytes.empty()) {
         return {};
     }
+    if (batch.isSnapshot) {
+        closeSegment();
+    }
     DiskResult result = m_file < 0 ? openSegment() : DiskResult{};
     if (!std::holds_alternative<DiskError>(result)) {
-        result = writePending();
+        result = writeBytes(batch.bytes);
     }
-    m_pending.clear();
     if (std::holds_alternative<DiskError>(result)) {
         // What lies behind a torn record can't be read: the next record begins a segment.
         closeSegment();
-    } else if (m_isSnapshotOpen) {
-        m_isSnapshotOpen = false;
+    } else if (batch.isSnapshot) {
         removeOldSegments();
+        m_bytes = batch.bytes.size();
     }
     return result;
 }
 
-DiskResult Journal::writePending()
+DiskResult Journal::writeBytes(const std::vector<std::uint8_t> &bytes)
 {
-    if (!writeAll(m_file, m_pending.data(), m_pending.size())) {
+    if (!writeAll(m_file, bytes.data(), bytes.size())) {
         return diskError("can't write " + pathOf(m_segment));
     }
-    m_written += m_pending.size();
+    m_bytes += bytes.size();
     if (::fdatasync(m_file) != 0) {
         return diskError("can't sync " + pathOf(m_segment));
     }
     return {};
 }
 
-void Journal::beginSnapshot()
-{
-    closeSegment();
-    m_isSnapshotOpen = true;
-}
-
 std::size_t Journal::bytes() const
 {
-    return m_oldBytes + m_written;
+    return m_bytes;
 }
 
 DiskResult Journal::openSegment()
@@ -200,8 +213,6 @@
     ::close(m_file);
     m_file = -1;
     m_oldSegments.push_back(m_segment);
-    m_oldBytes += m_written;
-    m_written = 0;
 }
 
 void Journal::removeOldSegments()
@@ -210,7 +221,6 @@
         ::unlink(pathOf(segment).c_str());
     }
     m_oldSegments.clear();
-    m_oldBytes = 0;
 }
 
 std::string Journal::pathOf(std::uint64_t segment) const
--- a/src/libbriarhinge/turns/journal.h
+++ b/src/libbriarhinge/turns/journal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -20,6 +21,14 @@
 /** What an operation on the disk came to. */
 using DiskResult = std::variant<std::monostate, DiskError>;
 
+/** Records that are written together. */
+struct JournalBatch
+{
+    std::vector<std::uint8_t> bytes;
+    /** Whether the batch replaces all that was written before. */
+    bool isSnapshot = false;
+};
+
 /**
  * Records on a disk, in segments that are only appended to. Each record has a checksum; a start begins a segment of
  * its own, so that a record which a power loss tore lies at the end of one.
@@ -42,28 +51,33 @@
      */
     DiskResult open(const std::function<void(std::span<const std::uint8_t>)> &onRecord);
 
-    /** Adds a record to those that the next sync writes. @param record its bytes */
+    /** Adds a record to the next batch. @param record its bytes */
     void append(std::span<const std::uint8_t> record);
 
-    /**
-     * Makes the appended records durable. After an error none of them counts as kept; later ones may.
-     *
-     * @return whether they are on the disk
-     */
-    DiskResult sync();
+    /** Has the next batch replace all that was written before: what is appended from now on is everything. */
+    void beginSnapshot();
+
+    /** @return whether there is anything to write */
+    bool hasPending() const;
+
+    /** @return what was appended since the last call */
+    JournalBatch takeBatch();
 
     /**
-     * Begins a segment; the older ones are removed once a sync has succeeded that holds what was appended after this
-     * call.
+     * Makes a batch durable; waits for the disk. Other methods may be called on another thread meanwhile, but only one
+     * batch is written at a time. After an error nothing of the batch counts as kept; later ones may be.
+     *
+     * @param batch the batch
+     * @return whether it is on the disk
      */
-    void beginSnapshot();
+    DiskResult write(const JournalBatch &batch);
 
     /** @return bytes in all segments */
     std::size_t bytes() const;
 
 private:
     DiskResult openSegment();
-    DiskResult writePending();
+    DiskResult writeBytes(const std::vector<std::uint8_t> &bytes);
     void closeSegment();
     void removeOldSegments();
     std::string pathOf(std::uint64_t segment) const;
@@ -72,10 +86,9 @@
     std::vector<std::uint64_t> m_oldSegments;
     std::uint64_t m_segment = 0;
     int m_file = -1;
-    std::size_t m_written = 0;
-    std::size_t m_oldBytes = 0;
-    bool m_isSnapshotOpen = false;
-    std::vector<std::uint8_t> m_pending;
+    /** Read on another thread than it is written on. */
+    std::atomic<std::size_t> m_bytes = 0;
+    JournalBatch m_pending;
 };
 
 /**
--- a/src/libbriarhinge/turns/turnserver.cpp
+++ b/src/libbriarhinge/turns/turnserver.cpp
@@ -2,6 +2,8 @@
 
 #include "logging/eventlog.h"
 
+#include <utility>
+
 #include <boost/asio/post.hpp>
 
 namespace briarhinge::turns
@@ -38,6 +40,7 @@
           },
           [](const auto &, const std::string &) {})
     , m_tidyTimer(context)
+    , m_disk(1)
 {
 }
 
@@ -71,25 +74,33 @@
 
 void TurnServer::requestSync()
 {
-    if (m_isSyncPosted) {
+    if (!m_isWriting) {
+        writeNext();
+    }
+}
+
+void TurnServer::writeNext()
+{
+    if (m_answers.empty() && !m_journal.hasPending()) {
         return;
     }
-    m_isSyncPosted = true;
-    // Posted behind the frames that have arrived already: one sync covers all of them.
-    boost::asio::post(m_context, [this] {
-        sync();
+    m_isWriting = true;
+    m_covered = std::exchange(m_answers, {});
+    boost::asio::post(m_disk, [this, batch = m_journal.takeBatch()] {
+        boost::asio::post(m_context, [this, result = m_journal.write(batch), isSnapshot = batch.isSnapshot] {
+            written(result, isSnapshot);
+        });
     });
 }
 
-void TurnServer::sync()
+void TurnServer::written(const DiskResult &result, bool isSnapshot)
 {
-    m_isSyncPosted = false;
-    const DiskResult result = m_journal.sync();
+    m_isWriting = false;
     const auto *error = std::get_if<DiskError>(&result);
     if (error != nullptr) {
-        m_store.syncFailed();
-    } else {
-        m_store.synced();
+        m_store.writeFailed();
+    } else if (isSnapshot) {
+        m_store.snapshotWritten();
     }
     const bool isFailing = m_store.isRewriteNeeded();
     if (isFailing != m_isDiskFailing) {
@@ -100,7 +111,7 @@
             m_log.write(logging::events::diskRecovered, {{"turns", m_store.turnCount()}});
         }
     }
-    for (Answer &answer : m_answers) {
+    for (Answer &answer : m_covered) {
         if (isFailing) {
             markFailed(answer.frame);
         }
@@ -108,7 +119,8 @@
             session->send(answer.frame);
         }
     }
-    m_answers.clear();
+    m_covered.clear();
+    writeNext();
 }
 
 void TurnServer::tidyRegularly()
@@ -127,7 +139,8 @@
 void TurnServer::stop()
 {
     m_tidyTimer.cancel();
-    sync();
+    m_disk.join();
+    m_journal.write(m_journal.takeBatch());
     m_server.stop();
 }
 
--- a/src/libbriarhinge/turns/turnserver.h
+++ b/src/libbriarhinge/turns/turnserver.h
@@ -9,11 +9,16 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
 
 namespace briarhinge::turns
 {
 
-/** Answers requests of entries and other turn stores by frames; every answer waits for the sync that covers it. */
+/**
+ * Answers requests of entries and other turn stores by frames; every answer waits for the write that covers it.
+ *
+ * The disk has a thread of its own: what arrives during one write goes into the next one together.
+ */
 class TurnServer
 {
 public:
@@ -42,7 +47,8 @@
     };
 
     void receive(const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame);
-    void sync();
+    void writeNext();
+    void written(const DiskResult &result, bool isSnapshot);
     void tidyRegularly();
 
     boost::asio::io_context &m_context;
@@ -51,8 +57,12 @@
     logging::EventLog &m_log;
     wire::FrameServer m_server;
     boost::asio::steady_timer m_tidyTimer;
+    boost::asio::thread_pool m_disk;
+    /** Answers that wait for the next write. */
     std::vector<Answer> m_answers;
-    bool m_isSyncPosted = false;
+    /** Answers that wait for the write under way. */
+    std::vector<Answer> m_covered;
+    bool m_isWriting = false;
     bool m_isDiskFailing = false;
 };
 
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -245,15 +245,14 @@
     }
 }
 
-void TurnStore::syncFailed()
+void TurnStore::writeFailed()
 {
     m_isRewriteNeeded = true;
 }
 
-void TurnStore::synced()
+void TurnStore::snapshotWritten()
 {
-    m_isRewriteNeeded = m_isRewriteNeeded && !m_isSnapshotPending;
-    m_isSnapshotPending = false;
+    m_isRewriteNeeded = false;
 }
 
 bool TurnStore::isRewriteNeeded() const
@@ -276,7 +275,6 @@
 void TurnStore::writeSnapshot()
 {
     m_journal.beginSnapshot();
-    m_isSnapshotPending = true;
     wire::StoreStateT head;
     head.group = toJson(m_group);
     for (const base::ProgramId &program : m_budgets.programs()) {
--- a/src/libbriarhinge/turns/turnstore.h
+++ b/src/libbriarhinge/turns/turnstore.h
@@ -19,7 +19,7 @@
  * What one turn store keeps, and how it answers. Free of clocks and sockets; not synchronised.
  *
  * A request of an older group is refused, so that a group is sealed at this store from the moment at which it knows the
- * next one. Nothing may be answered before the journal is synced.
+ * next one. Nothing may be answered before the journal is written.
  */
 class TurnStore
 {
@@ -46,16 +46,16 @@
     /** @return names this store's stay on its disk */
     const DiskId &disk() const;
 
-    /** @param request a request @param now the time @return the answer, to be sent after a sync */
+    /** @param request a request @param now the time @return the answer, to be sent after the journal's write */
     wire::TurnBegunT begin(const wire::BeginTurnT &request, Time now);
 
-    /** @param request a request @param now the time @return the answer, to be sent after a sync */
+    /** @param request a request @param now the time @return the answer, to be sent after the journal's write */
     wire::TurnEndedT end(const wire::EndTurnT &request, Time now);
 
-    /** @param request a request @return the answer, to be sent after a sync */
+    /** @param request a request @return the answer, to be sent after the journal's write */
     wire::StatePageT fetch(const wire::FetchStateT &request);
 
-    /** @param request records to keep @param now the time @return the answer, to be sent after a sync */
+    /** @param request records to keep @param now the time @return the answer, to be sent after the journal's write */
     wire::TurnEndedT keep(const wire::StoreStateT &request, Time now);
 
     /** Takes in records of another store. @param page the records @param now the time */
@@ -64,11 +64,11 @@
     /** Forgets what is past the retention and rewrites the journal when most of it is out of date. @param now the time */
     void tidy(Time now);
 
-    /** A sync failed: what is in memory may not be on the disk, so the next tidying writes all of it. */
-    void syncFailed();
+    /** A write failed: what is in memory may not be on the disk, so the next tidying writes all of it. */
+    void writeFailed();
 
-    /** A sync succeeded. */
-    void synced();
+    /** All that is kept has been written. */
+    void snapshotWritten();
 
     /** @return whether nothing may be acknowledged until a rewrite has reached the disk */
     bool isRewriteNeeded() const;
@@ -90,7 +90,6 @@
     BudgetLedger m_budgets;
     TurnTree m_turns;
     bool m_isRewriteNeeded = false;
-    bool m_isSnapshotPending = false;
 };
 
 }
