Entry: Starts without the platform's store, and says not ready when it can't serve

Change: turn stores answer seeds with the routing and the runners; readiness looks at the turn stores and at how late timers fire; Retry-After grows with the fault.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -4,6 +4,8 @@
 #include "platform/wireformat.h"
 #include "turns/groupkeys.h"
 
+#include <utility>
+
 namespace briarhinge::node
 {
 
@@ -20,6 +22,13 @@
 /** The platform sends no new connections two missed checks, a second each, after readiness has ended. */
 constexpr base::Milliseconds acceptAfterStop{2600};
 constexpr base::Milliseconds stopPoll{50};
+/** How often the lateness of timers is measured: a few times within the 250 ms in which first answers are due. */
+constexpr base::Milliseconds watchInterval{50};
+/** How often turn stores that did not answer are asked whether they do again. */
+constexpr base::Milliseconds probeInterval{250};
+/** The platform's store answers within this when it is there at all: a connection and a few of its 4 ms. */
+constexpr base::Milliseconds seedPatience{250};
+constexpr base::Milliseconds seedTimeout{500};
 /** Left of the time to SIGKILL when requests that still run are broken off. */
 constexpr base::Milliseconds stopMargin{400};
 
@@ -35,14 +44,10 @@
     , m_pool(context)
     , m_peers(context)
     , m_turns(context, m_peers, turns::QuorumRule{settings.toleratedLosses}, settings.zone, log)
-    , m_exchanges{context,
-                  m_board,
-                  m_pool,
-                  m_turns,
-                  m_exchangeLog,
-                  [this] {
+    , m_exchanges{context, m_board, m_pool, m_turns, m_exchangeLog, m_advice, [this] {
                       return m_routing;
                   }}
+    , m_watchTimer(context)
     , m_stopTimer(context)
 {
 }
@@ -87,6 +92,8 @@
         followRouting();
         followRunners();
         followGroup();
+        m_started = std::chrono::steady_clock::now();
+        watchOver();
     }
     return error;
 }
@@ -95,73 +102,146 @@
 {
     platform::ItemHandlers handlers;
     handlers.onItem = [this](const keyvalue::KeyValue &item) {
-        if (item.key != platform::routingKey) {
-            return;
-        }
-        const auto routing = platform::parseRouting(item.value);
-        if (!routing) {
-            m_log.write(logging::events::badEntry, {{"key", item.key}});
-            return;
-        }
-        if (m_routing && routing->version() <= m_routing->version()) {
-            return;
-        }
-        m_routing = routing;
-        m_log.write(logging::events::routesInForce,
-                    {{"version", routing->version().value()}, {"routes", routing->routeCount()}});
+        routingSeen(item);
     };
     m_routingWatch = std::make_unique<platform::PrefixWatch>(m_context, m_store, std::string(platform::operatorPrefix),
                                                              std::move(handlers), m_log);
     m_routingWatch->start();
 }
 
+void EntryNode::routingSeen(const keyvalue::KeyValue &item)
+{
+    if (item.key != platform::routingKey) {
+        return;
+    }
+    const auto routing = platform::parseRouting(item.value);
+    if (!routing) {
+        m_log.write(logging::events::badEntry, {{"key", item.key}});
+        return;
+    }
+    if (m_routing && routing->version() <= m_routing->version()) {
+        return;
+    }
+    m_routing = routing;
+    m_log.write(logging::events::routesInForce,
+                {{"version", routing->version().value()}, {"routes", routing->routeCount()}});
+}
+
 void EntryNode::followRunners()
 {
     platform::ItemHandlers handlers;
     handlers.onItem = [this](const keyvalue::KeyValue &item) {
-        const std::string id = item.key.substr(platform::runnerPrefix.size());
-        const auto runner = platform::parseRunner(id, item.value);
-        if (!runner) {
-            m_log.write(logging::events::badEntry, {{"key", item.key}});
-            forgetRunner(dispatch::RunnerId(id));
-            return;
-        }
-        m_missing.erase(runner->id);
-        if (m_board.registered(*runner, std::chrono::steady_clock::now())) {
-            m_log.write(logging::events::runnerChanged,
-                        {{"runner", id},
-                         {"service", runner->service.value()},
-                         {"address", wire::toString(runner->address)},
-                         {"state", runner->isDraining ? "draining" : "ready"},
-                         {"version", item.version.value()}});
-            if (runner->isDraining) {
-                m_pool.drop(runner->id);
-            }
-        }
+        m_borrowed.erase(dispatch::RunnerId(item.key.substr(platform::runnerPrefix.size())));
+        runnerSeen(item);
     };
     handlers.onRemoved = [this](const std::string &key, bool isAfterOutage) {
         runnerGone(dispatch::RunnerId(key.substr(platform::runnerPrefix.size())), isAfterOutage);
     };
+    handlers.onListed = [this] {
+        for (const dispatch::RunnerId &id : std::exchange(m_borrowed, {})) {
+            runnerGone(id, true);
+        }
+    };
     m_runnerWatch = std::make_unique<platform::PrefixWatch>(m_context, m_store, std::string(platform::runnerPrefix),
                                                             std::move(handlers), m_log);
     m_runnerWatch->start();
 }
 
+void EntryNode::runnerSeen(const keyvalue::KeyValue &item)
+{
+    const std::string id = item.key.substr(platform::runnerPrefix.size());
+    const auto runner = platform::parseRunner(id, item.value);
+    if (!runner) {
+        m_log.write(logging::events::badEntry, {{"key", item.key}});
+        forgetRunner(dispatch::RunnerId(id));
+        return;
+    }
+    m_missing.erase(runner->id);
+    if (!m_board.registered(*runner, std::chrono::steady_clock::now())) {
+        return;
+    }
+    m_log.write(logging::events::runnerChanged,
+                {{"runner", id},
+                 {"service", runner->service.value()},
+                 {"address", wire::toString(runner->address)},
+                 {"state", runner->isDraining ? "draining" : "ready"},
+                 {"version", item.version.value()}});
+    if (runner->isDraining) {
+        m_pool.drop(runner->id);
+    }
+}
+
 void EntryNode::followGroup()
 {
     platform::ItemHandlers handlers;
     handlers.onItem = [this](const keyvalue::KeyValue &item) {
-        if (const auto group = turns::parseStoreGroup(item.value)) {
-            m_turns.setGroup(*group);
-        } else {
-            m_log.write(logging::events::badEntry, {{"key", item.key}});
-        }
+        groupSeen(item);
     };
     m_groupWatch = std::make_unique<platform::PrefixWatch>(m_context, m_store, std::string(turns::groupKey),
                                                            std::move(handlers), m_log);
     m_groupWatch->start();
 }
 
+void EntryNode::groupSeen(const keyvalue::KeyValue &item)
+{
+    if (const auto group = turns::parseStoreGroup(item.value)) {
+        m_turns.setGroup(*group);
+    } else {
+        m_log.write(logging::events::badEntry, {{"key", item.key}});
+    }
+}
+
+void EntryNode::watchOver()
+{
+    m_watchTimer.expires_after(watchInterval);
+    m_watchTimer.async_wait([this, due = m_watchTimer.expiry()](const error_code &error) {
+        if (error) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        m_gauge.fired(std::chrono::duration_cast<base::Milliseconds>(now - due), now);
+        if (now - m_probed > probeInterval) {
+            m_probed = now;
+            m_turns.probe();
+            if (!m_routing && now - m_started > seedPatience) {
+                askSeeds();
+            }
+        }
+        watchOver();
+    });
+}
+
+void EntryNode::askSeeds()
+{
+    for (const wire::Address &seed : m_settings.seeds) {
+        wire::MessageUnion message;
+        message.Set(wire::FetchDeploymentT{});
+        m_peers.ask(seed, std::move(message), seedTimeout, [this](const wire::ChannelReply &reply) {
+            takeDeployment(reply);
+        });
+    }
+}
+
+void EntryNode::takeDeployment(const wire::ChannelReply &reply)
+{
+    const auto *frame = std::get_if<wire::FrameT>(&reply);
+    const auto *state = frame == nullptr ? nullptr : frame->message.AsDeploymentState();
+    if (state == nullptr || m_routing || state->items.empty()) {
+        return;
+    }
+    groupSeen({std::string(turns::groupKey), state->group, {}});
+    for (const auto &stored : state->items) {
+        const keyvalue::KeyValue item{stored->key, stored->value, {}};
+        if (item.key.starts_with(platform::runnerPrefix)) {
+            m_borrowed.insert(dispatch::RunnerId(item.key.substr(platform::runnerPrefix.size())));
+            runnerSeen(item);
+        } else {
+            routingSeen(item);
+        }
+    }
+    m_log.write(logging::events::deploymentBorrowed, {{"items", state->items.size()}});
+}
+
 void EntryNode::runnerGone(const dispatch::RunnerId &id, bool isAfterOutage)
 {
     if (!isAfterOutage) {
@@ -188,7 +268,8 @@
 
 bool EntryNode::isReady() const
 {
-    return !m_isStopping && m_routing && m_turns.isReady() && m_board.size() > 0;
+    return !m_isStopping && m_routing && m_turns.isReady() && m_board.size() > 0
+        && !m_gauge.isOverloaded(std::chrono::steady_clock::now());
 }
 
 void EntryNode::answerReadiness(const std::shared_ptr<http::ServerConnection> &connection)
@@ -199,7 +280,9 @@
         m_log.write(logging::events::readinessChanged,
                     {{"ready", isReadyNow ? "yes" : "no"},
                      {"routing", m_routing ? m_routing->version().value() : 0},
-                     {"runners", m_board.size()}});
+                     {"runners", m_board.size()},
+                     {"turnStores", m_turns.isReady() ? "answer" : "silent"},
+                     {"late", m_gauge.isOverloaded(std::chrono::steady_clock::now()) ? "yes" : "no"}});
     }
     connection->answer({isReadyNow ? statusOk : statusUnavailable, {}}, {});
 }
@@ -228,6 +311,7 @@
 void EntryNode::abandon()
 {
     m_stopTimer.cancel();
+    m_watchTimer.cancel();
     m_missing.clear();
     for (const auto *watch : {&m_routingWatch, &m_runnerWatch, &m_groupWatch}) {
         (*watch)->stop();
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "dispatch/overloadgauge.h"
+#include "dispatch/retryadvice.h"
 #include "dispatch/runnerboard.h"
 #include "forwarding/exchange.h"
 #include "forwarding/exchangelog.h"
@@ -13,6 +15,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -46,6 +49,12 @@
     void followGroup();
     void runnerGone(const dispatch::RunnerId &id, bool isAfterOutage);
     void forgetRunner(const dispatch::RunnerId &id);
+    void routingSeen(const keyvalue::KeyValue &item);
+    void runnerSeen(const keyvalue::KeyValue &item);
+    void groupSeen(const keyvalue::KeyValue &item);
+    void watchOver();
+    void askSeeds();
+    void takeDeployment(const wire::ChannelReply &reply);
     bool isReady() const;
     void answerReadiness(const std::shared_ptr<http::ServerConnection> &connection);
     void finishStop();
@@ -70,6 +79,13 @@
     std::unique_ptr<http::Listener> m_callers;
     std::unique_ptr<http::Listener> m_readiness;
     std::unique_ptr<http::Listener> m_metricsListener;
+    /** Runners known from a turn store only, until the platform's store has listed its own. */
+    std::set<dispatch::RunnerId> m_borrowed;
+    dispatch::RetryAdvice m_advice;
+    dispatch::OverloadGauge m_gauge;
+    boost::asio::steady_timer m_watchTimer;
+    std::chrono::steady_clock::time_point m_started;
+    std::chrono::steady_clock::time_point m_probed;
     boost::asio::steady_timer m_stopTimer;
     std::function<void()> m_onStopped;
     std::chrono::steady_clock::time_point m_stopEnd;
--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -69,18 +69,31 @@
         // The journal begins its segment with the first record that the disk takes.
         m_log.write(logging::events::diskFailing, {{"reason", error->reason}});
     }
-    m_server = std::make_unique<turns::TurnServer>(m_context, *m_store, m_journal, m_log);
+    m_server = std::make_unique<turns::TurnServer>(m_context, *m_store, m_journal, m_log, [this] {
+        std::vector<keyvalue::KeyValue> items;
+        for (const auto &[key, item] : m_deployment) {
+            items.push_back(item);
+        }
+        return items;
+    });
     const wire::Address address{m_settings.ip, m_settings.firstPort};
     const auto listening = m_server->listen(address);
     if (const auto *error = std::get_if<wire::ListenError>(&listening)) {
         return error->reason;
     }
+    if (m_settings.seedListen) {
+        const auto seedListening = m_server->listen(*m_settings.seedListen);
+        if (const auto *error = std::get_if<wire::ListenError>(&seedListening)) {
+            return error->reason;
+        }
+    }
     const turns::StoreMember self{turns::StoreName(m_settings.name), m_settings.zone, address, m_store->disk()};
     m_keeper = std::make_unique<Keeper>(m_context, m_platformStore, m_retirements, m_peers, *m_store, *m_server, self,
                                         turns::QuorumRule{m_settings.toleratedLosses}, m_log);
     followGroup();
     followRegistrations();
-    followRetirements();
+    followOperators();
+    followRunners();
     m_keeper->start();
     return {};
 }
@@ -110,26 +123,44 @@
     m_registrationWatch->start();
 }
 
-void StoreNode::followRetirements()
+void StoreNode::followOperators()
 {
-    const auto nameOf = [](const std::string &key) {
-        return turns::StoreName(key.substr(platform::retirementPrefix.size()));
+    platform::ItemHandlers handlers;
+    handlers.onItem = [this](const keyvalue::KeyValue &item) {
+        if (item.key.starts_with(platform::retirementPrefix)) {
+            m_keeper->retirementSeen(turns::StoreName(item.key.substr(platform::retirementPrefix.size())), true);
+        } else if (item.key == platform::routingKey) {
+            m_deployment[item.key] = item;
+        }
+    };
+    handlers.onRemoved = [this](const std::string &key, bool) {
+        if (key.starts_with(platform::retirementPrefix)) {
+            m_keeper->retirementSeen(turns::StoreName(key.substr(platform::retirementPrefix.size())), false);
+        }
     };
+    m_operatorWatch = std::make_unique<platform::PrefixWatch>(
+        m_context, m_platformStore, std::string(platform::operatorPrefix), std::move(handlers), m_log);
+    m_operatorWatch->start();
+}
+
+void StoreNode::followRunners()
+{
     platform::ItemHandlers handlers;
-    handlers.onItem = [this, nameOf](const keyvalue::KeyValue &item) {
-        m_keeper->retirementSeen(nameOf(item.key), true);
+    handlers.onItem = [this](const keyvalue::KeyValue &item) {
+        m_deployment[item.key] = item;
     };
-    handlers.onRemoved = [this, nameOf](const std::string &key, bool) {
-        m_keeper->retirementSeen(nameOf(key), false);
+    handlers.onRemoved = [this](const std::string &key, bool) {
+        m_deployment.erase(key);
     };
-    m_retirementWatch = std::make_unique<platform::PrefixWatch>(
-        m_context, m_platformStore, std::string(platform::retirementPrefix), std::move(handlers), m_log);
-    m_retirementWatch->start();
+    m_runnerWatch = std::make_unique<platform::PrefixWatch>(m_context, m_platformStore,
+                                                            std::string(platform::runnerPrefix), std::move(handlers),
+                                                            m_log, platform::Eagerness::Relaxed);
+    m_runnerWatch->start();
 }
 
 void StoreNode::abandon()
 {
-    for (const auto *watch : {&m_groupWatch, &m_registrationWatch, &m_retirementWatch}) {
+    for (const auto *watch : {&m_groupWatch, &m_registrationWatch, &m_operatorWatch, &m_runnerWatch}) {
         (*watch)->stop();
     }
     m_keeper->stop();
--- a/src/briarhingenode/storenode.h
+++ b/src/briarhingenode/storenode.h
@@ -10,6 +10,7 @@
 #include "turns/turnstore.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -43,7 +44,8 @@
     std::variant<turns::DiskId, turns::DiskError> openDisk() const;
     void followGroup();
     void followRegistrations();
-    void followRetirements();
+    void followOperators();
+    void followRunners();
 
     boost::asio::io_context &m_context;
     const platform::NodeSettings m_settings;
@@ -57,7 +59,10 @@
     std::unique_ptr<Keeper> m_keeper;
     std::unique_ptr<platform::PrefixWatch> m_groupWatch;
     std::unique_ptr<platform::PrefixWatch> m_registrationWatch;
-    std::unique_ptr<platform::PrefixWatch> m_retirementWatch;
+    std::unique_ptr<platform::PrefixWatch> m_operatorWatch;
+    std::unique_ptr<platform::PrefixWatch> m_runnerWatch;
+    /** The routing and the runners, for entries that start while the platform's store is away. */
+    std::map<std::string, keyvalue::KeyValue> m_deployment;
 };
 
 }
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/retryadvice.h"
 #include "dispatch/runnerboard.h"
 #include "dispatch/urgency.h"
 #include "forwarding/eventstream.h"
@@ -51,6 +52,8 @@
     RunnerPool &pool;
     turns::TurnClient &turns;
     ExchangeLog &log;
+    /** How long faults of this entry's own dependencies have lasted. */
+    dispatch::RetryAdvice &advice;
     /** The routing in force; nothing while none is known. */
     std::function<std::shared_ptr<const Routing>()> routing;
 };
@@ -87,6 +90,7 @@
         m_story.request = m_request.id.value();
         m_routing = m_shared.routing();
         if (!m_routing) {
+            m_pause = m_shared.advice.failed(now());
             refuse("no routing is known yet");
             return;
         }
@@ -175,6 +179,7 @@
     {
         m_story.turnWait = std::chrono::duration_cast<base::Milliseconds>(now() - m_began);
         if (auto *granted = std::get_if<turns::TurnGranted>(&result)) {
+            m_shared.advice.worked();
             m_reservation = granted->reservation;
             if (m_isOver) {
                 settle(std::nullopt);
@@ -194,6 +199,7 @@
             m_story.reason = "no such turn";
             answerOwn(statusNotFound, Outcome::Rejected);
         } else {
+            m_pause = m_shared.advice.failed(now());
             refuse(std::get<turns::TurnsUnavailable>(result).reason);
         }
     }
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -74,6 +74,7 @@
 inline constexpr EventKind runnerChanged{620, "runner-changed", Level::Info};
 inline constexpr EventKind badEntry{621, "bad-entry", Level::Warning};
 inline constexpr EventKind routesInForce{622, "routes-in-force", Level::Info};
+inline constexpr EventKind deploymentBorrowed{623, "deployment-borrowed", Level::Warning};
 inline constexpr EventKind readinessChanged{630, "readiness-changed", Level::Info};
 inline constexpr EventKind exchangeEnded{640, "exchange-ended", Level::Info};
 inline constexpr EventKind exchangeFailed{641, "exchange-failed", Level::Warning};
@@ -131,6 +132,7 @@
     runnerChanged,
     badEntry,
     routesInForce,
+    deploymentBorrowed,
     readinessChanged,
     exchangeEnded,
     exchangeFailed,
--- a/src/libbriarhinge/turns/journal.cpp
+++ b/src/libbriarhinge/turns/journal.cpp
@@ -8,7 +8,6 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
-#include <iterator>
 #include <utility>
 
 #include <fcntl.h>
@@ -68,8 +67,12 @@
 
 void readSegment(const std::string &path, const std::function<void(std::span<const std::uint8_t>)> &onRecord)
 {
+    std::error_code error;
+    const auto size = fs::file_size(path, error);
+    std::vector<char> bytes(error ? 0 : size);
     std::ifstream file(path, std::ios::binary);
-    const std::vector<char> bytes{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    file.read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+    bytes.resize(static_cast<std::size_t>(std::max<std::streamsize>(0, file.gcount())));
     std::size_t at = 0;
     while (at + headBytes <= bytes.size()) {
         std::uint32_t length = 0;
--- a/src/libbriarhinge/turns/turnclient.cpp
+++ b/src/libbriarhinge/turns/turnclient.cpp
@@ -154,6 +154,7 @@
         m_client.m_peers.ask(member.address, std::move(message), answerLimit,
                              [self = shared_from_this(), member, wantsChain, isReserving, asked = m_missing,
                               round = m_round](wire::ChannelReply reply) {
+                                 self->m_client.noteAnswer(member, reply);
                                  if (round == self->m_round && self->m_onDone) {
                                      self->answered(member, wantsChain, isReserving, asked, std::move(reply));
                                  }
@@ -513,13 +514,47 @@
         return;
     }
     m_group = group;
+    m_silent.clear();
     m_log.write(logging::events::groupAdopted,
                 {{"epoch", group.epoch.value()}, {"members", group.current.size()}, {"next", group.next.size()}});
 }
 
 bool TurnClient::isReady() const
 {
-    return m_group.epoch.value() > 0;
+    Answers answering;
+    for (const StoreMember &member : m_group.members()) {
+        if (!m_silent.contains(member.disk)) {
+            answering.insert(member.disk);
+        }
+    }
+    return isWritten(m_rule, m_group, answering);
+}
+
+void TurnClient::probe()
+{
+    for (const StoreMember &member : m_group.members()) {
+        if (!m_silent.contains(member.disk)) {
+            continue;
+        }
+        wire::BeginTurnT request;
+        request.epoch = m_group.epoch.value();
+        wire::MessageUnion message;
+        message.Set(std::move(request));
+        m_peers.ask(member.address, std::move(message), answerLimit, [this, member](const wire::ChannelReply &reply) {
+            noteAnswer(member, reply);
+        });
+    }
+}
+
+void TurnClient::noteAnswer(const StoreMember &member, const wire::ChannelReply &reply)
+{
+    const bool isSilent = std::holds_alternative<wire::ChannelError>(reply);
+    if (!isSilent) {
+        m_silent.erase(member.disk);
+    } else if (m_silent.insert(member.disk).second) {
+        m_log.write(logging::events::storeUnreachable,
+                    {{"store", member.name.value()}, {"reason", std::get<wire::ChannelError>(reply).reason}});
+    }
 }
 
 void TurnClient::begin(const TurnStart &start, StartHandler onDone)
--- a/src/libbriarhinge/turns/turnclient.h
+++ b/src/libbriarhinge/turns/turnclient.h
@@ -100,9 +100,12 @@
     /** Takes in a group, unless it is older than the present one. @param group the group */
     void setGroup(const StoreGroup &group);
 
-    /** @return whether a group is known */
+    /** @return whether a group is known and enough of its members answer to keep turns */
     bool isReady() const;
 
+    /** Asks members that did not answer last whether they do again. */
+    void probe();
+
     /**
      * Reserves the budget of a turn and finds its chain.
      *
@@ -124,6 +127,7 @@
     class BeginRun;
     class EndRun;
 
+    void noteAnswer(const StoreMember &member, const wire::ChannelReply &reply);
     void settleInBackground(const base::ProgramId &program, const AttemptId &reservation, base::Tokens spent);
 
     boost::asio::io_context &m_context;
@@ -132,6 +136,8 @@
     const base::ZoneName m_zone;
     logging::EventLog &m_log;
     StoreGroup m_group;
+    /** Members that did not answer last. */
+    Answers m_silent;
     /** Turns that this process has made or read lately. */
     TurnTree m_cache;
 };
--- a/src/libbriarhinge/turns/turnserver.cpp
+++ b/src/libbriarhinge/turns/turnserver.cpp
@@ -28,26 +28,41 @@
 
 }
 
-TurnServer::TurnServer(boost::asio::io_context &context, TurnStore &store, Journal &journal, logging::EventLog &log)
+TurnServer::TurnServer(boost::asio::io_context &context, TurnStore &store, Journal &journal, logging::EventLog &log,
+                       std::function<std::vector<keyvalue::KeyValue>()> deployment)
     : m_context(context)
     , m_store(store)
     , m_journal(journal)
     , m_log(log)
-    , m_server(
-          context, log,
-          [this](const auto &session, const wire::FrameT &frame) {
-              receive(session, frame);
-          },
-          [](const auto &, const std::string &) {})
+    , m_deployment(std::move(deployment))
     , m_tidyTimer(context)
     , m_disk(1)
 {
+    tidyRegularly();
 }
 
 std::variant<std::uint16_t, wire::ListenError> TurnServer::listen(const wire::Address &address)
 {
-    tidyRegularly();
-    return m_server.listen(address);
+    m_servers.push_back(std::make_unique<wire::FrameServer>(
+        m_context, m_log,
+        [this](const auto &session, const wire::FrameT &frame) {
+            receive(session, frame);
+        },
+        [](const auto &, const std::string &) {}));
+    return m_servers.back()->listen(address);
+}
+
+wire::DeploymentStateT TurnServer::deploymentState() const
+{
+    wire::DeploymentStateT state;
+    state.group = m_store.group().epoch.value() > 0 ? toJson(m_store.group()) : std::string();
+    for (const keyvalue::KeyValue &item : m_deployment()) {
+        auto stored = std::make_unique<wire::StoredItemT>();
+        stored->key = item.key;
+        stored->value = item.value;
+        state.items.push_back(std::move(stored));
+    }
+    return state;
 }
 
 void TurnServer::receive(const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame)
@@ -64,6 +79,8 @@
         answer.message.Set(m_store.fetch(*fetch));
     } else if (const auto *state = frame.message.AsStoreState()) {
         answer.message.Set(m_store.keep(*state, now));
+    } else if (frame.message.AsFetchDeployment() != nullptr) {
+        answer.message.Set(deploymentState());
     } else {
         session->close("a message that turn stores don't know");
         return;
@@ -141,7 +158,9 @@
     m_tidyTimer.cancel();
     m_disk.join();
     m_journal.write(m_journal.takeBatch());
-    m_server.stop();
+    for (const auto &server : m_servers) {
+        server->stop();
+    }
 }
 
 }
--- a/src/libbriarhinge/turns/turnserver.h
+++ b/src/libbriarhinge/turns/turnserver.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "keyvalue/keyvalue.h"
 #include "turns/turnstore.h"
 #include "wire/frameserver.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -27,10 +29,12 @@
      * @param store what is kept
      * @param journal where it is made durable
      * @param log gets lost and regained disks
+     * @param deployment asked for the entries of the platform's store that this process knows
      */
-    TurnServer(boost::asio::io_context &context, TurnStore &store, Journal &journal, logging::EventLog &log);
+    TurnServer(boost::asio::io_context &context, TurnStore &store, Journal &journal, logging::EventLog &log,
+               std::function<std::vector<keyvalue::KeyValue>()> deployment);
 
-    /** @param address where to listen @return the port, or why it can't be had */
+    /** May be called for several addresses. @param address where to listen @return the port, or why it can't be had */
     std::variant<std::uint16_t, wire::ListenError> listen(const wire::Address &address);
 
     /** Has what was appended to the journal synced soon, together with other records. */
@@ -47,6 +51,7 @@
     };
 
     void receive(const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame);
+    wire::DeploymentStateT deploymentState() const;
     void writeNext();
     void written(const DiskResult &result, bool isSnapshot);
     void tidyRegularly();
@@ -55,7 +60,8 @@
     TurnStore &m_store;
     Journal &m_journal;
     logging::EventLog &m_log;
-    wire::FrameServer m_server;
+    const std::function<std::vector<keyvalue::KeyValue>()> m_deployment;
+    std::vector<std::unique_ptr<wire::FrameServer>> m_servers;
     boost::asio::steady_timer m_tidyTimer;
     boost::asio::thread_pool m_disk;
     /** Answers that wait for the next write. */
