--- a/src/libbriarhinge/turns/journal.cpp
+++ b/src/libbriarhinge/turns/journal.cpp
@@ -1,7 +1,5 @@
 #include "turns/journal.h"
 
-#include "base/digest.h"
-
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
@@ -12,6 +10,7 @@
 
 #include <fcntl.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 namespace briarhinge::turns
 {
@@ -34,7 +33,7 @@
 
 std::uint64_t checksumOf(std::span<const std::uint8_t> record)
 {
-    return base::stableHash({reinterpret_cast<const char *>(record.data()), record.size()});
+    return XXH3_64bits(record.data(), record.size());
 }
 
 DiskResult syncFolder(const std::string &folder)
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -55,8 +55,11 @@
     if (state == nullptr) {
         return;
     }
-    if (const auto group = parseStoreGroup(state->group); group && group->epoch > m_group.epoch) {
-        m_group = *group;
+    if (!state->group.empty()) {
+        const auto group = parseStoreGroup(state->group);
+        if (group && group->epoch > m_group.epoch) {
+            m_group = *group;
+        }
     }
     for (const auto &turn : state->turns) {
         m_turns.add(fromWire(*turn), now);
