--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -44,7 +44,13 @@
     , m_pool(context)
     , m_peers(context)
     , m_turns(context, m_peers, turns::QuorumRule{settings.toleratedLosses}, settings.zone, log)
-    , m_exchanges{context, m_board, m_pool, m_turns, m_exchangeLog, m_advice, [this] {
+    , m_exchanges{context,
+                  m_board,
+                  m_pool,
+                  m_turns,
+                  m_exchangeLog,
+                  m_advice,
+                  [this] {
                       return m_routing;
                   }}
     , m_watchTimer(context)
--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -152,9 +152,9 @@
     handlers.onRemoved = [this](const std::string &key, bool) {
         m_deployment.erase(key);
     };
-    m_runnerWatch = std::make_unique<platform::PrefixWatch>(m_context, m_platformStore,
-                                                            std::string(platform::runnerPrefix), std::move(handlers),
-                                                            m_log, platform::Eagerness::Relaxed);
+    m_runnerWatch =
+        std::make_unique<platform::PrefixWatch>(m_context, m_platformStore, std::string(platform::runnerPrefix),
+                                                std::move(handlers), m_log, platform::Eagerness::Relaxed);
     m_runnerWatch->start();
 }
 
--- a/src/libbriarhinge/turns/journal.cpp
+++ b/src/libbriarhinge/turns/journal.cpp
@@ -161,6 +161,7 @@
     if (batch.bytes.empty()) {
         return {};
     }
+    ++m_batches;
     if (batch.isSnapshot) {
         closeSegment();
     }
@@ -190,6 +191,11 @@
     return {};
 }
 
+std::size_t Journal::batches() const
+{
+    return m_batches;
+}
+
 std::size_t Journal::bytes() const
 {
     return m_bytes;
--- a/src/libbriarhinge/turns/journal.h
+++ b/src/libbriarhinge/turns/journal.h
@@ -72,6 +72,9 @@
      */
     DiskResult write(const JournalBatch &batch);
 
+    /** @return batches written so far, whether or not they reached the disk */
+    std::size_t batches() const;
+
     /** @return bytes in all segments */
     std::size_t bytes() const;
 
@@ -88,6 +91,7 @@
     int m_file = -1;
     /** Read on another thread than it is written on. */
     std::atomic<std::size_t> m_bytes = 0;
+    std::atomic<std::size_t> m_batches = 0;
     JournalBatch m_pending;
 };
 
--- a/tests/platformdeployment.cpp
+++ b/tests/platformdeployment.cpp
@@ -91,6 +91,7 @@
     auto settings = settingsOf("store", static_cast<int>(index));
     settings.dataFolder = process.folder->path();
     settings.firstPort = addressAt(10 + static_cast<int>(index)).port;
+    settings.seedListen = addressAt(40 + static_cast<int>(index));
     process.node = std::make_unique<node::StoreNode>(context, settings, m_log);
     STRCMP_EQUAL("", process.node->start().c_str());
 }
@@ -110,6 +111,7 @@
     settings.callers = addressAt(ports);
     settings.readiness = addressAt(ports + 1);
     settings.metrics = addressAt(ports + 2);
+    settings.seeds = {addressAt(40), addressAt(41), addressAt(42)};
     m_entries[index] = std::make_unique<node::EntryNode>(context, settings, m_log);
     STRCMP_EQUAL("", m_entries[index]->start().c_str());
 }
@@ -131,45 +133,73 @@
     context.run_for(time);
 }
 
-std::shared_ptr<Asked> PlatformDeployment::send(std::size_t entry, const std::string &request)
+void PlatformDeployment::sendOn(const std::shared_ptr<Asked> &asked, const std::string &request)
+{
+    http::ResponseHandlers handlers;
+    handlers.onHead = [asked](const http::ResponseHead &head) {
+        asked->status = head.status;
+        asked->headers = head.headers;
+        return http::HeadVerdict::Take;
+    };
+    handlers.onBody = [asked](std::string_view piece) {
+        asked->body += piece;
+    };
+    handlers.onEnd = [asked](http::Ending ending) {
+        asked->isOver = true;
+        asked->isWhole = ending == http::Ending::Whole;
+    };
+    asked->connection->send(request, false, std::move(handlers));
+}
+
+std::shared_ptr<Asked> PlatformDeployment::sendTo(const wire::Address &address, const std::string &request)
 {
     auto asked = std::make_shared<Asked>();
-    http::ClientConnection::connect(
-        context, addressAt(20 + 3 * static_cast<int>(entry)), std::chrono::milliseconds(1000),
-        std::chrono::milliseconds(5000), [asked, request](auto result) {
-            auto *connection = std::get_if<std::shared_ptr<http::ClientConnection>>(&result);
-            if (connection == nullptr) {
-                asked->isOver = true;
-                return;
-            }
-            asked->connection = *connection;
-            http::ResponseHandlers handlers;
-            handlers.onHead = [asked](const http::ResponseHead &head) {
-                asked->status = head.status;
-                asked->headers = head.headers;
-                return http::HeadVerdict::Take;
-            };
-            handlers.onBody = [asked](std::string_view piece) {
-                asked->body += piece;
-            };
-            handlers.onEnd = [asked](http::Ending ending) {
-                asked->isOver = true;
-                asked->isWhole = ending == http::Ending::Whole;
-            };
-            asked->connection->send(request, false, std::move(handlers));
-        });
+    http::ClientConnection::connect(context, address, std::chrono::milliseconds(1000), std::chrono::milliseconds(5000),
+                                    [asked, request](auto result) {
+                                        auto *connection =
+                                            std::get_if<std::shared_ptr<http::ClientConnection>>(&result);
+                                        if (connection == nullptr) {
+                                            asked->isOver = true;
+                                            return;
+                                        }
+                                        asked->connection = *connection;
+                                        sendOn(asked, request);
+                                    });
     return asked;
 }
 
-std::shared_ptr<Asked> PlatformDeployment::ask(std::size_t entry, const std::string &request)
+std::shared_ptr<Asked> PlatformDeployment::finished(const std::shared_ptr<Asked> &asked)
 {
-    auto asked = send(entry, request);
     CHECK(runUntil([&asked] {
         return asked->isOver;
     }));
     return asked;
 }
 
+std::shared_ptr<Asked> PlatformDeployment::send(std::size_t entry, const std::string &request)
+{
+    return sendTo(addressAt(20 + 3 * static_cast<int>(entry)), request);
+}
+
+std::shared_ptr<Asked> PlatformDeployment::ask(std::size_t entry, const std::string &request)
+{
+    return finished(send(entry, request));
+}
+
+std::shared_ptr<Asked> PlatformDeployment::askAgain(const std::shared_ptr<Asked> &earlier, const std::string &request)
+{
+    auto asked = std::make_shared<Asked>();
+    asked->connection = earlier->connection;
+    sendOn(asked, request);
+    return finished(asked);
+}
+
+bool PlatformDeployment::isReady(std::size_t entry)
+{
+    const auto address = addressAt(21 + 3 * static_cast<int>(entry));
+    return finished(sendTo(address, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"))->status == 200;
+}
+
 std::string PlatformDeployment::turn(const std::string &id, const std::string &fields, const std::string &body)
 {
     return "POST /turn/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id
--- a/tests/platformdeployment.h
+++ b/tests/platformdeployment.h
@@ -63,6 +63,13 @@
     /** Sends a request and runs until it is over. @param entry which entry @param request its bytes @return the outcome */
     std::shared_ptr<Asked> ask(std::size_t entry, const std::string &request);
 
+    /** Sends a request on the connection of an earlier one and runs until it is over. @param earlier the earlier one
+     * @param request its bytes @return the outcome */
+    std::shared_ptr<Asked> askAgain(const std::shared_ptr<Asked> &earlier, const std::string &request);
+
+    /** @param entry which entry @return whether it says that it is ready */
+    bool isReady(std::size_t entry);
+
     /** @param id the request's id @param fields more header fields, each with its line end @param body the body
      * @return the bytes of a turn */
     static std::string turn(const std::string &id, const std::string &fields, const std::string &body);
@@ -79,6 +86,9 @@
     static std::string routing(int version);
 
 private:
+    std::shared_ptr<Asked> sendTo(const wire::Address &address, const std::string &request);
+    static void sendOn(const std::shared_ptr<Asked> &asked, const std::string &request);
+    std::shared_ptr<Asked> finished(const std::shared_ptr<Asked> &asked);
     wire::Address addressAt(int offset) const;
 
     /** Before the members that listen. */
--- a/tests/test_turnstore.cpp
+++ b/tests/test_turnstore.cpp
@@ -1,4 +1,7 @@
+#include "logging/eventlog.h"
 #include "temporaryfolder.h"
+#include "turns/storepeers.h"
+#include "turns/turnserver.h"
 #include "turns/turnstore.h"
 
 #include <fstream>
@@ -200,3 +203,42 @@
     Started again(folder.path());
     CHECK(again.store.begin(begin(3, "b", "a"), start).known);
 }
+
+TEST_GROUP(TurnServer)
+{
+    tests::TemporaryFolder folder;
+};
+
+TEST(TurnServer, whatArrivesTogetherFromManyEntriesIsWrittenTogether)
+{
+    Started started(folder.path());
+    started.store.adopt(groupOf(3));
+    boost::asio::io_context context;
+    logging::EventLog log("test");
+    TurnServer server(context, started.store, started.journal, log, [] {
+        return std::vector<keyvalue::KeyValue>();
+    });
+    const auto port = server.listen({"127.0.0.1", 0});
+    const wire::Address address{"127.0.0.1", std::get<std::uint16_t>(port)};
+    constexpr int entries = 20;
+    constexpr int turns = 10;
+    std::vector<std::unique_ptr<StorePeers>> peers;
+    int answered = 0;
+    for (int entry = 0; entry < entries; ++entry) {
+        peers.push_back(std::make_unique<StorePeers>(context));
+        for (int turn = 0; turn < turns; ++turn) {
+            wire::MessageUnion message;
+            message.Set(begin(3, std::to_string(entry) + "-" + std::to_string(turn)));
+            peers.back()->ask(address, std::move(message), std::chrono::seconds(10),
+                              [&](const wire::ChannelReply &reply) {
+                                  CHECK(std::holds_alternative<wire::FrameT>(reply));
+                                  ++answered;
+                              });
+        }
+    }
+    while (answered < entries * turns) {
+        context.run_one();
+    }
+    CHECK(started.journal.batches() < entries * turns / 4);
+    server.stop();
+}
--- a/tests/test_wholeplatform.cpp
+++ b/tests/test_wholeplatform.cpp
@@ -205,6 +205,41 @@
     LONGS_EQUAL(404, deployment.ask(1, PlatformDeployment::call("GET", "/other/x", "r2"))->status);
 }
 
+TEST(WholePlatform, anEntryThatStartsWithoutTheStoreServesByWhatTurnStoresKnow)
+{
+    PlatformDeployment deployment;
+    deployment.ask(0, PlatformDeployment::turn("t1", "", "one "));
+    deployment.store.setTrouble(StoreTrouble::Silent);
+    deployment.restartEntry(1);
+    deployment.runFor(std::chrono::milliseconds(700));
+    LONGS_EQUAL(200, deployment.ask(1, PlatformDeployment::turn("t2", previous("t1"), "two"))->status);
+    LONGS_EQUAL(200, deployment.ask(1, PlatformDeployment::call("GET", "/safe/x", "r1"))->status);
+    // A runner that left meanwhile is gone once the store is back.
+    deployment.store.remove("servers/i-tool-1");
+    deployment.store.remove("servers/i-tool-2");
+    deployment.store.setTrouble(StoreTrouble::None);
+    deployment.runFor(std::chrono::milliseconds(4000));
+    LONGS_EQUAL(503, deployment.ask(1, PlatformDeployment::call("GET", "/safe/x", "r2"))->status);
+}
+
+TEST(WholePlatform, anEntryThatCannotKeepTurnsMovesItsCallersAway)
+{
+    PlatformDeployment deployment;
+    CHECK(deployment.isReady(0));
+    const auto kept = deployment.ask(0, PlatformDeployment::call("GET", "/safe/x", "r1"));
+    CHECK(kept->connection->isReusable());
+    deployment.killTurnStore(0);
+    deployment.killTurnStore(1);
+    LONGS_EQUAL(503, deployment.ask(0, PlatformDeployment::turn("t1", budget, "x"))->status);
+    CHECK_FALSE(deployment.isReady(0));
+    const auto next = deployment.askAgain(kept, PlatformDeployment::call("GET", "/safe/x", "r2"));
+    LONGS_EQUAL(200, next->status);
+    CHECK(next->headers.find("Connection") == std::string_view("close"));
+    deployment.startTurnStore(0, false);
+    deployment.runFor(std::chrono::milliseconds(800));
+    CHECK(deployment.isReady(0));
+}
+
 TEST(WholePlatform, aTurnStoreWithANewDiskTakesItsPlaceAgainAndThenBearsTheLossOfAnother)
 {
     PlatformDeployment deployment;
