--- a/src/libbriarhinge/turns/storepeers.cpp
+++ b/src/libbriarhinge/turns/storepeers.cpp
@@ -5,6 +5,15 @@
 namespace briarhinge::turns
 {
 
+namespace
+{
+
+/** Ten round trips between regions. A VM without power answers nothing, and what waits for it should not wait on when
+ * it is back. */
+constexpr std::chrono::milliseconds connectTimeout{250};
+
+}
+
 StorePeers::StorePeers(boost::asio::io_context &context)
     : m_context(context)
 {
@@ -15,7 +24,8 @@
 {
     auto &channel = m_channels[address];
     if (!channel) {
-        channel = std::make_shared<wire::FrameChannel>(m_context, address, [](wire::FrameT &) {});
+        channel = std::make_shared<wire::FrameChannel>(
+            m_context, address, [](wire::FrameT &) {}, connectTimeout);
     }
     struct Question
     {
--- a/src/libbriarhinge/wire/framechannel.cpp
+++ b/src/libbriarhinge/wire/framechannel.cpp
@@ -1,7 +1,5 @@
 #include "wire/framechannel.h"
 
-#include <chrono>
-
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -16,8 +14,6 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds connectTimeout{1000};
-
 /** Part of a frame that is kept for everything but the text of a request. */
 constexpr std::size_t roomForFields = std::size_t{64} * 1024;
 
@@ -30,10 +26,12 @@
 
 }
 
-FrameChannel::FrameChannel(asio::io_context &context, Address address, FrameStamp stamp)
+FrameChannel::FrameChannel(asio::io_context &context, Address address, FrameStamp stamp,
+                           std::chrono::milliseconds connectTimeout)
     : m_context(context)
     , m_address(std::move(address))
     , m_stamp(std::move(stamp))
+    , m_connectTimeout(connectTimeout)
 {
 }
 
@@ -97,7 +95,7 @@
 void FrameChannel::connect()
 {
     auto socket = std::make_shared<tcp::socket>(asio::make_strand(m_context));
-    auto timer = std::make_shared<asio::steady_timer>(socket->get_executor(), connectTimeout);
+    auto timer = std::make_shared<asio::steady_timer>(socket->get_executor(), m_connectTimeout);
     error_code error;
     const tcp::endpoint endpoint(asio::ip::make_address(m_address.host, error), m_address.port);
     timer->async_wait([socket](error_code cancelled) {
--- a/src/libbriarhinge/wire/framechannel.h
+++ b/src/libbriarhinge/wire/framechannel.h
@@ -3,6 +3,7 @@
 #include "wire/address.h"
 #include "wire/framesession.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -40,8 +41,10 @@
      * @param context runs the connection
      * @param address where the peer listens
      * @param stamp called for each frame before it is sent
+     * @param connectTimeout longest wait for a connection; what waits for it fails then
      */
-    FrameChannel(boost::asio::io_context &context, Address address, FrameStamp stamp);
+    FrameChannel(boost::asio::io_context &context, Address address, FrameStamp stamp,
+                 std::chrono::milliseconds connectTimeout = defaultConnectTimeout);
 
     /**
      * Sends a request.
@@ -61,6 +64,9 @@
     /** @return where the peer listens */
     const Address &address() const;
 
+    /** A crowded listener drops the opening packet, which is sent again after a second. */
+    static constexpr std::chrono::milliseconds defaultConnectTimeout{1000};
+
 private:
     struct Pending
     {
@@ -78,6 +84,7 @@
     boost::asio::io_context &m_context;
     const Address m_address;
     FrameStamp m_stamp;
+    const std::chrono::milliseconds m_connectTimeout;
     std::mutex m_mutex;
     std::shared_ptr<FrameSession> m_session;
     bool m_connecting = false;
