--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -49,7 +49,9 @@
     if (record.size() < wire::lengthPrefixBytes) {
         return;
     }
-    const auto decoded = wire::decodeFrame(record.subspan(wire::lengthPrefixBytes));
+    // A frame is read in place, which needs the alignment of an allocation.
+    const std::vector<std::uint8_t> body(record.begin() + wire::lengthPrefixBytes, record.end());
+    const auto decoded = wire::decodeFrame(body);
     const auto *frame = std::get_if<wire::FrameT>(&decoded);
     const auto *state = frame == nullptr ? nullptr : frame->message.AsStoreState();
     if (state == nullptr) {
--- a/src/libbriarhinge/wire/framecodec.cpp
+++ b/src/libbriarhinge/wire/framecodec.cpp
@@ -8,9 +8,9 @@
 std::vector<std::uint8_t> encodeFrame(const FrameT &frame)
 {
     flatbuffers::FlatBufferBuilder builder;
-    FrameT stamped(frame);
-    stamped.version = frameVersion;
-    builder.Finish(Frame::Pack(builder, &stamped));
+    const auto message = frame.message.Pack(builder);
+    builder.Finish(
+        CreateFrame(builder, frameVersion, frame.request_id, frame.last, frame.revision, frame.message.type, message));
     const std::size_t size = builder.GetSize();
     std::vector<std::uint8_t> bytes(lengthPrefixBytes + size);
     for (std::size_t i = 0; i < lengthPrefixBytes; ++i) {
--- a/src/libbriarhinge/wire/framesession.cpp
+++ b/src/libbriarhinge/wire/framesession.cpp
@@ -1,7 +1,9 @@
 #include "wire/framesession.h"
 
+#include <algorithm>
+#include <span>
+
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 namespace briarhinge::wire
@@ -10,6 +12,16 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+namespace
+{
+
+/** Most frames are smaller than this. */
+constexpr std::size_t firstInput = std::size_t{8} * 1024;
+/** A read into less room is not worth its system call. */
+constexpr std::size_t leastRead = std::size_t{2} * 1024;
+
+}
+
 FrameSession::FrameSession(Socket socket, FrameHandler onFrame, CloseHandler onClose)
     : m_socket(std::move(socket))
     , m_onFrame(std::move(onFrame))
@@ -22,7 +34,7 @@
 void FrameSession::start()
 {
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-        self->readLength();
+        self->readMore();
     });
 }
 
@@ -52,45 +64,62 @@
     return m_unsent;
 }
 
-void FrameSession::readLength()
+void FrameSession::readMore()
 {
-    asio::async_read(m_socket, asio::buffer(m_length), [self = shared_from_this()](error_code error, std::size_t) {
-        if (error) {
-            self->closeNow(error.message());
-            return;
-        }
-        const auto length = decodeLength(self->m_length);
-        if (const auto *bad = std::get_if<BadFrame>(&length)) {
-            self->closeNow("bad frame: " + bad->reason);
-            return;
-        }
-        self->readBody(std::get<std::size_t>(length));
-    });
+    // What is left of the input moves to its beginning; a frame that does not fit makes it grow.
+    std::copy(m_input.begin() + static_cast<std::ptrdiff_t>(m_taken),
+              m_input.begin() + static_cast<std::ptrdiff_t>(m_filled), m_input.begin());
+    m_filled -= m_taken;
+    m_taken = 0;
+    if (m_input.size() - m_filled < leastRead) {
+        m_input.resize(std::max(firstInput, m_input.size() * 2));
+    }
+    m_socket.async_read_some(asio::buffer(m_input.data() + m_filled, m_input.size() - m_filled),
+                             [self = shared_from_this()](error_code error, std::size_t size) {
+                                 if (error) {
+                                     self->closeNow(error.message());
+                                     return;
+                                 }
+                                 self->m_filled += size;
+                                 self->takeFrames();
+                             });
 }
 
-void FrameSession::readBody(std::size_t length)
+void FrameSession::takeFrames()
 {
-    m_body.resize(length);
-    asio::async_read(m_socket, asio::buffer(m_body), [self = shared_from_this()](error_code error, std::size_t) {
-        if (error) {
-            self->closeNow(error.message());
-            return;
-        }
-        self->received();
-    });
+    while (!m_closed && takeFrame()) {
+    }
+    if (!m_closed) {
+        readMore();
+    }
 }
 
-void FrameSession::received()
+bool FrameSession::takeFrame()
 {
+    const auto received = std::span<const std::uint8_t>(m_input).first(m_filled).subspan(m_taken);
+    if (received.size() < lengthPrefixBytes) {
+        return false;
+    }
+    const auto length = decodeLength(received.first<lengthPrefixBytes>());
+    if (const auto *bad = std::get_if<BadFrame>(&length)) {
+        closeNow("bad frame: " + bad->reason);
+        return false;
+    }
+    const std::size_t bodyBytes = std::get<std::size_t>(length);
+    if (received.size() - lengthPrefixBytes < bodyBytes) {
+        return false;
+    }
+    // A frame is read in place, which needs the alignment of an allocation.
+    const auto body = received.subspan(lengthPrefixBytes, bodyBytes);
+    m_body.assign(body.begin(), body.end());
     auto decoded = decodeFrame(m_body);
+    m_taken += lengthPrefixBytes + bodyBytes;
     if (const auto *bad = std::get_if<BadFrame>(&decoded)) {
         closeNow("bad frame: " + bad->reason);
-        return;
+        return false;
     }
     m_onFrame(shared_from_this(), std::move(std::get<FrameT>(decoded)));
-    if (!m_closed) {
-        readLength();
-    }
+    return true;
 }
 
 void FrameSession::writeNext()
--- a/src/libbriarhinge/wire/framesession.h
+++ b/src/libbriarhinge/wire/framesession.h
@@ -2,7 +2,6 @@
 
 #include "wire/framecodec.h"
 
-#include <array>
 #include <atomic>
 #include <deque>
 #include <functional>
@@ -44,16 +43,20 @@
     std::size_t unsent() const;
 
 private:
-    void readLength();
-    void readBody(std::size_t length);
-    void received();
+    void readMore();
+    void takeFrames();
+    bool takeFrame();
     void writeNext();
     void closeNow(const std::string &reason);
 
     Socket m_socket;
     FrameHandler m_onFrame;
     CloseHandler m_onClose;
-    std::array<std::uint8_t, lengthPrefixBytes> m_length{};
+    /** Received bytes; those before m_taken are done with, those behind m_filled are free. */
+    std::vector<std::uint8_t> m_input;
+    std::size_t m_taken = 0;
+    std::size_t m_filled = 0;
+    /** The frame that is being read. */
     std::vector<std::uint8_t> m_body;
     std::deque<std::vector<std::uint8_t>> m_outgoing;
     bool m_closed = false;
--- a/tests/test_turnstore.cpp
+++ b/tests/test_turnstore.cpp
@@ -242,3 +242,33 @@
     CHECK(started.journal.batches() < entries * turns / 4);
     server.stop();
 }
+
+TEST(TurnServer, aStoreThatDoesNotEvenTakeTheConnectionFailsSoon)
+{
+    boost::asio::io_context context;
+    using boost::asio::ip::tcp;
+    // Nobody accepts, so the kernel drops opening packets once its queue is full, as a VM without power would.
+    tcp::acceptor full(context);
+    full.open(tcp::v4());
+    full.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    full.listen(0);
+    std::vector<std::unique_ptr<tcp::socket>> queued;
+    for (int i = 0; i < 8; ++i) {
+        queued.push_back(std::make_unique<tcp::socket>(context));
+        queued.back()->async_connect(full.local_endpoint(), [](const boost::system::error_code &) {});
+    }
+    context.run_for(std::chrono::milliseconds(50));
+    StorePeers peers(context);
+    bool hasFailed = false;
+    wire::MessageUnion message;
+    message.Set(begin(3, "a"));
+    peers.ask({"127.0.0.1", full.local_endpoint().port()}, std::move(message), std::chrono::seconds(10),
+              [&hasFailed](const wire::ChannelReply &reply) {
+                  hasFailed = std::holds_alternative<wire::ChannelError>(reply);
+              });
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(600);
+    while (!hasFailed && std::chrono::steady_clock::now() < end) {
+        context.run_one_for(std::chrono::milliseconds(10));
+    }
+    CHECK(hasFailed);
+}
