--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -1,10 +1,12 @@
 #include "storenode.h"
 
 #include "platform/documents.h"
+#include "wire/framecodec.h"
 
 #include <fstream>
 #include <iterator>
 #include <random>
+#include <utility>
 
 namespace briarhinge::node
 {
@@ -13,6 +15,9 @@
 {
 
 constexpr std::string_view diskIdFile = "disk-id";
+constexpr std::string_view deploymentFile = "deployment";
+/** Gathers changes of the deployment; what changes in the last moment before a loss of power is told by the platform. */
+constexpr base::Milliseconds savePause{500};
 /** Longer than the 60 s for which the users' routes keep turns, so that a late turn still finds its chain. */
 constexpr base::Milliseconds retention{90'000};
 
@@ -33,6 +38,7 @@
     , m_retirements(m_platformStore, settings.name, log)
     , m_peers(context)
     , m_journal(settings.dataFolder)
+    , m_saveTimer(context)
 {
 }
 
@@ -69,6 +75,7 @@
         // The journal begins its segment with the first record that the disk takes.
         m_log.write(logging::events::diskFailing, {{"reason", error->reason}});
     }
+    loadDeployment();
     m_server = std::make_unique<turns::TurnServer>(m_context, *m_store, m_journal, m_log, [this] {
         std::vector<keyvalue::KeyValue> items;
         for (const auto &[key, item] : m_deployment) {
@@ -98,6 +105,48 @@
     return {};
 }
 
+void StoreNode::loadDeployment()
+{
+    std::ifstream file(m_settings.dataFolder + '/' + std::string(deploymentFile), std::ios::binary);
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    const std::vector<std::uint8_t> bytes(text.begin(), text.end());
+    const auto decoded = wire::decodeFrame(bytes);
+    const auto *frame = std::get_if<wire::FrameT>(&decoded);
+    const auto *state = frame == nullptr ? nullptr : frame->message.AsDeploymentState();
+    if (state == nullptr) {
+        return;
+    }
+    for (const auto &item : state->items) {
+        m_deployment[item->key] = {item->key, item->value, {}};
+        m_loaded.insert(item->key);
+    }
+}
+
+void StoreNode::deploymentChanged()
+{
+    if (m_isSaveDue) {
+        return;
+    }
+    m_isSaveDue = true;
+    m_saveTimer.expires_after(savePause);
+    m_saveTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        m_isSaveDue = false;
+        wire::FrameT frame;
+        frame.message.Set(m_server->deploymentState());
+        const auto bytes = wire::encodeFrame(frame);
+        const std::string text(bytes.begin() + wire::lengthPrefixBytes, bytes.end());
+        m_server->postToDisk([this, text] {
+            const auto result = turns::writeFileDurably(m_settings.dataFolder, std::string(deploymentFile), text);
+            if (const auto *failure = std::get_if<turns::DiskError>(&result)) {
+                m_log.write(logging::events::diskFailing, {{"reason", failure->reason}});
+            }
+        });
+    });
+}
+
 void StoreNode::followGroup()
 {
     platform::ItemHandlers handlers;
@@ -131,6 +180,7 @@
             m_keeper->retirementSeen(turns::StoreName(item.key.substr(platform::retirementPrefix.size())), true);
         } else if (item.key == platform::routingKey) {
             m_deployment[item.key] = item;
+            deploymentChanged();
         }
     };
     handlers.onRemoved = [this](const std::string &key, bool) {
@@ -148,9 +198,19 @@
     platform::ItemHandlers handlers;
     handlers.onItem = [this](const keyvalue::KeyValue &item) {
         m_deployment[item.key] = item;
+        m_loaded.erase(item.key);
+        deploymentChanged();
     };
     handlers.onRemoved = [this](const std::string &key, bool) {
         m_deployment.erase(key);
+        deploymentChanged();
+    };
+    handlers.onListed = [this] {
+        for (const std::string &key : std::exchange(m_loaded, {})) {
+            if (key.starts_with(platform::runnerPrefix)) {
+                m_deployment.erase(key);
+            }
+        }
     };
     m_runnerWatch =
         std::make_unique<platform::PrefixWatch>(m_context, m_platformStore, std::string(platform::runnerPrefix),
@@ -163,6 +223,7 @@
     for (const auto *watch : {&m_groupWatch, &m_registrationWatch, &m_operatorWatch, &m_runnerWatch}) {
         (*watch)->stop();
     }
+    m_saveTimer.cancel();
     m_keeper->stop();
     m_platformStore.close();
     m_server->stop();
@@ -174,6 +235,7 @@
 
 void StoreNode::stop(const std::function<void()> &onDone)
 {
+    m_saveTimer.cancel();
     m_keeper->stop();
     m_server->stop();
     onDone();
--- a/src/briarhingenode/storenode.h
+++ b/src/briarhingenode/storenode.h
@@ -12,9 +12,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace briarhinge::node
 {
@@ -44,6 +46,8 @@
     std::variant<turns::DiskId, turns::DiskError> openDisk() const;
     void followGroup();
     void followRegistrations();
+    void loadDeployment();
+    void deploymentChanged();
     void followOperators();
     void followRunners();
 
@@ -63,6 +67,10 @@
     std::unique_ptr<platform::PrefixWatch> m_runnerWatch;
     /** The routing and the runners, for entries that start while the platform's store is away. */
     std::map<std::string, keyvalue::KeyValue> m_deployment;
+    /** Keys that only the disk told of, until the platform's store has listed its own. */
+    std::set<std::string> m_loaded;
+    boost::asio::steady_timer m_saveTimer;
+    bool m_isSaveDue = false;
 };
 
 }
--- a/src/libbriarhinge/turns/journal.cpp
+++ b/src/libbriarhinge/turns/journal.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <cstdio>
 #include <cstring>
 #include <filesystem>
 #include <fstream>
@@ -239,15 +240,22 @@
 DiskResult writeFileDurably(const std::string &folder, const std::string &name, const std::string &content)
 {
     const std::string path = folder + "/" + name;
-    const int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, fileMode);
+    const std::string newPath = path + ".new";
+    const int file = ::open(newPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, fileMode);
     if (file < 0) {
-        return diskError("can't create " + path);
+        return diskError("can't create " + newPath);
     }
     const bool isWritten =
         writeAll(file, reinterpret_cast<const std::uint8_t *>(content.data()), content.size()) && ::fsync(file) == 0;
-    const DiskResult result = isWritten ? DiskResult{} : DiskResult{diskError("can't write " + path)};
+    const DiskResult result = isWritten ? DiskResult{} : DiskResult{diskError("can't write " + newPath)};
     ::close(file);
-    return std::holds_alternative<DiskError>(result) ? result : syncFolder(folder);
+    if (std::holds_alternative<DiskError>(result)) {
+        return result;
+    }
+    if (::rename(newPath.c_str(), path.c_str()) != 0) {
+        return diskError("can't rename " + newPath);
+    }
+    return syncFolder(folder);
 }
 
 }
--- a/src/libbriarhinge/turns/journal.h
+++ b/src/libbriarhinge/turns/journal.h
@@ -96,7 +96,7 @@
 };
 
 /**
- * Makes a file durable under its name.
+ * Makes a file durable under its name; after a loss of power the name holds the old content or the new one.
  *
  * @param folder its folder, which must exist
  * @param name its name
--- a/src/libbriarhinge/turns/turnserver.cpp
+++ b/src/libbriarhinge/turns/turnserver.cpp
@@ -96,6 +96,11 @@
     }
 }
 
+void TurnServer::postToDisk(std::function<void()> work)
+{
+    boost::asio::post(m_disk, std::move(work));
+}
+
 void TurnServer::writeNext()
 {
     if (m_answers.empty() && !m_journal.hasPending()) {
--- a/src/libbriarhinge/turns/turnserver.h
+++ b/src/libbriarhinge/turns/turnserver.h
@@ -40,6 +40,12 @@
     /** Has what was appended to the journal synced soon, together with other records. */
     void requestSync();
 
+    /** @return what a process that can't reach the platform's store is told */
+    wire::DeploymentStateT deploymentState() const;
+
+    /** @param work done on the thread of the disk, between two writes */
+    void postToDisk(std::function<void()> work);
+
     /** Stops accepting, syncs and closes every connection. */
     void stop();
 
@@ -51,7 +57,6 @@
     };
 
     void receive(const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame);
-    wire::DeploymentStateT deploymentState() const;
     void writeNext();
     void written(const DiskResult &result, bool isSnapshot);
     void tidyRegularly();
--- a/tests/test_wholeplatform.cpp
+++ b/tests/test_wholeplatform.cpp
@@ -222,6 +222,24 @@
     LONGS_EQUAL(503, deployment.ask(1, PlatformDeployment::call("GET", "/safe/x", "r2"))->status);
 }
 
+TEST(WholePlatform, aDeploymentThatStartsAgainWithoutTheStoreServesByWhatLiesOnItsDisks)
+{
+    PlatformDeployment deployment;
+    deployment.ask(0, PlatformDeployment::turn("t1", "", "one "));
+    deployment.runFor(std::chrono::milliseconds(1200));
+    deployment.store.setTrouble(StoreTrouble::Silent);
+    for (std::size_t i = 0; i < 3; ++i) {
+        deployment.killTurnStore(i);
+    }
+    for (std::size_t i = 0; i < 3; ++i) {
+        deployment.startTurnStore(i, false);
+    }
+    deployment.restartEntry(0);
+    deployment.runFor(std::chrono::milliseconds(800));
+    LONGS_EQUAL(200, deployment.ask(0, PlatformDeployment::turn("t2", previous("t1"), "two"))->status);
+    STRCMP_EQUAL("one t1.1\nt1.2\nt1.3\ntwo", deployment.model.arrivals().back().body.c_str());
+}
+
 TEST(WholePlatform, anEntryThatCannotKeepTurnsMovesItsCallersAway)
 {
     PlatformDeployment deployment;
