Dispatch: A turn that came through another entry goes home while its engine is not busy; what nothing reads is gone

Cause: an entry knows only what it sent itself, and counted the prompts of programs from other entries as unread everywhere. Fields that nothing read are removed.

--- a/src/libbriarhinge/dispatch/runner.h
+++ b/src/libbriarhinge/dispatch/runner.h
@@ -25,8 +25,6 @@
     std::uint32_t slots = 0;
     /** It is going to leave and takes no new requests. */
     bool isDraining = false;
-    /** How much longer it is slow after its start. */
-    base::Milliseconds coldFor{0};
     /** When it started, in Unix milliseconds; 0 when it did not say. A later one under the same id remembers nothing. */
     std::uint64_t startedAt = 0;
     /** Counts its registrations since the start. */
--- a/src/libbriarhinge/dispatch/runnerboard.cpp
+++ b/src/libbriarhinge/dispatch/runnerboard.cpp
@@ -76,7 +76,12 @@
         return cost + busy + waiting / slots * m_weights.workMs;
     }
     const std::uint64_t cached = runner.parts.cached(need.promptParts).value();
-    const double unread = static_cast<double>(need.promptTokens.value() - std::min(cached, need.promptTokens.value()));
+    const auto prompt = static_cast<double>(need.promptTokens.value());
+    double kept = std::min(static_cast<double>(cached), prompt);
+    if (runner.entry.id == need.home) {
+        kept = std::max(kept, prompt * m_weights.keptAtHome);
+    }
+    const double unread = prompt - kept;
     cost += unread / m_weights.tokensPerMs;
     cost += std::min(busy, slots) * m_weights.perRunningMs;
     cost += waiting / slots * m_weights.turnMs;
--- a/src/libbriarhinge/dispatch/runnerboard.h
+++ b/src/libbriarhinge/dispatch/runnerboard.h
@@ -61,8 +61,8 @@
     double workMs = 90;
     /** Cost of a runner in another zone: the way there and back and the price of the bytes. */
     double otherZoneMs = 4;
-    /** Waiting requests for each slot from which on a runner counts as full. */
-    double queueFactor = 1.0;
+    /** Share of a prompt that the engine of the turn before is thought to keep, when another entry sent it there. */
+    double keptAtHome = 0.8;
 };
 
 /**
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -264,7 +264,6 @@
     void send()
     {
         ++m_sends;
-        m_sentAt = now();
         m_mayHaveRun = true;
         m_answer = {};
         m_body.clear();
@@ -555,7 +554,6 @@
     const Time m_began;
     boost::asio::steady_timer m_timer;
     Time m_end;
-    Time m_sentAt;
     CallerRequest m_request;
     std::shared_ptr<const Routing> m_routing;
     const Route *m_route = nullptr;
--- a/src/libbriarhinge/forwarding/messages.h
+++ b/src/libbriarhinge/forwarding/messages.h
@@ -40,8 +40,6 @@
     std::optional<base::Milliseconds> patience;
     /** Empty when the request belongs to no program. */
     base::ProgramId program;
-    /** Time until the whole program should be done. */
-    std::optional<base::Milliseconds> programPatience;
     /** Tokens that all turns of the program may generate. */
     std::optional<base::Tokens> programBudget;
     /** The turn that this one continues; empty at the start of a chain. */
--- a/src/libbriarhinge/forwarding/routing.h
+++ b/src/libbriarhinge/forwarding/routing.h
@@ -73,8 +73,6 @@
 struct Service
 {
     ServiceName name;
-    /** Connections that one runner takes from all processes together. */
-    std::uint32_t maxConnections = 0;
     /** Nothing for services without a model. */
     std::optional<EngineTraits> engine;
 };
--- a/tests/test_runnerboard.cpp
+++ b/tests/test_runnerboard.cpp
@@ -70,6 +70,19 @@
     }
 }
 
+TEST(RunnerBoard, aProgramThatCameThroughAnotherEntryGoesWhereItsLastTurnRan)
+{
+    board.registered(runner("one"), start);
+    board.registered(runner("two"), start);
+    Need need = turnOf(4000, {part("shared", 500), part("own", 3500)});
+    need.home = RunnerId("two");
+    for (int i = 0; i < 8; ++i) {
+        STRCMP_EQUAL("two", chosen(board, need).c_str());
+    }
+    board.loadSeen(RunnerId("two"), {4, 4, 4}, start);
+    STRCMP_EQUAL("one", chosen(board, need).c_str());
+}
+
 TEST(RunnerBoard, aBurstOfProgramsWithOneSharedPartIsSpread)
 {
     board.registered(runner("one"), start);
