--- a/src/briarhingectl/configurationcommands.cpp
+++ b/src/briarhingectl/configurationcommands.cpp
@@ -4,8 +4,8 @@
 #include "config/difference.h"
 #include "config/revisionstore.h"
 #include "config/validator.h"
-#include "output.h"
 #include "keyvalue/httpkeyvalue.h"
+#include "output.h"
 #include "processcommands.h"
 
 #include <charconv>
--- a/src/libbriarhinge/entry/ownershipkeeper.h
+++ b/src/libbriarhinge/entry/ownershipkeeper.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "entry/ownermap.h"
-#include "logging/eventlog.h"
 #include "keyvalue/keyvalue.h"
+#include "logging/eventlog.h"
 #include "service/concepts.h"
 #include "state/logreader.h"
 #include "state/partitiontable.h"
--- a/src/libbriarhinge/operators/operatorservice.cpp
+++ b/src/libbriarhinge/operators/operatorservice.cpp
@@ -161,7 +161,8 @@
     }
 }
 
-std::vector<membership::Vm> OperatorService::vmsWhere(const std::function<bool(const membership::Vm &)> &predicate) const
+std::vector<membership::Vm>
+OperatorService::vmsWhere(const std::function<bool(const membership::Vm &)> &predicate) const
 {
     const std::lock_guard lock(m_mutex);
     std::vector<membership::Vm> found;
--- a/src/libbriarhinge/placement/runnerdirectory.h
+++ b/src/libbriarhinge/placement/runnerdirectory.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/step.h"
+#include "membership/vmlist.h"
 #include "placement/runnerhealth.h"
 #include "placement/runnerview.h"
-#include "membership/vmlist.h"
 #include "wire/framechannel.h"
 
 #include <functional>
