Platform: A removed entry is waited for only until two seconds after the store's return

The entry's watch had lost the store and had it back 1.77 s before the removal, and the removal was waited on for two seconds of its own. Ruled out: a missed event (the log shows the removal held). Change: what is left of the two seconds since the return is waited for, nothing after them. Test: aRunnerThatLeavesSomeSecondsAfterAnOutage...; it was not run against the old rule, under which the removal waits 2 s.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -140,12 +140,12 @@
         m_borrowed.erase(dispatch::RunnerId(item.key.substr(platform::runnerPrefix.size())));
         runnerSeen(item);
     };
-    handlers.onRemoved = [this](const std::string &key, bool isAfterOutage) {
-        runnerGone(dispatch::RunnerId(key.substr(platform::runnerPrefix.size())), isAfterOutage);
+    handlers.onRemoved = [this](const std::string &key, base::Milliseconds grace) {
+        runnerGone(dispatch::RunnerId(key.substr(platform::runnerPrefix.size())), grace);
     };
     handlers.onListed = [this] {
         for (const dispatch::RunnerId &id : std::exchange(m_borrowed, {})) {
-            runnerGone(id, true);
+            runnerGone(id, returnTime);
         }
     };
     m_runnerWatch = std::make_unique<platform::PrefixWatch>(m_context, m_store, std::string(platform::runnerPrefix),
@@ -248,13 +248,13 @@
     m_log.write(logging::events::deploymentBorrowed, {{"items", state->items.size()}});
 }
 
-void EntryNode::runnerGone(const dispatch::RunnerId &id, bool isAfterOutage)
+void EntryNode::runnerGone(const dispatch::RunnerId &id, base::Milliseconds grace)
 {
-    if (!isAfterOutage) {
+    if (grace.count() == 0) {
         forgetRunner(id);
         return;
     }
-    auto timer = std::make_unique<boost::asio::steady_timer>(m_context, returnTime);
+    auto timer = std::make_unique<boost::asio::steady_timer>(m_context, grace);
     timer->async_wait([this, id](const error_code &error) {
         if (!error) {
             forgetRunner(id);
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -47,7 +47,7 @@
     void followRouting();
     void followRunners();
     void followGroup();
-    void runnerGone(const dispatch::RunnerId &id, bool isAfterOutage);
+    void runnerGone(const dispatch::RunnerId &id, base::Milliseconds grace);
     void forgetRunner(const dispatch::RunnerId &id);
     void routingSeen(const keyvalue::KeyValue &item);
     void runnerSeen(const keyvalue::KeyValue &item);
--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -183,7 +183,7 @@
             deploymentChanged();
         }
     };
-    handlers.onRemoved = [this](const std::string &key, bool) {
+    handlers.onRemoved = [this](const std::string &key, base::Milliseconds) {
         if (key.starts_with(platform::retirementPrefix)) {
             m_keeper->retirementSeen(turns::StoreName(key.substr(platform::retirementPrefix.size())), false);
         }
@@ -201,7 +201,7 @@
         m_loaded.erase(item.key);
         deploymentChanged();
     };
-    handlers.onRemoved = [this](const std::string &key, bool) {
+    handlers.onRemoved = [this](const std::string &key, base::Milliseconds) {
         m_deployment.erase(key);
         deploymentChanged();
     };
--- a/tests/test_wholeplatform.cpp
+++ b/tests/test_wholeplatform.cpp
@@ -185,6 +185,19 @@
     LONGS_EQUAL(503, deployment.ask(0, PlatformDeployment::call("GET", "/safe/x", "r3"))->status);
 }
 
+TEST(WholePlatform, aRunnerThatLeavesSomeSecondsAfterAnOutageIsGoneAtOnce)
+{
+    PlatformDeployment deployment;
+    deployment.store.setTrouble(StoreTrouble::Busy);
+    deployment.runFor(std::chrono::milliseconds(500));
+    deployment.store.setTrouble(StoreTrouble::None);
+    deployment.runFor(std::chrono::milliseconds(2700));
+    deployment.store.remove("servers/i-tool-1");
+    deployment.store.remove("servers/i-tool-2");
+    deployment.runFor(std::chrono::milliseconds(400));
+    LONGS_EQUAL(503, deployment.ask(0, PlatformDeployment::call("GET", "/safe/x", "r1"))->status);
+}
+
 TEST(WholePlatform, whatChangedBeforeTheHistoryWasDroppedIsSeen)
 {
     PlatformDeployment deployment;
