Http: A caller that was refused for its time is not passed on when its rest comes

The idle timer of the connection expired in the same turn of the event loop in which the head was read; starting the timer anew could not take back its queued expiry, the request was refused, and the read that still ran passed it on when its body came. Found beside it: the limit on heads was never in force, since the parser takes a head only whole. Ruled out: a runner that ran what it said it had not (the entry answered before it sent). Change: one loop reads a connection and feeds the parser when no request is under way; a timer whose expiry has moved, or that finds bytes waiting, is not the caller's fault; after a refusal nothing is parsed. Three tests, each failed before.

--- a/src/libbriarhinge/http/serverconnection.cpp
+++ b/src/libbriarhinge/http/serverconnection.cpp
@@ -10,7 +10,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 namespace briarhinge::http
@@ -26,7 +25,12 @@
 
 using Parser = beast::http::request_parser<beast::http::string_body>;
 
-constexpr std::size_t readAheadBytes = std::size_t{64} * 1024;
+/** Room for the largest head that routings allow, and for what a caller sends ahead. */
+constexpr std::size_t inputBytes = std::size_t{256} * 1024;
+/** No more is read of the next request while one is being answered. */
+constexpr std::size_t mostReadAhead = std::size_t{32} * 1024;
+/** A turn of a usual size. */
+constexpr std::size_t pieceBytes = 4096;
 /** Time for a caller to read the last answer before the connection goes. */
 constexpr base::Milliseconds lingerLimit{1000};
 /** A body of the largest size over a slow link. */
@@ -70,7 +74,7 @@
             CloseHandler closeHandler)
         : socket(std::move(connected))
         , timer(socket.get_executor())
-        , input(readAheadBytes)
+        , input(inputBytes)
         , limitsNow(std::move(readLimits))
         , onRequest(std::move(requestHandler))
         , onClose(std::move(closeHandler))
@@ -88,14 +92,16 @@
     std::function<void()> onGone;
     std::string outgoing;
     std::string writing;
-    std::array<char, 1024> spare{};
     bool isKeptOpen = true;
     bool isHead = false;
     bool isBusy = false;
     bool isReading = false;
-    bool isWatching = false;
+    /** Whether bytes of a request that is not whole yet have come. */
+    bool hasBegun = false;
     bool isAnswerEnded = false;
     bool isClosingSoon = false;
+    /** The last answer has been given; what still comes is read and thrown away. */
+    bool isDiscarding = false;
     bool isClosed = false;
 };
 
@@ -109,9 +115,9 @@
 
 void ServerConnection::start()
 {
-    d->limits = d->limitsNow();
-    setConnectionOptions(d->socket, d->limits.silenceLimit);
-    readRequest();
+    setConnectionOptions(d->socket, d->limitsNow().silenceLimit);
+    awaitRequest();
+    readMore();
 }
 
 void ServerConnection::setGoneHandler(std::function<void()> onGone)
@@ -127,12 +133,19 @@
 void ServerConnection::startTimer(base::Milliseconds limit)
 {
     d->timer.expires_after(limit);
-    d->timer.async_wait([self = shared_from_this()](error_code error) {
-        if (error || self->d->isClosed || self->d->isBusy) {
+    d->timer.async_wait([self = shared_from_this(), limit](error_code error) {
+        // A timer that was started anew may already have had its old expiry queued.
+        const bool isStale = self->d->timer.expiry() > std::chrono::steady_clock::now();
+        if (error || isStale || self->d->isClosed || self->d->isBusy) {
+            return;
+        }
+        error_code ignored;
+        if (self->d->socket.available(ignored) > 0) {
+            // The caller has sent in time; this process was late to read it.
+            self->startTimer(limit);
             return;
         }
-        const bool hasBegun = self->d->parser && self->d->parser->got_some();
-        if (hasBegun && !self->d->isAnswerEnded) {
+        if (self->d->hasBegun) {
             self->refuse(statusTimeout);
         } else {
             self->closeNow();
@@ -140,58 +153,76 @@
     });
 }
 
-void ServerConnection::readRequest()
+void ServerConnection::awaitRequest()
 {
     d->limits = d->limitsNow();
     d->parser.emplace();
+    d->parser->eager(true);
     d->parser->header_limit(d->limits.maxHeadBytes);
     d->parser->body_limit(d->limits.maxBodyBytes);
     d->isAnswerEnded = false;
-    d->isReading = true;
+    d->hasBegun = false;
     startTimer(d->limits.idleTimeout);
-    headRead();
 }
 
-void ServerConnection::headRead()
+void ServerConnection::readMore()
 {
-    beast::http::async_read_some(
-        d->socket, d->input, *d->parser, [self = shared_from_this()](error_code error, std::size_t) {
-            if (self->d->isClosed) {
-                return;
-            }
-            Parser &parser = *self->d->parser;
-            if (error == beast::http::error::header_limit) {
-                self->refuse(statusHeadTooLarge);
-                return;
-            }
-            if (error == beast::http::error::body_limit) {
-                self->refuse(statusTooLarge);
-                return;
-            }
-            if (error) {
-                const bool isProtocol =
-                    error.category() == beast::http::make_error_code(beast::http::error::bad_method).category()
-                    && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
-                if (isProtocol) {
-                    self->refuse(statusBadRequest);
-                } else {
-                    self->closeNow();
-                }
-                return;
-            }
-            if (parser.is_done()) {
-                self->requestRead();
-                return;
+    const bool isFull = d->isBusy && d->input.size() >= mostReadAhead;
+    if (d->isReading || d->isClosed || isFull) {
+        return;
+    }
+    d->isReading = true;
+    d->socket.async_read_some(d->input.prepare(pieceBytes),
+                              [self = shared_from_this()](error_code error, std::size_t size) {
+                                  self->d->isReading = false;
+                                  if (self->d->isClosed) {
+                                      return;
+                                  }
+                                  if (error) {
+                                      self->closeNow();
+                                      return;
+                                  }
+                                  if (!self->d->isDiscarding) {
+                                      self->d->input.commit(size);
+                                      self->parseInput();
+                                  }
+                                  self->readMore();
+                              });
+}
+
+void ServerConnection::parseInput()
+{
+    // What comes during a request is the beginning of the next one.
+    while (!d->isBusy && !d->isClosed && d->input.size() > 0) {
+        if (!d->hasBegun) {
+            d->hasBegun = true;
+            startTimer(d->limits.headTimeout);
+        }
+        error_code error;
+        d->input.consume(d->parser->put(d->input.data(), error));
+        if (error == beast::http::error::need_more) {
+            if (d->parser->is_header_done()) {
+                startTimer(bodyTimeout);
             }
-            self->startTimer(parser.is_header_done() ? bodyTimeout : self->d->limits.headTimeout);
-            self->headRead();
-        });
+            return;
+        }
+        if (error == beast::http::error::header_limit) {
+            refuse(statusHeadTooLarge);
+        } else if (error == beast::http::error::body_limit) {
+            refuse(statusTooLarge);
+        } else if (error) {
+            refuse(statusBadRequest);
+        } else if (d->parser->is_done()) {
+            requestRead();
+        } else if (d->parser->is_header_done()) {
+            startTimer(bodyTimeout);
+        }
+    }
 }
 
 void ServerConnection::requestRead()
 {
     d->timer.cancel();
-    d->isReading = false;
     d->isBusy = true;
     d->onGone = nullptr;
     IncomingRequest request;
@@ -206,40 +237,12 @@
         request.headers.add(std::string(field.name_string()), std::string(field.value()));
     }
     request.body = std::move(message.body());
-    watchCaller();
     d->onRequest(shared_from_this(), std::move(request));
 }
 
-void ServerConnection::watchCaller()
-{
-    if (d->isWatching || d->isClosed || d->input.size() >= readAheadBytes / 2) {
-        return;
-    }
-    d->isWatching = true;
-    constexpr std::size_t piece = 4096;
-    d->socket.async_read_some(d->input.prepare(piece), [self = shared_from_this()](error_code error, std::size_t size) {
-        self->d->isWatching = false;
-        if (self->d->isClosed) {
-            return;
-        }
-        if (error) {
-            self->closeNow();
-            return;
-        }
-        // The beginning of the next request; it waits for the answer to the present one.
-        self->d->input.commit(size);
-        if (self->d->isBusy) {
-            self->watchCaller();
-        } else if (!self->d->isReading) {
-            self->readRequest();
-        }
-    });
-}
-
 void ServerConnection::refuse(unsigned status)
 {
     d->isBusy = true;
-    d->isReading = false;
     d->isKeptOpen = false;
     answer({status, {}}, {});
 }
@@ -337,43 +340,26 @@
         closeGracefully();
         return;
     }
-    if (d->isWatching) {
-        // The read that watches the caller goes on and meets the next request.
-        startTimer(d->limits.idleTimeout);
-        return;
-    }
-    readRequest();
+    awaitRequest();
+    parseInput();
+    readMore();
 }
 
 void ServerConnection::closeGracefully()
 {
+    // Unread bytes would turn the close into a reset, which may destroy the answer on its way.
+    d->isDiscarding = true;
+    d->isClosingSoon = true;
+    d->input.clear();
     error_code ignored;
     d->socket.shutdown(tcp::socket::shutdown_send, ignored);
-    d->isClosingSoon = true;
     d->timer.expires_after(lingerLimit);
     d->timer.async_wait([self = shared_from_this()](error_code error) {
         if (!error) {
             self->closeNow();
         }
     });
-    if (!d->isWatching) {
-        drainInput();
-    }
-}
-
-void ServerConnection::drainInput()
-{
-    // Unread bytes would turn the close into a reset, which may destroy the answer on its way.
-    d->socket.async_read_some(asio::buffer(d->spare), [self = shared_from_this()](error_code error, std::size_t) {
-        if (self->d->isClosed) {
-            return;
-        }
-        if (error) {
-            self->closeNow();
-            return;
-        }
-        self->drainInput();
-    });
+    readMore();
 }
 
 void ServerConnection::closeAfterAnswer()
@@ -384,7 +370,7 @@
 void ServerConnection::closeSoon()
 {
     d->isClosingSoon = true;
-    if (!d->isBusy && !d->isClosed && d->input.size() == 0 && !(d->parser && d->parser->got_some())) {
+    if (!d->isBusy && !d->isClosed && !d->isDiscarding && !d->hasBegun) {
         closeNow();
     }
 }
--- a/src/libbriarhinge/http/serverconnection.h
+++ b/src/libbriarhinge/http/serverconnection.h
@@ -87,16 +87,15 @@
 private:
     class Private;
 
-    void readRequest();
-    void headRead();
+    void awaitRequest();
+    void readMore();
+    void parseInput();
     void requestRead();
-    void watchCaller();
     void refuse(unsigned status);
     void write(std::string bytes);
     void writeNext();
     void answerDone();
     void closeGracefully();
-    void drainInput();
     void closeNow();
     void startTimer(base::Milliseconds limit);
 
--- /dev/null
+++ b/tests/test_serverconnection.cpp
@@ -0,0 +1,107 @@
+#include "http/listener.h"
+
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace briarhinge;
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+constexpr std::uint16_t port = 18'471;
+constexpr std::chrono::milliseconds headTimeout{60};
+constexpr std::chrono::milliseconds idleTimeout{200};
+
+http::ServerLimits shortLimits()
+{
+    http::ServerLimits limits;
+    limits.headTimeout = headTimeout;
+    limits.idleTimeout = idleTimeout;
+    return limits;
+}
+
+}
+
+TEST_GROUP(ServerConnection)
+{
+    void setup() override
+    {
+        STRCMP_EQUAL("", listener.listen({"127.0.0.1", port}).c_str());
+        caller.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        runFor(std::chrono::milliseconds(20));
+    }
+
+    void teardown() override
+    {
+        listener.close();
+        context.poll();
+    }
+
+    void runFor(std::chrono::milliseconds time)
+    {
+        context.restart();
+        context.run_for(time);
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::asio::write(caller, boost::asio::buffer(bytes));
+    }
+
+    std::string received()
+    {
+        std::string bytes(caller.available(), '\0');
+        boost::asio::read(caller, boost::asio::buffer(bytes));
+        return bytes;
+    }
+
+    boost::asio::io_context context;
+    std::vector<std::string> paths;
+    http::Listener listener{context, shortLimits, [this](const auto &connection, const auto &request) {
+                                paths.push_back(request.target);
+                                connection->answer({200, {}}, {});
+                            }};
+    boost::asio::io_context callerContext;
+    tcp::socket caller{callerContext};
+};
+
+TEST(ServerConnection, aRequestThatWasRefusedForItsTimeIsNotPassedOnWhenItsRestComes)
+{
+    send("POST /charge HTTP/1.1\r\nHost: x\r\n");
+    runFor(2 * headTimeout);
+    STRNCMP_EQUAL("HTTP/1.1 408", received().c_str(), 12);
+    send("Content-Length: 0\r\n\r\n");
+    runFor(headTimeout);
+    LONGS_EQUAL(0, paths.size());
+}
+
+TEST(ServerConnection, aCallerIsNotRefusedForATimeThatThisProcessStoodStill)
+{
+    send("POST /charge HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n");
+    // The idle timer expires in the same turn of the event loop in which the head is read.
+    std::this_thread::sleep_for(idleTimeout);
+    runFor(std::chrono::milliseconds(20));
+    send("x");
+    runFor(std::chrono::milliseconds(20));
+    STRNCMP_EQUAL("HTTP/1.1 200", received().c_str(), 12);
+    LONGS_EQUAL(1, paths.size());
+}
+
+TEST(ServerConnection, aRequestThatCameWithTheOneBeforeWaitsForItsAnswer)
+{
+    send("GET /one HTTP/1.1\r\nHost: x\r\n\r\nGET /two HTTP/1.1\r\nHost: x\r\n\r\n");
+    runFor(std::chrono::milliseconds(20));
+    LONGS_EQUAL(2, paths.size());
+    STRCMP_EQUAL("/two", paths.back().c_str());
+}
