Dispatch: Under overload, turns of programs that are late anyway wait behind those that can be in time

Change: the time that a program has left is read; once it is below the shortest turn, the turn's urgency is behind all that can be in time. Tests name the pattern (a burst). Full batches slow even the most urgent.

--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -160,6 +160,11 @@
         return std::chrono::duration_cast<base::Milliseconds>(m_end - now());
     }
 
+    base::Milliseconds waited() const
+    {
+        return std::chrono::duration_cast<base::Milliseconds>(now() - m_began);
+    }
+
     void beginTurn()
     {
         turns::TurnStart start;
@@ -177,7 +182,7 @@
 
     void turnBegun(turns::TurnStartResult result)
     {
-        m_story.turnWait = std::chrono::duration_cast<base::Milliseconds>(now() - m_began);
+        m_story.turnWait = waited();
         if (auto *granted = std::get_if<turns::TurnGranted>(&result)) {
             m_shared.advice.worked();
             m_reservation = granted->reservation;
@@ -278,9 +283,10 @@
         handlers.onEnd = [self = this->shared_from_this()](http::Ending ending) {
             self->answerEnded(ending);
         };
-        m_connection->send(
-            Format::encode(m_request, m_prompt, m_choice.id, left(), dispatch::urgencyOf(*m_route, m_request)),
-            m_request.method == "HEAD", std::move(handlers));
+        const Urgency urgency = dispatch::urgencyOf(*m_route, m_request, waited());
+        m_story.urgency = urgency.value();
+        m_connection->send(Format::encode(m_request, m_prompt, m_choice.id, left(), urgency),
+                           m_request.method == "HEAD", std::move(handlers));
     }
 
     http::HeadVerdict headCame(const http::ResponseHead &head)
@@ -297,7 +303,7 @@
         const bool isSuccess = m_answer.status < firstError && m_answer.isSigned;
         if (isSuccess && m_route->kind == RouteKind::Stream && m_answer.isEventStream) {
             m_isStreaming = true;
-            m_story.firstByte = std::chrono::duration_cast<base::Milliseconds>(now() - m_began);
+            m_story.firstByte = waited();
             m_caller->beginAnswer({m_answer.status, m_answer.passedOn});
         }
         return http::HeadVerdict::Take;
@@ -550,7 +556,7 @@
         unplace();
         m_timer.cancel();
         m_caller->setGoneHandler(nullptr);
-        m_story.took = std::chrono::duration_cast<base::Milliseconds>(now() - m_began);
+        m_story.took = waited();
         m_story.sends = m_sends;
         m_story.events = m_events.count();
         m_shared.log.ended(m_story, outcome, status);
--- a/src/libbriarhinge/forwarding/messages.h
+++ b/src/libbriarhinge/forwarding/messages.h
@@ -42,6 +42,8 @@
     base::ProgramId program;
     /** Tokens that all turns of the program may generate. */
     std::optional<base::Tokens> programBudget;
+    /** Time until the program should be finished, negative once that is past; nothing when the caller did not say. */
+    std::optional<base::Milliseconds> programTimeLeft;
     /** The turn that this one continues; empty at the start of a chain. */
     turns::TurnId previousTurn;
     base::Tokens promptTokens;
--- a/tests/test_platformdocuments.cpp
+++ b/tests/test_platformdocuments.cpp
@@ -59,6 +59,7 @@
     incoming.headers.add("Host", "h.example:80");
     incoming.headers.add("X-Request-Id", "r-1");
     incoming.headers.add("X-Program-Id", "p-1");
+    incoming.headers.add("X-Program-Deadline", "-350");
     incoming.headers.add("X-Token-Budget", "2320");
     incoming.headers.add("X-Token-Usage", "1840,290");
     incoming.headers.add("X-Previous-Turn", "t-0");
@@ -197,6 +198,7 @@
     STRCMP_EQUAL("h.example", request.host.c_str());
     STRCMP_EQUAL("/a/4b", request.path.c_str());
     LONGS_EQUAL(2320, request.programBudget->value());
+    LONGS_EQUAL(-350, request.programTimeLeft->count());
     LONGS_EQUAL(1840, request.promptTokens.value());
     LONGS_EQUAL(290, request.mostTokens.value());
     STRCMP_EQUAL("t-0", request.previousTurn.value().c_str());
--- a/tests/test_runnerboard.cpp
+++ b/tests/test_runnerboard.cpp
@@ -181,6 +181,21 @@
 
 TEST_GROUP(Urgency){};
 
+namespace
+{
+
+constexpr base::Milliseconds notWaited{0};
+
+forwarding::CallerRequest turnWithTimeLeft(base::Milliseconds left, const std::string &previous)
+{
+    forwarding::CallerRequest turn;
+    turn.programTimeLeft = left;
+    turn.previousTurn = turns::TurnId(previous);
+    return turn;
+}
+
+}
+
 TEST(Urgency, urgentRoutesComeFirstAndBegunProgramsBeforeNewOnes)
 {
     forwarding::Route urgent;
@@ -190,7 +205,27 @@
     forwarding::CallerRequest first;
     forwarding::CallerRequest later;
     later.previousTurn = turns::TurnId("t");
-    CHECK(urgencyOf(urgent, later) < urgencyOf(urgent, first));
-    CHECK(urgencyOf(urgent, first) < urgencyOf(other, later));
-    CHECK(urgencyOf(other, later) < urgencyOf(other, first));
+    CHECK(urgencyOf(urgent, later, notWaited) < urgencyOf(urgent, first, notWaited));
+    CHECK(urgencyOf(urgent, first, notWaited) < urgencyOf(other, later, notWaited));
+    CHECK(urgencyOf(other, later, notWaited) < urgencyOf(other, first, notWaited));
+}
+
+TEST(Urgency, inABurstProgramsThatAreLateAnywayWaitBehindAllThatCanBeInTime)
+{
+    forwarding::Route urgent;
+    urgent.keepsTurns = true;
+    forwarding::Route other = urgent;
+    other.priority = 1;
+    const auto late = turnWithTimeLeft(base::Milliseconds(-400), "t");
+    const auto fresh = turnWithTimeLeft(base::Milliseconds(1500), "");
+    CHECK(urgencyOf(other, fresh, notWaited) < urgencyOf(urgent, late, notWaited));
+    CHECK(urgencyOf(urgent, late, notWaited) < urgencyOf(other, late, notWaited));
+}
+
+TEST(Urgency, aProgramBecomesLateWhileItsTurnWaits)
+{
+    forwarding::Route route;
+    route.keepsTurns = true;
+    const auto turn = turnWithTimeLeft(base::Milliseconds(300), "t");
+    CHECK(urgencyOf(route, turn, notWaited) < urgencyOf(route, turn, base::Milliseconds(250)));
 }
