Dispatch: Runners that turn slow or fail part of their requests get less work

Entries saw only the load that a runner told, about once a second. A runner that fails part of its requests was never avoided, since each answer's head counted as progress. Ruled out: the engines: turns of begun programs took 200 ms at the median in the burst, 180 before it. Change: ServiceRecord (recent answers of one runner, fading, by their multiple of what the route usually takes, and the share that failed) and UsualTimes; the board adds what is beyond chance to a runner's cost. Told load and urgency stand in the lines of exchanges. Tests name the pattern.

--- a/src/libbriarhinge/dispatch/runnerboard.cpp
+++ b/src/libbriarhinge/dispatch/runnerboard.cpp
@@ -40,6 +40,7 @@
     if (entry.startedAt > runner.entry.startedAt) {
         runner.parts.clear();
         runner.health = {};
+        runner.record = {};
         runner.toldAt.reset();
         runner.fullUntil.reset();
     }
@@ -66,12 +67,20 @@
     return own + others * weight;
 }
 
+double RunnerBoard::troubleOf(const Runner &runner, const Need &need, Time now) const
+{
+    const double slowness = runner.record.slowness(now);
+    const double late = need.engine ? m_weights.turnMs * std::max(0.0, slowness - m_weights.toleratedOfEngines)
+                                    : m_weights.workMs * std::max(0.0, slowness - m_weights.tolerated);
+    return late + m_weights.failureMs * runner.record.failureShare(now);
+}
+
 double RunnerBoard::costOf(const Runner &runner, const Need &need, Time now) const
 {
     const double busy = busyOf(runner, now);
     const double slots = std::max(1U, runner.entry.slots);
     const double waiting = std::max(0.0, busy + 1 - slots);
-    double cost = runner.entry.zone == m_zone ? 0 : m_weights.otherZoneMs;
+    double cost = troubleOf(runner, need, now) + (runner.entry.zone == m_zone ? 0 : m_weights.otherZoneMs);
     if (!need.engine) {
         return cost + busy + waiting / slots * m_weights.workMs;
     }
@@ -177,6 +186,30 @@
     });
 }
 
+void RunnerBoard::answered(const RunnerId &id, const forwarding::RouteName &route, UsualTimes::Time time, Time now)
+{
+    change(id, [slowness = m_usual.add(route, time), now](Runner &runner) {
+        runner.record.answered(slowness, now);
+    });
+}
+
+void RunnerBoard::erred(const RunnerId &id, Time now)
+{
+    change(id, [now](Runner &runner) {
+        runner.record.failed(now);
+    });
+}
+
+void RunnerBoard::stoodStill(const RunnerId &id, const forwarding::RouteName &route, UsualTimes::Time waited, Time now)
+{
+    // A request may wait long for its turn at a full runner.
+    change(id, [slowness = m_usual.multiple(route, waited), now](Runner &runner) {
+        if (slowness > 1 && busyOf(runner, now) < runner.entry.slots) {
+            runner.record.answered(slowness, now);
+        }
+    });
+}
+
 std::size_t RunnerBoard::size() const
 {
     return m_runners.size();
--- a/src/libbriarhinge/dispatch/runnerboard.h
+++ b/src/libbriarhinge/dispatch/runnerboard.h
@@ -2,6 +2,8 @@
 
 #include "dispatch/partcache.h"
 #include "dispatch/runner.h"
+#include "dispatch/servicerecord.h"
+#include "dispatch/usualtimes.h"
 #include "forwarding/messages.h"
 #include "placement/runnerhealth.h"
 
@@ -61,6 +63,12 @@
     double workMs = 90;
     /** Cost of a runner in another zone: the way there and back and the price of the bytes. */
     double otherZoneMs = 4;
+    /** Slowness that single times of requests without a model may show by chance: they vary as much as their mean. */
+    double tolerated = 1.5;
+    /** The same of answers of engines, whose events come at an even pace. */
+    double toleratedOfEngines = 1.25;
+    /** What a failed request costs its program: it is sent again after some 100 ms at best, or its program fails. */
+    double failureMs = 1500;
     /** Share of a prompt that the engine of the turn before is thought to keep, when another entry sent it there. */
     double keptAtHome = 0.8;
 };
@@ -104,6 +112,29 @@
     /** A runner answered a request. @param id the runner */
     void progressed(const RunnerId &id);
 
+    /**
+     * A request was answered.
+     *
+     * @param id the runner
+     * @param route its route
+     * @param time how long it took; of a stream, the time between two events
+     * @param now the time
+     */
+    void answered(const RunnerId &id, const forwarding::RouteName &route, UsualTimes::Time time, Time now);
+
+    /** A runner failed a request that it had taken. @param id the runner @param now the time */
+    void erred(const RunnerId &id, Time now);
+
+    /**
+     * A request was given up before the runner had said anything.
+     *
+     * @param id the runner
+     * @param route its route
+     * @param waited how long the runner had it
+     * @param now the time
+     */
+    void stoodStill(const RunnerId &id, const forwarding::RouteName &route, UsualTimes::Time waited, Time now);
+
     /** @return how many runners are known */
     std::size_t size() const;
 
@@ -119,6 +150,7 @@
         std::optional<Time> toldAt;
         std::optional<Time> fullUntil;
         placement::RunnerHealth health;
+        ServiceRecord record;
         PartCache parts;
     };
 
@@ -132,11 +164,13 @@
     }
 
     static double busyOf(const Runner &runner, Time now);
+    double troubleOf(const Runner &runner, const Need &need, Time now) const;
     double costOf(const Runner &runner, const Need &need, Time now) const;
 
     const base::ZoneName m_zone;
     const PlaceWeights m_weights;
     std::map<RunnerId, Runner> m_runners;
+    UsualTimes m_usual;
     std::size_t m_turn = 0;
 };
 
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -268,6 +268,8 @@
     {
         ++m_sends;
         m_mayHaveRun = true;
+        m_sentAt = now();
+        m_hasHead = false;
         m_answer = {};
         m_body.clear();
         m_story.runner = m_choice.id.value();
@@ -296,9 +298,11 @@
             return http::HeadVerdict::Skip;
         }
         m_answer = std::move(answer);
+        m_hasHead = true;
         m_shared.board.progressed(m_choice.id);
         if (m_answer.load) {
             m_shared.board.loadSeen(m_choice.id, *m_answer.load, now());
+            m_story.told = m_answer.load->running + m_answer.load->waiting;
         }
         const bool isSuccess = m_answer.status < firstError && m_answer.isSigned;
         if (isSuccess && m_route->kind == RouteKind::Stream && m_answer.isEventStream) {
@@ -314,6 +318,11 @@
         if (m_isStreaming) {
             const std::string events = m_events.take(piece);
             if (!events.empty()) {
+                m_lastEventAt = now();
+                if (m_eventsAtFirst == 0) {
+                    m_firstEventAt = m_lastEventAt;
+                    m_eventsAtFirst = m_events.count();
+                }
                 m_caller->sendPiece(events);
             }
             return;
@@ -336,6 +345,7 @@
         }
         m_shared.pool.keep(m_choice.id, std::move(m_connection), m_answer.keepAlive.value_or(assumedKeepAlive));
         m_connection.reset();
+        noteAnswer();
         if (m_isStreaming) {
             streamEnded();
             return;
@@ -358,6 +368,22 @@
         over(m_answer.status < firstError ? Outcome::Served : Outcome::RunnerFailure, m_answer.status);
     }
 
+    /** Tells the board how the runner did. */
+    void noteAnswer()
+    {
+        if (m_answer.isNotRun || m_answer.status == statusTimeout) {
+            return;
+        }
+        if (m_answer.status >= firstServerError) {
+            m_shared.board.erred(m_choice.id, now());
+        } else if (!m_isStreaming) {
+            m_shared.board.answered(m_choice.id, m_route->name, now() - m_sentAt, now());
+        } else if (m_events.count() > m_eventsAtFirst) {
+            const auto pace = (m_lastEventAt - m_firstEventAt) / (m_events.count() - m_eventsAtFirst);
+            m_shared.board.answered(m_choice.id, m_route->name, pace, now());
+        }
+    }
+
     void placeElsewhere()
     {
         m_need.excluded.insert(m_choice.id);
@@ -400,6 +426,7 @@
             return;
         }
         unplace();
+        m_shared.board.erred(m_choice.id, now());
         m_hasLostAttempt = true;
         m_shared.log.attemptFailed(m_story, m_choice, reason);
         if (m_isStreaming) {
@@ -534,6 +561,9 @@
 
     void stopRunner()
     {
+        if (m_isPlaced && m_connection && !m_hasHead) {
+            m_shared.board.stoodStill(m_choice.id, m_route->name, now() - m_sentAt, now());
+        }
         unplace();
         if (m_connection) {
             m_connection->close();
@@ -578,11 +608,18 @@
     RunnerAnswer m_answer;
     std::string m_body;
     EventStream m_events;
+    Time m_sentAt;
+    Time m_firstEventAt;
+    Time m_lastEventAt;
+    /** Events that came with the first piece of the answer. */
+    std::size_t m_eventsAtFirst = 0;
     ExchangeStory m_story;
     int m_sends = 0;
     int m_connectFailures = 0;
     bool m_isPlaced = false;
     bool m_mayHaveRun = false;
+    /** The runner has begun its answer to the present attempt. */
+    bool m_hasHead = false;
     bool m_hasLostAttempt = false;
     bool m_isStreaming = false;
     bool m_isKeeping = false;
--- a/src/libbriarhinge/forwarding/exchangelog.cpp
+++ b/src/libbriarhinge/forwarding/exchangelog.cpp
@@ -61,6 +61,8 @@
                      {"turnWait", story.turnWait.count()},
                      {"firstByte", story.firstByte.count()},
                      {"busy", std::lround(story.busy)},
+                     {"told", story.told.value_or(0)},
+                     {"urgency", story.urgency},
                      {"cached", story.cached},
                      {"events", story.events}});
         return;
@@ -77,6 +79,8 @@
                  {"took", story.took.count()},
                  {"turnWait", story.turnWait.count()},
                  {"busy", std::lround(story.busy)},
+                 {"told", story.told.value_or(0)},
+                 {"urgency", story.urgency},
                  {"events", story.events}});
 }
 
--- a/src/libbriarhinge/forwarding/exchangelog.h
+++ b/src/libbriarhinge/forwarding/exchangelog.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace briarhinge::forwarding
@@ -40,6 +41,10 @@
     std::string runner;
     /** Requests that were thought to be at that runner. */
     double busy = 0;
+    /** Its place in the runner's queue, 0 first. */
+    std::uint32_t urgency = 0;
+    /** Requests that the runner itself told of with its answer, waiting ones included; nothing when it did not. */
+    std::optional<std::uint32_t> told;
     /** Prompt tokens that were thought to be kept there. */
     std::uint64_t cached = 0;
     int sends = 0;
--- a/tests/test_runnerboard.cpp
+++ b/tests/test_runnerboard.cpp
@@ -160,6 +160,86 @@
     CHECK_FALSE(std::get<NoPlace>(gone).isFull);
 }
 
+namespace
+{
+
+const forwarding::RouteName lookups("lookups");
+
+Need lookup()
+{
+    Need need;
+    need.service = chat;
+    return need;
+}
+
+std::map<std::string, int> sharesOf(RunnerBoard &board, const Need &need, RunnerBoard::Time now, int count)
+{
+    std::map<std::string, int> shares;
+    for (int i = 0; i < count; ++i) {
+        const std::string id = chosen(board, need, now);
+        board.sent(RunnerId(id), need);
+        board.ended(RunnerId(id));
+        ++shares[id];
+    }
+    return shares;
+}
+
+}
+
+TEST(RunnerBoard, whenSomeRunnersOfAServiceTurnSlowRequestsGoToTheOthersAndComeBackLater)
+{
+    board.registered(runner("slow"));
+    board.registered(runner("sound"));
+    for (int i = 0; i < 20; ++i) {
+        board.answered(RunnerId(i % 2 == 0 ? "slow" : "sound"), lookups, UsualTimes::Time(30), start);
+    }
+    CHECK(sharesOf(board, lookup(), start, 20)["slow"] > 5);
+    board.answered(RunnerId("slow"), lookups, UsualTimes::Time(180), start);
+    board.answered(RunnerId("slow"), lookups, UsualTimes::Time(240), start);
+    LONGS_EQUAL(0, sharesOf(board, lookup(), start, 20)["slow"]);
+    CHECK(sharesOf(board, lookup(), start + std::chrono::seconds(15), 20)["slow"] > 5);
+}
+
+TEST(RunnerBoard, aRunnerThatFailsPartOfItsRequestsIsLeftAloneThoughItAnswersOthers)
+{
+    board.registered(runner("grey"));
+    board.registered(runner("sound"));
+    for (int i = 0; i < 6; ++i) {
+        board.answered(RunnerId("grey"), lookups, UsualTimes::Time(30), start);
+        board.answered(RunnerId("sound"), lookups, UsualTimes::Time(30), start);
+    }
+    for (int i = 0; i < 3; ++i) {
+        board.erred(RunnerId("grey"), start);
+        board.answered(RunnerId("grey"), lookups, UsualTimes::Time(30), start);
+        board.progressed(RunnerId("grey"));
+    }
+    LONGS_EQUAL(0, sharesOf(board, lookup(), start, 20)["grey"]);
+}
+
+TEST(RunnerBoard, aRequestThatARunnerWithFreePlacesHoldsWithoutAWordCountsAsSlow)
+{
+    board.registered(runner("hanging"));
+    board.registered(runner("sound"));
+    for (int i = 0; i < 20; ++i) {
+        board.answered(RunnerId("sound"), lookups, UsualTimes::Time(30), start);
+    }
+    board.stoodStill(RunnerId("hanging"), lookups, UsualTimes::Time(900), start);
+    LONGS_EQUAL(0, sharesOf(board, lookup(), start, 20)["hanging"]);
+}
+
+TEST(RunnerBoard, aRequestThatWaitsAtAFullRunnerSaysNothingOfItsPace)
+{
+    board.registered(runner("full"));
+    for (int i = 0; i < 20; ++i) {
+        board.answered(RunnerId("full"), lookups, UsualTimes::Time(30), start);
+    }
+    board.registered(runner("other"));
+    board.loadSeen(RunnerId("full"), {4, 3, 4}, start);
+    board.stoodStill(RunnerId("full"), lookups, UsualTimes::Time(900), start);
+    const auto later = start + std::chrono::seconds(2);
+    CHECK(sharesOf(board, lookup(), later, 20)["full"] > 5);
+}
+
 TEST_GROUP(PartCache){};
 
 TEST(PartCache, onlyTheBeginningOfAPromptCounts)
