--- a/src/libbriarhinge/turns/journal.cpp
+++ b/src/libbriarhinge/turns/journal.cpp
@@ -6,7 +6,7 @@
 #include <cstdio>
 #include <cstring>
 #include <filesystem>
-#include <fstream>
+#include <optional>
 #include <utility>
 
 #include <fcntl.h>
@@ -25,6 +25,8 @@
 constexpr std::size_t headBytes = sizeof(std::uint32_t) + sizeof(std::uint64_t);
 /** A record is a frame or smaller; a longer one is a torn length. */
 constexpr std::size_t longestRecord = std::size_t{16} * 1024 * 1024;
+/** Read at once: small beside the memory, large beside a record. */
+constexpr std::size_t readBytes = std::size_t{512} * 1024;
 constexpr mode_t fileMode = 0600;
 
 DiskError diskError(const std::string &what)
@@ -65,30 +67,60 @@
     return true;
 }
 
-void readSegment(const std::string &path, const std::function<void(std::span<const std::uint8_t>)> &onRecord)
+/** Hands on the whole records at the beginning of some bytes. @return how many bytes they took, or nothing at a torn one */
+std::optional<std::size_t> readRecords(std::span<const std::uint8_t> bytes,
+                                       const std::function<void(std::span<const std::uint8_t>)> &onRecord)
 {
-    std::error_code error;
-    const auto size = fs::file_size(path, error);
-    std::vector<char> bytes(error ? 0 : size);
-    std::ifstream file(path, std::ios::binary);
-    file.read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
-    bytes.resize(static_cast<std::size_t>(std::max<std::streamsize>(0, file.gcount())));
     std::size_t at = 0;
     while (at + headBytes <= bytes.size()) {
         std::uint32_t length = 0;
         std::uint64_t checksum = 0;
         std::memcpy(&length, &bytes[at], sizeof length);
         std::memcpy(&checksum, &bytes[at + sizeof length], sizeof checksum);
-        if (length > longestRecord || at + headBytes + length > bytes.size()) {
-            return;
+        if (length > longestRecord) {
+            return std::nullopt;
+        }
+        if (at + headBytes + length > bytes.size()) {
+            break;
         }
-        const std::span record(reinterpret_cast<const std::uint8_t *>(bytes.data()) + at + headBytes, length);
+        const auto record = bytes.subspan(at + headBytes, length);
         if (checksumOf(record) != checksum) {
-            return;
+            return std::nullopt;
         }
         onRecord(record);
         at += headBytes + length;
     }
+    return at;
+}
+
+void readSegment(const std::string &path, const std::function<void(std::span<const std::uint8_t>)> &onRecord)
+{
+    const int file = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+    if (file < 0) {
+        return;
+    }
+    std::vector<std::uint8_t> buffer(readBytes);
+    std::size_t filled = 0;
+    while (true) {
+        const ssize_t size = ::read(file, &buffer[filled], buffer.size() - filled);
+        if (size < 0 && errno == EINTR) {
+            continue;
+        }
+        if (size <= 0) {
+            break;
+        }
+        filled += static_cast<std::size_t>(size);
+        const auto used = readRecords({buffer.data(), filled}, onRecord);
+        if (!used) {
+            break;
+        }
+        filled -= *used;
+        std::memmove(buffer.data(), buffer.data() + *used, filled);
+        if (filled == buffer.size()) {
+            buffer.resize(2 * buffer.size());
+        }
+    }
+    ::close(file);
 }
 
 }
--- a/src/libbriarhinge/turns/turnmessages.cpp
+++ b/src/libbriarhinge/turns/turnmessages.cpp
@@ -32,6 +32,17 @@
     return {TurnId(record.id), TurnId(record.parent), record.input, record.output, record.engine};
 }
 
+Turn fromWire(const wire::TurnRecord &record)
+{
+    return {TurnId(textOf(record.id())), TurnId(textOf(record.parent())), textOf(record.input()),
+            textOf(record.output()), textOf(record.engine())};
+}
+
+std::string textOf(const flatbuffers::String *text)
+{
+    return text == nullptr ? std::string() : text->str();
+}
+
 wire::BudgetEntryT toWire(const BudgetEntry &entry)
 {
     wire::BudgetEntryT packed;
@@ -47,4 +58,10 @@
     return {AttemptId(entry.attempt), base::Tokens(entry.most), entry.settled, base::Tokens(entry.spent)};
 }
 
+BudgetEntry fromWire(const wire::BudgetEntry &entry)
+{
+    return {AttemptId(textOf(entry.attempt())), base::Tokens(entry.most()), entry.settled(),
+            base::Tokens(entry.spent())};
+}
+
 }
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -50,25 +50,33 @@
         return;
     }
     // A frame is read in place, which needs the alignment of an allocation.
-    const std::vector<std::uint8_t> body(record.begin() + wire::lengthPrefixBytes, record.end());
-    const auto decoded = wire::decodeFrame(body);
-    const auto *frame = std::get_if<wire::FrameT>(&decoded);
-    const auto *state = frame == nullptr ? nullptr : frame->message.AsStoreState();
+    m_record.assign(record.begin() + wire::lengthPrefixBytes, record.end());
+    const wire::Frame *frame = wire::trustedFrame(m_record);
+    const wire::StoreState *state = frame == nullptr ? nullptr : frame->message_as_StoreState();
     if (state == nullptr) {
         return;
     }
-    if (!state->group.empty()) {
-        const auto group = parseStoreGroup(state->group);
+    if (state->group() != nullptr && state->group()->size() > 0) {
+        const auto group = parseStoreGroup(state->group()->string_view());
         if (group && group->epoch > m_group.epoch) {
             m_group = *group;
         }
     }
-    for (const auto &turn : state->turns) {
-        m_turns.add(fromWire(*turn), now);
+    if (state->turns() != nullptr) {
+        for (const wire::TurnRecord *turn : *state->turns()) {
+            m_turns.add(fromWire(*turn), now);
+        }
     }
-    for (const auto &budget : state->budgets) {
-        for (const auto &entry : budget->entries) {
-            m_budgets.apply(base::ProgramId(budget->program), fromWire(*entry), now);
+    if (state->budgets() == nullptr) {
+        return;
+    }
+    for (const wire::ProgramBudget *budget : *state->budgets()) {
+        const base::ProgramId program(textOf(budget->program()));
+        if (budget->entries() == nullptr) {
+            continue;
+        }
+        for (const wire::BudgetEntry *entry : *budget->entries()) {
+            m_budgets.apply(program, fromWire(*entry), now);
         }
     }
 }
--- a/src/libbriarhinge/turns/turnstore.h
+++ b/src/libbriarhinge/turns/turnstore.h
@@ -89,6 +89,8 @@
     StoreGroup m_group;
     BudgetLedger m_budgets;
     TurnTree m_turns;
+    /** The record that is replayed; kept for its allocation. */
+    std::vector<std::uint8_t> m_record;
     bool m_isRewriteNeeded = false;
 };
 
--- a/src/libbriarhinge/wire/framecodec.h
+++ b/src/libbriarhinge/wire/framecodec.h
@@ -44,4 +44,13 @@
  */
 std::variant<FrameT, BadFrame> decodeFrame(std::span<const std::uint8_t> bytes);
 
+/**
+ * Reads a frame in place and without checks: only for bytes that are known to be as this program wrote them, such as by
+ * a checksum.
+ *
+ * @param bytes the bytes of a frame, without the length prefix, aligned like an allocation
+ * @return the frame, valid as long as the bytes; nothing if it is of another version
+ */
+const Frame *trustedFrame(std::span<const std::uint8_t> bytes);
+
 }
