Turns: An entry that is cut off from the turn stores asks them by another entry

Not being ready does not help where the platform, with too few entries left in a zone, sends callers to all. Change: entries register as relays in the platform's store (one write each; its changes come by the watch of the group); an entry to which too few members answer asks the silent ones by another entry, which passes on only what entries send to members. It goes on asking directly four times a second. A begin that was under way asks once more. Ends count too when a member is taken for silent, which only begins did before.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -4,6 +4,8 @@
 #include "platform/wireformat.h"
 #include "turns/groupkeys.h"
 
+#include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace briarhinge::node
@@ -48,6 +50,12 @@
     , m_pool(context)
     , m_peers(context)
     , m_turns(context, m_peers, turns::QuorumRule{settings.toleratedLosses}, settings.zone, log)
+    , m_relay(
+          context, m_peers,
+          [this](const wire::Address &address) {
+              return m_turns.isMember(address);
+          },
+          log)
     , m_exchanges{context,
                   m_board,
                   m_pool,
@@ -91,6 +99,12 @@
     if (error.empty()) {
         error = m_metricsListener->listen(m_settings.metrics);
     }
+    if (error.empty()) {
+        const auto listening = m_relay.listen({m_settings.ip, m_settings.firstPort});
+        if (const auto *failure = std::get_if<wire::ListenError>(&listening)) {
+            error = failure->reason;
+        }
+    }
     if (error.empty()) {
         followRouting();
         followRunners();
@@ -178,13 +192,59 @@
 {
     platform::ItemHandlers handlers;
     handlers.onItem = [this](const keyvalue::KeyValue &item) {
-        groupSeen(item);
+        if (item.key == turns::groupKey) {
+            groupSeen(item);
+        } else if (item.key.starts_with(turns::relayPrefix)) {
+            relaySeen(item);
+        }
+    };
+    handlers.onListed = [this] {
+        registerRelay();
     };
-    m_groupWatch = std::make_unique<platform::PrefixWatch>(m_context, m_store, std::string(turns::groupKey),
+    m_groupWatch = std::make_unique<platform::PrefixWatch>(m_context, m_store, std::string(turns::keyPrefix),
                                                            std::move(handlers), m_log);
     m_groupWatch->start();
 }
 
+void EntryNode::relaySeen(const keyvalue::KeyValue &item)
+{
+    if (item.key == std::string(turns::relayPrefix) + m_settings.name) {
+        m_registration = item.value;
+        m_registrationVersion = item.version;
+        return;
+    }
+    const auto address = wire::parseAddress(item.value);
+    if (!address) {
+        m_log.write(logging::events::badEntry, {{"key", item.key}});
+        return;
+    }
+    m_relays[item.key] = *address;
+    std::vector<wire::Address> relays;
+    for (const auto &[key, relay] : m_relays) {
+        relays.push_back(relay);
+    }
+    // Each entry begins with another one.
+    const std::size_t first = std::hash<std::string>{}(m_settings.name) % relays.size();
+    std::rotate(relays.begin(), relays.begin() + static_cast<std::ptrdiff_t>(first), relays.end());
+    m_peers.setRelays(std::move(relays));
+}
+
+void EntryNode::registerRelay()
+{
+    const std::string registration = wire::toString({m_settings.ip, m_settings.firstPort});
+    if (m_registration == registration) {
+        return;
+    }
+    m_store.write(std::string(turns::relayPrefix) + m_settings.name, registration, m_registrationVersion,
+                  [this](const keyvalue::WriteResult &result) {
+                      if (!std::holds_alternative<keyvalue::KeyVersion>(result)) {
+                          // Other entries can't use this one as a relay until the next listing.
+                          m_log.write(logging::events::platformUnavailable,
+                                      {{"reason", "this entry could not be registered as a relay"}});
+                      }
+                  });
+}
+
 void EntryNode::groupSeen(const keyvalue::KeyValue &item)
 {
     if (const auto group = turns::parseStoreGroup(item.value)) {
@@ -319,6 +379,7 @@
 {
     m_stopTimer.cancel();
     m_watchTimer.cancel();
+    m_relay.stop();
     m_missing.clear();
     for (const auto *watch : {&m_routingWatch, &m_runnerWatch, &m_groupWatch}) {
         (*watch)->stop();
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -11,6 +11,7 @@
 #include "platform/nodesettings.h"
 #include "platform/prefixwatch.h"
 #include "platform/storeclient.h"
+#include "turns/relayserver.h"
 #include "turns/turnclient.h"
 
 #include <map>
@@ -52,6 +53,8 @@
     void routingSeen(const keyvalue::KeyValue &item);
     void runnerSeen(const keyvalue::KeyValue &item);
     void groupSeen(const keyvalue::KeyValue &item);
+    void relaySeen(const keyvalue::KeyValue &item);
+    void registerRelay();
     void watchOver();
     void askSeeds();
     void takeDeployment(const wire::ChannelReply &reply);
@@ -69,10 +72,16 @@
     forwarding::RunnerPool m_pool;
     turns::StorePeers m_peers;
     turns::TurnClient m_turns;
+    turns::RelayServer m_relay;
     forwarding::ExchangeContext m_exchanges;
     std::unique_ptr<platform::PrefixWatch> m_routingWatch;
     std::unique_ptr<platform::PrefixWatch> m_runnerWatch;
     std::unique_ptr<platform::PrefixWatch> m_groupWatch;
+    /** Other entries by the keys of their registrations. */
+    std::map<std::string, wire::Address> m_relays;
+    /** What this entry is registered with, and since which version. */
+    std::string m_registration;
+    keyvalue::KeyVersion m_registrationVersion;
     std::shared_ptr<const forwarding::Routing> m_routing;
     /** Runners whose entries are gone, but may come back. */
     std::map<dispatch::RunnerId, std::unique_ptr<boost::asio::steady_timer>> m_missing;
--- /dev/null
+++ b/src/libbriarhinge/turns/relayserver.cpp
@@ -0,0 +1,73 @@
+#include "turns/relayserver.h"
+
+#include "base/units.h"
+
+#include <utility>
+
+namespace briarhinge::turns
+{
+
+namespace
+{
+
+/** As long as the process that asks waits for a turn store itself. */
+constexpr base::Milliseconds relayLimit{600};
+
+/** Whether a message is one of those that entries send to turn stores. */
+bool isRelayed(const wire::MessageUnion &message)
+{
+    return message.AsBeginTurn() != nullptr || message.AsEndTurn() != nullptr;
+}
+
+}
+
+RelayServer::RelayServer(boost::asio::io_context &context, StorePeers &peers,
+                         std::function<bool(const wire::Address &)> isStore, logging::EventLog &log)
+    : m_peers(peers)
+    , m_isStore(std::move(isStore))
+    , m_server(
+          context, log,
+          [this](const auto &session, wire::FrameT frame) {
+              receive(session, std::move(frame));
+          },
+          [](const auto &, const std::string &) {})
+{
+}
+
+std::variant<std::uint16_t, wire::ListenError> RelayServer::listen(const wire::Address &address)
+{
+    return m_server.listen(address);
+}
+
+void RelayServer::receive(const std::shared_ptr<wire::FrameSession> &session, wire::FrameT frame)
+{
+    const auto store = wire::parseAddress(frame.relay_to);
+    if (!store || !m_isStore(*store) || !isRelayed(frame.message)) {
+        session->close("a message that is not relayed");
+        return;
+    }
+    const std::weak_ptr<wire::FrameSession> weak = session;
+    m_peers.ask(*store, std::move(frame.message), relayLimit,
+                [weak, requestId = frame.request_id](wire::ChannelReply reply) {
+                    wire::FrameT answer;
+                    if (auto *relayed = std::get_if<wire::FrameT>(&reply)) {
+                        answer.message = std::move(relayed->message);
+                    } else {
+                        wire::RelayFailedT failed;
+                        failed.reason = std::get<wire::ChannelError>(reply).reason;
+                        answer.message.Set(std::move(failed));
+                    }
+                    answer.request_id = requestId;
+                    answer.last = true;
+                    if (const auto open = weak.lock()) {
+                        open->send(answer);
+                    }
+                });
+}
+
+void RelayServer::stop()
+{
+    m_server.stop();
+}
+
+}
--- a/src/libbriarhinge/turns/storepeers.h
+++ b/src/libbriarhinge/turns/storepeers.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -35,8 +37,31 @@
     void ask(const wire::Address &address, wire::MessageUnion message, base::Milliseconds timeout,
              ReplyHandler onReply);
 
+    /** Sets the processes that pass requests on for this one. @param relays where they listen */
+    void setRelays(std::vector<wire::Address> relays);
+
+    /** @return whether any process is known that passes requests on */
+    bool hasRelays() const;
+
+    /**
+     * Asks a turn store by another process, as long as this one can't reach it. After a failure another relay has its
+     * turn.
+     *
+     * @param address where the turn store listens
+     * @param message the request
+     * @param timeout longest wait for the answer
+     * @param onReply gets the answer or an error
+     */
+    void askByRelay(const wire::Address &address, wire::MessageUnion message, base::Milliseconds timeout,
+                    ReplyHandler onReply);
+
 private:
+    void askAt(const wire::Address &peer, const std::optional<wire::Address> &relayTo, wire::MessageUnion message,
+               base::Milliseconds timeout, ReplyHandler onReply);
+
     boost::asio::io_context &m_context;
+    std::vector<wire::Address> m_relays;
+    std::size_t m_nextRelay = 0;
     std::map<wire::Address, std::shared_ptr<wire::FrameChannel>> m_channels;
 };
 
--- a/src/libbriarhinge/turns/turnclient.cpp
+++ b/src/libbriarhinge/turns/turnclient.cpp
@@ -35,6 +35,8 @@
 constexpr int contentionTries = 3;
 constexpr base::Milliseconds contentionPause{40};
 constexpr int mostGroupChanges = 4;
+/** Four probes: a relay that has answered is trusted this long. */
+constexpr base::Milliseconds relayTrust{1000};
 
 std::chrono::steady_clock::time_point steadyNow()
 {
@@ -151,14 +153,13 @@
         m_openForChain += wantsChain ? 1 : 0;
         wire::MessageUnion message;
         message.Set(std::move(request));
-        m_client.m_peers.ask(member.address, std::move(message), answerLimit,
-                             [self = shared_from_this(), member, wantsChain, isReserving, asked = m_missing,
-                              round = m_round](wire::ChannelReply reply) {
-                                 self->m_client.noteAnswer(member, reply);
-                                 if (round == self->m_round && self->m_onDone) {
-                                     self->answered(member, wantsChain, isReserving, asked, std::move(reply));
-                                 }
-                             });
+        m_client.askStore(member, std::move(message),
+                          [self = shared_from_this(), member, wantsChain, isReserving, asked = m_missing,
+                           round = m_round](wire::ChannelReply reply) {
+                              if (round == self->m_round && self->m_onDone) {
+                                  self->answered(member, wantsChain, isReserving, asked, std::move(reply));
+                              }
+                          });
     }
 
     void answered(const StoreMember &member, bool wantsChain, bool isReserving, const TurnId &asked,
@@ -280,7 +281,7 @@
                 askForChain();
             }
             if (m_open == 0) {
-                finish(TurnsUnavailable{"too few turn stores answered"});
+                tooFewAnswered();
             }
             return;
         }
@@ -290,13 +291,25 @@
         }
         if (!isWritten(m_client.m_rule, m_client.m_group, m_answers)) {
             if (m_open == 0) {
-                finish(TurnsUnavailable{"too few turn stores answered"});
+                tooFewAnswered();
             }
             return;
         }
         judge();
     }
 
+    /** A process that has just been cut off asks once more, by a relay. */
+    void tooFewAnswered()
+    {
+        const bool mayAskByRelay = m_client.isCutOff() && m_client.m_peers.hasRelays();
+        if (!mayAskByRelay || std::exchange(m_hasAskedAgain, true)) {
+            finish(TurnsUnavailable{"too few turn stores answered"});
+            return;
+        }
+        abandonReservation();
+        ask();
+    }
+
     void judge()
     {
         switch (judgeBudget(m_entries, m_reservation, *m_start.budget)) {
@@ -371,6 +384,7 @@
     std::unordered_set<StoreName> m_askedForChain;
     bool m_isKnown = false;
     bool m_isPatienceOver = false;
+    bool m_hasAskedAgain = false;
 };
 
 /** One end: asks all members until a quorum has acknowledged it or the time is over. */
@@ -428,8 +442,8 @@
         m_asked.insert(member.name);
         wire::MessageUnion message;
         message.Set(std::move(request));
-        m_client.m_peers.ask(
-            member.address, std::move(message), answerLimit,
+        m_client.askStore(
+            member, std::move(message),
             [self = shared_from_this(), member, epoch = m_client.m_group.epoch](wire::ChannelReply reply) {
                 self->m_asked.erase(member.name);
                 if (self->m_onDone) {
@@ -518,6 +532,19 @@
 }
 
 bool TurnClient::isReady() const
+{
+    return !isCutOff() || steadyNow() - m_relayWorked < relayTrust;
+}
+
+bool TurnClient::isMember(const wire::Address &address) const
+{
+    const auto members = m_group.members();
+    return std::any_of(members.begin(), members.end(), [&address](const StoreMember &member) {
+        return member.address == address;
+    });
+}
+
+bool TurnClient::isCutOff() const
 {
     Answers answering;
     for (const StoreMember &member : m_group.members()) {
@@ -525,25 +552,61 @@
             answering.insert(member.disk);
         }
     }
-    return isWritten(m_rule, m_group, answering);
+    return !isWritten(m_rule, m_group, answering);
+}
+
+wire::MessageUnion TurnClient::probeMessage() const
+{
+    wire::BeginTurnT request;
+    request.epoch = m_group.epoch.value();
+    wire::MessageUnion message;
+    message.Set(std::move(request));
+    return message;
 }
 
 void TurnClient::probe()
 {
+    const bool wantsRelay = isCutOff() && m_peers.hasRelays();
     for (const StoreMember &member : m_group.members()) {
         if (!m_silent.contains(member.disk)) {
             continue;
         }
-        wire::BeginTurnT request;
-        request.epoch = m_group.epoch.value();
-        wire::MessageUnion message;
-        message.Set(std::move(request));
-        m_peers.ask(member.address, std::move(message), answerLimit, [this, member](const wire::ChannelReply &reply) {
-            noteAnswer(member, reply);
-        });
+        askDirectly(member, probeMessage(), [](const wire::ChannelReply &) {});
+        if (wantsRelay) {
+            askByRelay(member, probeMessage(), [](const wire::ChannelReply &) {});
+        }
     }
 }
 
+void TurnClient::askStore(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply)
+{
+    if (m_silent.contains(member.disk) && m_peers.hasRelays() && isCutOff()) {
+        askByRelay(member, std::move(message), std::move(onReply));
+    } else {
+        askDirectly(member, std::move(message), std::move(onReply));
+    }
+}
+
+void TurnClient::askDirectly(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply)
+{
+    m_peers.ask(member.address, std::move(message), answerLimit,
+                [this, member, onReply = std::move(onReply)](wire::ChannelReply reply) {
+                    noteAnswer(member, reply);
+                    onReply(std::move(reply));
+                });
+}
+
+void TurnClient::askByRelay(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply)
+{
+    m_peers.askByRelay(member.address, std::move(message), answerLimit,
+                       [this, onReply = std::move(onReply)](wire::ChannelReply reply) {
+                           if (std::holds_alternative<wire::FrameT>(reply)) {
+                               m_relayWorked = steadyNow();
+                           }
+                           onReply(std::move(reply));
+                       });
+}
+
 void TurnClient::noteAnswer(const StoreMember &member, const wire::ChannelReply &reply)
 {
     const bool isSilent = std::holds_alternative<wire::ChannelError>(reply);
--- a/src/libbriarhinge/turns/turnclient.h
+++ b/src/libbriarhinge/turns/turnclient.h
@@ -8,6 +8,7 @@
 #include "turns/storepeers.h"
 #include "turns/turntree.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -100,9 +101,12 @@
     /** Takes in a group, unless it is older than the present one. @param group the group */
     void setGroup(const StoreGroup &group);
 
-    /** @return whether a group is known and enough of its members answer to keep turns */
+    /** @return whether a group is known and enough of its members answer, directly or by a relay, to keep turns */
     bool isReady() const;
 
+    /** @param address an address @return whether a member of the group listens there */
+    bool isMember(const wire::Address &address) const;
+
     /** Asks members that did not answer last whether they do again. */
     void probe();
 
@@ -127,6 +131,15 @@
     class BeginRun;
     class EndRun;
 
+    using ReplyHandler = StorePeers::ReplyHandler;
+
+    /** Asks a member; by a relay while this process is cut off from the group and the member does not answer. */
+    void askStore(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply);
+    void askDirectly(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply);
+    void askByRelay(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply);
+    wire::MessageUnion probeMessage() const;
+    /** Whether too few members answer this process itself. */
+    bool isCutOff() const;
     void noteAnswer(const StoreMember &member, const wire::ChannelReply &reply);
     void releaseInBackground(const base::ProgramId &program, const AttemptId &reservation);
 
@@ -138,6 +151,8 @@
     StoreGroup m_group;
     /** Members that did not answer last. */
     Answers m_silent;
+    /** When a relay last passed on the answer of a member. */
+    std::chrono::steady_clock::time_point m_relayWorked;
     /** Turns that this process has made or read lately. */
     TurnTree m_cache;
 };
--- a/src/libbriarhinge/wire/framechannel.cpp
+++ b/src/libbriarhinge/wire/framechannel.cpp
@@ -35,11 +35,12 @@
 {
 }
 
-std::uint64_t FrameChannel::ask(MessageUnion message, ReplyHandler onReply)
+std::uint64_t FrameChannel::ask(MessageUnion message, ReplyHandler onReply, const std::optional<Address> &relayTo)
 {
     const std::size_t bytes = textBytes(message);
     auto frame = std::make_unique<FrameT>();
     frame->message = std::move(message);
+    frame->relay_to = relayTo ? toString(*relayTo) : std::string();
     const std::lock_guard lock(m_mutex);
     const std::uint64_t requestId = ++m_lastRequestId;
     if (bytes > maxFrameBytes - roomForFields) {
--- a/src/libbriarhinge/wire/framechannel.h
+++ b/src/libbriarhinge/wire/framechannel.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -51,9 +52,10 @@
      *
      * @param message the request
      * @param onReply called on the threads of the context
+     * @param relayTo whom the peer passes the request on to; nothing when it is for the peer
      * @return the id of the request, for cancel
      */
-    std::uint64_t ask(MessageUnion message, ReplyHandler onReply);
+    std::uint64_t ask(MessageUnion message, ReplyHandler onReply, const std::optional<Address> &relayTo = {});
 
     /** Asks the peer to stop a request. @param requestId as given by ask */
     void cancel(std::uint64_t requestId);
--- a/src/libbriarhinge/wire/framecodec.cpp
+++ b/src/libbriarhinge/wire/framecodec.cpp
@@ -9,8 +9,9 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     const auto message = frame.message.Pack(builder);
-    builder.Finish(
-        CreateFrame(builder, frameVersion, frame.request_id, frame.last, frame.revision, frame.message.type, message));
+    const auto relayTo = frame.relay_to.empty() ? 0 : builder.CreateString(frame.relay_to);
+    builder.Finish(CreateFrame(builder, frameVersion, frame.request_id, frame.last, frame.revision, frame.message.type,
+                               message, relayTo));
     const std::size_t size = builder.GetSize();
     std::vector<std::uint8_t> bytes(lengthPrefixBytes + size);
     for (std::size_t i = 0; i < lengthPrefixBytes; ++i) {
--- a/tests/platformdeployment.cpp
+++ b/tests/platformdeployment.cpp
@@ -111,6 +111,7 @@
     settings.callers = addressAt(ports);
     settings.readiness = addressAt(ports + 1);
     settings.metrics = addressAt(ports + 2);
+    settings.firstPort = addressAt(30 + static_cast<int>(index)).port;
     settings.seeds = {addressAt(40), addressAt(41), addressAt(42)};
     m_entries[index] = std::make_unique<node::EntryNode>(context, settings, m_log);
     STRCMP_EQUAL("", m_entries[index]->start().c_str());
