Dispatch: A few spoiled answers and full engines weigh less against a runner

Change: one failure among few answers may be chance (8 assumed answers instead of 2) and costs 1000 ms instead of 1500; streams count only beyond 1.75 times the usual pace instead of 1.25. Test: spoiled answers in a burst.

--- a/src/libbriarhinge/dispatch/runnerboard.h
+++ b/src/libbriarhinge/dispatch/runnerboard.h
@@ -65,10 +65,10 @@
     double otherZoneMs = 4;
     /** Slowness that single times of requests without a model may show by chance: they vary as much as their mean. */
     double tolerated = 1.5;
-    /** The same of answers of engines, whose events come at an even pace. */
-    double toleratedOfEngines = 1.25;
-    /** What a failed request costs its program: it is sent again after some 100 ms at best, or its program fails. */
-    double failureMs = 1500;
+    /** The same of streams: a full engine slows all of its streams, up to twice, and puts some back. */
+    double toleratedOfEngines = 1.75;
+    /** What a failed request costs its program: callers send it again after 100 to 400 ms, and it runs anew. */
+    double failureMs = 1000;
     /** Share of a prompt that the engine of the turn before is thought to keep, when another entry sent it there. */
     double keptAtHome = 0.8;
 };
@@ -117,7 +117,7 @@
      *
      * @param id the runner
      * @param route its route
-     * @param time how long it took; of a stream, the time between two events
+     * @param time how long it took; of a stream, the mean time between two events
      * @param now the time
      */
     void answered(const RunnerId &id, const forwarding::RouteName &route, UsualTimes::Time time, Time now);
--- a/src/libbriarhinge/dispatch/servicerecord.cpp
+++ b/src/libbriarhinge/dispatch/servicerecord.cpp
@@ -17,6 +17,8 @@
 constexpr double assumedAnswers = 2;
 /** Share of requests that sound runners of the users fail: 0.01. */
 constexpr double assumedFailures = 0.01;
+/** Failures are rare: a single one among a few answers may be one of these. */
+constexpr double assumedOutcomes = 8;
 /** One request that waited behind others must not condemn a runner for long. */
 constexpr double mostSlowness = 12;
 
@@ -60,7 +62,7 @@
 double ServiceRecord::failureShare(Time now) const
 {
     const double left = fading(now);
-    return (assumedAnswers * assumedFailures + m_failures * left) / (assumedAnswers + m_answers * left);
+    return (assumedOutcomes * assumedFailures + m_failures * left) / (assumedOutcomes + m_answers * left);
 }
 
 }
--- a/tests/test_runnerboard.cpp
+++ b/tests/test_runnerboard.cpp
@@ -216,6 +216,20 @@
     LONGS_EQUAL(0, sharesOf(board, lookup(), start, 20)["grey"]);
 }
 
+TEST(RunnerBoard, whenAFewAnswersOfSomeRunnersAreSpoiledInABurstTheOthersAreNotFloodedForIt)
+{
+    board.registered(runner("spoiling"));
+    board.registered(runner("sound"));
+    for (int i = 0; i < 20; ++i) {
+        board.answered(RunnerId("spoiling"), lookups, UsualTimes::Time(30), start);
+        board.answered(RunnerId("sound"), lookups, UsualTimes::Time(30), start);
+    }
+    board.erred(RunnerId("spoiling"), start);
+    board.loadSeen(RunnerId("spoiling"), {4, 2, 4}, start);
+    board.loadSeen(RunnerId("sound"), {4, 5, 4}, start);
+    STRCMP_EQUAL("spoiling", chosen(board, lookup()).c_str());
+}
+
 TEST(RunnerBoard, aRequestThatARunnerWithFreePlacesHoldsWithoutAWordCountsAsSlow)
 {
     board.registered(runner("hanging"));
