Group keeper: A joining store completes a change only once its copy is on its disk

Change: TurnServer::whenWritten tells when all that was appended so far is durable; answers use it as well.

--- a/src/libbriarhinge/turns/groupkeeper.h
+++ b/src/libbriarhinge/turns/groupkeeper.h
@@ -297,11 +297,13 @@
         const GroupEpoch epoch = m_seen.epoch;
         auto copy = std::make_shared<StateFetch>(m_peers, m_store, m_rule, m_log);
         auto onDone = [this, epoch](bool isWhole) {
-            m_server.requestSync();
-            m_isCopying = false;
-            if (isWhole && m_seen.epoch == epoch && !m_isWriting) {
-                write(completedGroup(m_seen));
-            }
+            // The members that leave may lose their disks as soon as the change is complete.
+            m_server.whenWritten([this, epoch, isWhole](bool isWritten) {
+                m_isCopying = false;
+                if (isWhole && isWritten && !m_isStopped && m_seen.epoch == epoch && !m_isWriting) {
+                    write(completedGroup(m_seen));
+                }
+            });
         };
         if (containsDisk(m_seen.next, m_self.disk)) {
             copy->fetch(std::move(onDone));
--- a/src/libbriarhinge/turns/turnserver.cpp
+++ b/src/libbriarhinge/turns/turnserver.cpp
@@ -68,24 +68,36 @@
 void TurnServer::receive(const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame)
 {
     const auto now = std::chrono::steady_clock::now();
-    wire::FrameT answer;
-    answer.request_id = frame.request_id;
-    answer.last = true;
+    const auto answer = std::make_shared<wire::FrameT>();
+    answer->request_id = frame.request_id;
+    answer->last = true;
     if (const auto *begin = frame.message.AsBeginTurn()) {
-        answer.message.Set(m_store.begin(*begin, now));
+        answer->message.Set(m_store.begin(*begin, now));
     } else if (const auto *end = frame.message.AsEndTurn()) {
-        answer.message.Set(m_store.end(*end, now));
+        answer->message.Set(m_store.end(*end, now));
     } else if (const auto *fetch = frame.message.AsFetchState()) {
-        answer.message.Set(m_store.fetch(*fetch));
+        answer->message.Set(m_store.fetch(*fetch));
     } else if (const auto *state = frame.message.AsStoreState()) {
-        answer.message.Set(m_store.keep(*state, now));
+        answer->message.Set(m_store.keep(*state, now));
     } else if (frame.message.AsFetchDeployment() != nullptr) {
-        answer.message.Set(deploymentState());
+        answer->message.Set(deploymentState());
     } else {
         session->close("a message that turn stores don't know");
         return;
     }
-    m_answers.push_back({session, std::move(answer)});
+    whenWritten([asker = std::weak_ptr(session), answer](bool isWritten) {
+        if (!isWritten) {
+            markFailed(*answer);
+        }
+        if (const auto open = asker.lock()) {
+            open->send(*answer);
+        }
+    });
+}
+
+void TurnServer::whenWritten(std::function<void(bool isWritten)> onWritten)
+{
+    m_waiting.push_back(std::move(onWritten));
     requestSync();
 }
 
@@ -103,11 +115,11 @@
 
 void TurnServer::writeNext()
 {
-    if (m_answers.empty() && !m_journal.hasPending()) {
+    if (m_waiting.empty() && !m_journal.hasPending()) {
         return;
     }
     m_isWriting = true;
-    m_covered = std::exchange(m_answers, {});
+    m_covered = std::exchange(m_waiting, {});
     boost::asio::post(m_disk, [this, batch = m_journal.takeBatch()] {
         boost::asio::post(m_context, [this, result = m_journal.write(batch), isSnapshot = batch.isSnapshot] {
             written(result, isSnapshot);
@@ -133,15 +145,9 @@
             m_log.write(logging::events::diskRecovered, {{"turns", m_store.turnCount()}});
         }
     }
-    for (Answer &answer : m_covered) {
-        if (isFailing) {
-            markFailed(answer.frame);
-        }
-        if (const auto session = answer.session.lock()) {
-            session->send(answer.frame);
-        }
+    for (const auto &onWritten : std::exchange(m_covered, {})) {
+        onWritten(!isFailing);
     }
-    m_covered.clear();
     writeNext();
 }
 
--- a/src/libbriarhinge/turns/turnserver.h
+++ b/src/libbriarhinge/turns/turnserver.h
@@ -40,6 +40,13 @@
     /** Has what was appended to the journal synced soon, together with other records. */
     void requestSync();
 
+    /**
+     * Has what was appended to the journal so far synced together with other records.
+     *
+     * @param onWritten called once that is over, with whether all of it is on the disk
+     */
+    void whenWritten(std::function<void(bool isWritten)> onWritten);
+
     /** @return what a process that can't reach the platform's store is told */
     wire::DeploymentStateT deploymentState() const;
 
@@ -50,12 +57,6 @@
     void stop();
 
 private:
-    struct Answer
-    {
-        std::weak_ptr<wire::FrameSession> session;
-        wire::FrameT frame;
-    };
-
     void receive(const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame);
     void writeNext();
     void written(const DiskResult &result, bool isSnapshot);
@@ -69,10 +70,10 @@
     std::vector<std::unique_ptr<wire::FrameServer>> m_servers;
     boost::asio::steady_timer m_tidyTimer;
     boost::asio::thread_pool m_disk;
-    /** Answers that wait for the next write. */
-    std::vector<Answer> m_answers;
-    /** Answers that wait for the write under way. */
-    std::vector<Answer> m_covered;
+    /** What waits for the next write. */
+    std::vector<std::function<void(bool)>> m_waiting;
+    /** What waits for the write under way. */
+    std::vector<std::function<void(bool)>> m_covered;
     bool m_isWriting = false;
     bool m_isDiskFailing = false;
 };
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -80,7 +80,7 @@
         return {base::ProgramId("p"), AttemptId("a"), base::Tokens(10), base::Tokens(100), TurnId()};
     }
 
-    TurnStartResult begin(TurnClient &client)
+    TurnStartResult begin(TurnClient & client)
     {
         std::optional<TurnStartResult> result;
         client.begin(start(), [&result](TurnStartResult outcome) {
--- a/tests/test_turnstore.cpp
+++ b/tests/test_turnstore.cpp
@@ -5,6 +5,8 @@
 #include "turns/turnstore.h"
 
 #include <fstream>
+#include <future>
+#include <optional>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -272,3 +274,35 @@
     }
     CHECK(hasFailed);
 }
+
+TEST(TurnServer, whatWaitsForTheDiskIsToldOnlyOnceItIsThere)
+{
+    Started started(folder.path());
+    boost::asio::io_context context;
+    logging::EventLog log("test");
+    TurnServer server(context, started.store, started.journal, log, [] {
+        return std::vector<keyvalue::KeyValue>();
+    });
+    std::promise<void> diskIsFree;
+    server.postToDisk([&diskIsFree] {
+        diskIsFree.get_future().wait();
+    });
+    wire::StatePageT copied;
+    copied.turns.push_back(std::make_unique<wire::TurnRecordT>());
+    copied.turns.back()->id = "t";
+    started.store.take(copied, start);
+    std::optional<bool> written;
+    server.whenWritten([&written](bool isWritten) {
+        written = isWritten;
+    });
+    context.run_for(std::chrono::milliseconds(50));
+    CHECK_FALSE(written.has_value());
+    diskIsFree.set_value();
+    while (!written) {
+        context.run_one();
+    }
+    CHECK(*written);
+    Started again(folder.path());
+    LONGS_EQUAL(1, again.store.turnCount());
+    server.stop();
+}
