Turns: An entry that is cut off asks both ways until a relay has answered

Change: until a relay has answered within the last second, a silent member is asked directly and by a relay at once; the first answer counts. Test failed before.

--- a/src/libbriarhinge/turns/turnclient.cpp
+++ b/src/libbriarhinge/turns/turnclient.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace briarhinge::turns
 {
@@ -100,13 +101,34 @@
 
 void TurnClient::askStore(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply)
 {
-    if (m_silent.contains(member.disk) && m_peers.hasRelays() && isCutOff()) {
+    if (!m_silent.contains(member.disk) || !m_peers.hasRelays() || !isCutOff()) {
+        askDirectly(member, std::move(message), std::move(onReply));
+    } else if (steadyNow() - m_relayWorked < relayTrust) {
         askByRelay(member, std::move(message), std::move(onReply));
     } else {
-        askDirectly(member, std::move(message), std::move(onReply));
+        askBothWays(member, std::move(message), std::move(onReply));
     }
 }
 
+void TurnClient::askBothWays(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply)
+{
+    struct Question
+    {
+        ReplyHandler onReply;
+        int open = 2;
+    };
+    const auto question = std::make_shared<Question>(Question{std::move(onReply)});
+    const auto take = [question](wire::ChannelReply reply) {
+        --question->open;
+        const bool isAnswer = std::holds_alternative<wire::FrameT>(reply);
+        if (question->onReply && (isAnswer || question->open == 0)) {
+            std::exchange(question->onReply, nullptr)(std::move(reply));
+        }
+    };
+    askDirectly(member, message, take);
+    askByRelay(member, std::move(message), take);
+}
+
 void TurnClient::askDirectly(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply)
 {
     m_peers.ask(member.address, std::move(message), answerLimit,
--- a/src/libbriarhinge/turns/turnclient.h
+++ b/src/libbriarhinge/turns/turnclient.h
@@ -133,9 +133,13 @@
 
     using ReplyHandler = StorePeers::ReplyHandler;
 
-    /** Asks a member; by a relay while this process is cut off from the group and the member does not answer. */
+    /**
+     * Asks a member. While this process is cut off from the group and the member does not answer, it is asked by a relay;
+     * both ways at once until a relay has answered.
+     */
     void askStore(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply);
     void askDirectly(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply);
+    void askBothWays(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply);
     void askByRelay(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply);
     wire::MessageUnion probeMessage() const;
     /** Whether too few members answer this process itself. */
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -153,6 +153,19 @@
     standIn.stop();
 }
 
+TEST(Relay, aStoreThatIsBackIsMetDirectlyThoughTheRelaysAreGone)
+{
+    StorePeers peers(context);
+    TurnClient client(context, peers, QuorumRule{0}, zone, log);
+    client.setGroup(groupAt(storeAddress));
+    CHECK(std::holds_alternative<TurnsUnavailable>(begin(client)));
+    peers.setRelays({cutAddress});
+    CHECK(std::holds_alternative<std::uint16_t>(standIn.listen(storeAddress)));
+    CHECK(std::holds_alternative<TurnGranted>(begin(client)));
+    STRCMP_EQUAL("", relayedTo.c_str());
+    standIn.stop();
+}
+
 TEST(Relay, aRequestIsPassedOnToAStoreAndItsAnswerBack)
 {
     StorePeers relayPeers(context);
