--- a/tests/system/test_runner.py
+++ b/tests/system/test_runner.py
@@ -146,6 +146,8 @@
             self.assertLess(len(names), self.MOST_PROGRAMS, "entry-0 owns no program")
             names.append(f"stream-{len(names)}")
             self.assertEqual(stack.Caller(self.survivor, names[-1]).open()[0], 200)
+            # Within its flush interval, the log of entry-0 does not name the programs that it owns.
+            time.sleep(0.05)
         return names[-self.PROGRAMS:]
 
     def test_new_owner_joins_the_streams_that_still_run(self):
