Forwarding: Names in event 642 what is the same in all attempts at a request

Lines of the incident could not be told apart: the request's id is new with each attempt of a caller. A lost attempt now carries the digest of method, host, target and prompt, so that lines of several entries and attempts can be put together. Computed for lost attempts only.

--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -9,6 +9,7 @@
 #include "forwarding/routing.h"
 #include "forwarding/runnerconnectionpool.h"
 #include "http/serverconnection.h"
+#include "placement/suspecttable.h"
 #include "turns/turnclient.h"
 
 #include <chrono>
@@ -399,6 +400,13 @@
         }
     }
 
+    /** Computes the digest of what the request asks for, which does not depend on its id or its program. */
+    base::Digest contentDigest() const
+    {
+        return placement::promptDigest(base::TargetName(m_request.method + ' ' + m_request.host + m_request.target),
+                                       m_prompt + m_request.body);
+    }
+
     void retryElsewhere()
     {
         m_placementRequest.excluded.insert(m_placement.id);
@@ -443,6 +451,7 @@
         releasePlacement();
         m_shared.balancer.requestFailed(m_placement.id, now());
         m_hasLostAttempt = true;
+        m_record.digest = contentDigest().value();
         m_shared.log.attemptFailed(m_record, m_placement, reason);
         if (m_isStreaming) {
             m_record.reason = reason;
--- a/src/libbriarhinge/forwarding/exchangelog.cpp
+++ b/src/libbriarhinge/forwarding/exchangelog.cpp
@@ -95,6 +95,7 @@
                  {"runner", placement.id.value()},
                  {"address", wire::toString(placement.address)},
                  {"busy", std::lround(placement.estimatedLoad)},
+                 {"digest", record.digest},
                  {"reason", reason}});
 }
 
--- a/src/libbriarhinge/forwarding/exchangelog.h
+++ b/src/libbriarhinge/forwarding/exchangelog.h
@@ -55,6 +55,8 @@
     base::Milliseconds firstByte{0};
     base::Milliseconds duration{0};
     std::string reason;
+    /** Digest of what the request asks for, the same in all attempts of all callers; empty until it is needed. */
+    std::string digest;
 };
 
 /** Writes log lines and updates metrics for exchanges. */
