--- a/standins/platform/platformrunner.cpp
+++ b/standins/platform/platformrunner.cpp
@@ -1,6 +1,8 @@
 #include "platform/platformrunner.h"
 
+#include <cstdlib>
 #include <stdexcept>
+#include <string_view>
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +16,16 @@
 
 constexpr std::chrono::milliseconds eventInterval{2};
 constexpr std::uint64_t startTime = 1'785'000'000'000;
+/** Start times of two incarnations differ by at least this, in Unix milliseconds. */
+constexpr std::uint64_t restartTime = 1000;
+
+/** Reads the duration of a request from its path, for example "work=300" for 300 ms. */
+std::chrono::milliseconds workDuration(const std::string &target)
+{
+    constexpr std::string_view word = "work=";
+    const std::size_t at = target.find(word);
+    return std::chrono::milliseconds(at == std::string::npos ? 0 : std::atoi(target.c_str() + at + word.size()));
+}
 
 OutgoingResponseHead answerHead(unsigned status, const std::string &request)
 {
@@ -38,21 +50,71 @@
     : m_context(context)
     , m_address(address)
     , m_id(std::move(id))
-    , m_listener(
-          context,
-          [] {
-              return briarhinge::http::ServerLimits{};
-          },
-          [this](const Connection &connection, briarhinge::http::IncomingRequest request) {
-              handle(connection, std::move(request));
-          })
-{
-    const std::string error = m_listener.listen(address);
+    , m_startTime(startTime)
+{
+    listen();
+}
+
+void PlatformRunner::listen()
+{
+    m_listener = std::make_unique<briarhinge::http::Listener>(
+        m_context,
+        [] {
+            return briarhinge::http::ServerLimits{};
+        },
+        [this](const Connection &connection, briarhinge::http::IncomingRequest request) {
+            handle(connection, std::move(request));
+        });
+    const std::string error = m_listener->listen(m_address);
     if (!error.empty()) {
         throw std::runtime_error(error);
     }
 }
 
+void PlatformRunner::setCrashText(std::string text, std::function<void()> onCrash)
+{
+    m_crashText = std::move(text);
+    m_onCrash = std::move(onCrash);
+}
+
+void PlatformRunner::setResetCondition(std::function<bool()> mustReset)
+{
+    m_mustReset = std::move(mustReset);
+}
+
+void PlatformRunner::setExecutionHandler(std::function<void(const ReceivedRequest &)> onExecuted)
+{
+    m_onExecuted = std::move(onExecuted);
+}
+
+void PlatformRunner::crash()
+{
+    if (!m_listener) {
+        return;
+    }
+    m_listener->close();
+    m_closedListeners.push_back(std::move(m_listener));
+}
+
+void PlatformRunner::restart(std::string id)
+{
+    m_id = std::move(id);
+    m_startTime += restartTime;
+    listen();
+}
+
+bool PlatformRunner::isRunning() const
+{
+    return m_listener != nullptr;
+}
+
+bool PlatformRunner::isCrashing(const ReceivedRequest &request) const
+{
+    return !m_crashText.empty()
+        && (request.target.find(m_crashText) != std::string::npos
+            || request.body.find(m_crashText) != std::string::npos);
+}
+
 void PlatformRunner::queueBehaviour(Behaviour behaviour)
 {
     m_queuedBehaviours.push_back(behaviour);
@@ -88,7 +150,7 @@
                           {"state", isDraining ? "draining" : "ready"},
                           {"cold_remaining_ms", 0},
                           {"sequence", isDraining ? 2 : 1},
-                          {"born", startTime}}
+                          {"born", m_startTime}}
         .dump();
 }
 
@@ -117,6 +179,19 @@
         return;
     }
     ++m_executedRequests;
+    if (m_onExecuted) {
+        m_onExecuted(received);
+    }
+    if (isCrashing(received)) {
+        crash();
+        if (m_onCrash) {
+            m_onCrash();
+        }
+        return;
+    }
+    if (m_mustReset && m_mustReset()) {
+        behaviour = Behaviour::DropAnswer;
+    }
     switch (behaviour) {
     case Behaviour::DropAnswer:
         connection->abort();
@@ -133,7 +208,10 @@
         stream(connection, id, behaviour != Behaviour::TruncateStream);
         return;
     }
-    connection->respond(signedAnswerHead(200, id), "answer " + id);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, workDuration(received.target));
+    timer->async_wait([timer, connection, id](const boost::system::error_code &) {
+        connection->respond(signedAnswerHead(200, id), "answer " + id);
+    });
 }
 
 void PlatformRunner::stream(const Connection &connection, const std::string &request, bool isComplete)
--- a/standins/platform/platformrunner.h
+++ b/standins/platform/platformrunner.h
@@ -72,6 +72,33 @@
      */
     void setDefaultBehaviour(Behaviour behaviour);
 
+    /**
+     * Lets requests crash the runner.
+     *
+     * @param text a request whose path or body contains this crashes the runner when it begins to run
+     * @param onCrash called after all connections were closed; empty for none
+     */
+    void setCrashText(std::string text, std::function<void()> onCrash = {});
+
+    /** @param mustReset returns whether requests are executed and their connections closed without an answer */
+    void setResetCondition(std::function<bool()> mustReset);
+
+    /** @param onExecuted called with each request that begins to run */
+    void setExecutionHandler(std::function<void(const ReceivedRequest &)> onExecuted);
+
+    /** Stops to listen and closes all connections, as if the process had been killed. */
+    void crash();
+
+    /**
+     * Listens again after a crash.
+     *
+     * @param id the id of the new incarnation; may be that of the old one
+     */
+    void restart(std::string id);
+
+    /** @return whether the runner listens */
+    bool isRunning() const;
+
     /** @return all received requests in order, including rejected ones */
     const std::deque<ReceivedRequest> &receivedRequests() const;
 
@@ -94,14 +121,23 @@
 private:
     using Connection = std::shared_ptr<briarhinge::http::ServerConnection>;
 
+    void listen();
     void handle(const Connection &connection, briarhinge::http::IncomingRequest request);
+    bool isCrashing(const ReceivedRequest &request) const;
     void stream(const Connection &connection, const std::string &request, bool isComplete);
     void sendEvent(const Connection &connection, const std::string &request, int number, bool isComplete);
 
     boost::asio::io_context &m_context;
     const briarhinge::wire::Address m_address;
-    const std::string m_id;
-    briarhinge::http::Listener m_listener;
+    std::string m_id;
+    std::unique_ptr<briarhinge::http::Listener> m_listener;
+    /** Listeners of earlier incarnations, whose last handlers may still be pending. */
+    std::vector<std::unique_ptr<briarhinge::http::Listener>> m_closedListeners;
+    std::string m_crashText;
+    std::function<bool()> m_mustReset;
+    std::function<void()> m_onCrash;
+    std::function<void(const ReceivedRequest &)> m_onExecuted;
+    std::uint64_t m_startTime;
     std::deque<Behaviour> m_queuedBehaviours;
     Behaviour m_defaultBehaviour = Behaviour::Serve;
     std::deque<ReceivedRequest> m_receivedRequests;
