Forwarding: Recognises requests that crash runners, at every entry

Callers saw: attempts at one request ended runner after runner; on the reproduction 12 attempts ended 12.

Ruled out: entries that count for themselves (there was no count; one entry alone showed it too) and retries inside one attempt (streams and requests that may run once, sent once for each attempt, showed it as well).

Change: placement::SuspectTable, the class that decides on our own interface, now decides here, too. It names requests by the digest of target and whole prompt or body, counts crashes by runner, start and ordinal, so that reports of several entries count once, clears what completes and what shared a runner with a quarantined request, and is bounded under a flood. A lost connection counts only once forwarding::CrashDetector has found that the runner's host refuses connections, that it was not leaving and that its zone is not down. forwarding::CrashSharing sends crashes to the other entries; what one of them does not acknowledge goes to the platform's store. Turn stores watch all keys of the project with one watch instead of two, and know the entries, for one that starts while the store is away.

On our own interface reports of runner processes are added to what the entry knows itself instead of being counted apart.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -53,11 +53,21 @@
     , m_connectionPool(context)
     , m_peers(context)
     , m_turns(context, m_peers, turns::QuorumRule{settings.toleratedDiskLosses}, settings.zone, log)
+    , m_suspects(placement::SuspectLimits{})
+    , m_crashSharing(context, m_peers, m_store, settings.name, m_suspects, log)
+    , m_runnerProbe(context)
+    , m_crashDetector(m_runnerProbe, m_balancer, m_suspects, log, m_metrics,
+                      [this](const placement::CrashReport &report) {
+                          m_crashSharing.publish(report);
+                      })
     , m_relayServer(
           context, m_peers,
           [this](const wire::Address &address) {
               return m_turns.isMember(address);
           },
+          [this](const wire::MessageUnion &message) {
+              return m_crashSharing.handleMessage(message);
+          },
           log)
     , m_exchangeContext{context,
                         m_balancer,
@@ -65,6 +75,10 @@
                         m_turns,
                         m_exchangeLog,
                         m_retryDelay,
+                        m_suspects,
+                        [this](const forwarding::LostAttempt &lost) {
+                            m_crashDetector.connectionLost(lost);
+                        },
                         [this] {
                             return m_routing;
                         }}
@@ -200,8 +214,13 @@
             applyGroup(item);
         } else if (item.key.starts_with(turns::relayPrefix)) {
             applyRelay(item);
+        } else if (item.key.starts_with(forwarding::crashPrefix)) {
+            m_crashSharing.applyPublished(item.key, item.value);
         }
     };
+    handlers.onRemoved = [this](const std::string &key, base::Milliseconds) {
+        removeRelay(key);
+    };
     handlers.onListed = [this] {
         registerRelay();
     };
@@ -223,13 +242,28 @@
         return;
     }
     m_relays[item.key] = *address;
+    updateRelays();
+}
+
+void EntryNode::removeRelay(const std::string &key)
+{
+    if (m_relays.erase(key) > 0) {
+        updateRelays();
+    }
+}
+
+void EntryNode::updateRelays()
+{
     std::vector<wire::Address> relays;
     for (const auto &[key, relay] : m_relays) {
         relays.push_back(relay);
     }
-    // Each entry starts with a different relay, which spreads the load.
-    const std::size_t first = std::hash<std::string>{}(m_settings.name) % relays.size();
-    std::rotate(relays.begin(), relays.begin() + static_cast<std::ptrdiff_t>(first), relays.end());
+    if (!relays.empty()) {
+        // Each entry starts with a different relay, which spreads the load.
+        const std::size_t first = std::hash<std::string>{}(m_settings.name) % relays.size();
+        std::rotate(relays.begin(), relays.begin() + static_cast<std::ptrdiff_t>(first), relays.end());
+    }
+    m_crashSharing.setEntries(relays);
     m_peers.setRelays(std::move(relays));
 }
 
@@ -302,6 +336,8 @@
         if (item.key.starts_with(platform::runnerPrefix)) {
             m_unconfirmedRunners.insert(runnerIdFromKey(item.key));
             applyRunner(item);
+        } else if (item.key.starts_with(turns::relayPrefix)) {
+            applyRelay(item);
         } else {
             applyRouting(item);
         }
@@ -384,6 +420,7 @@
     m_stopTimer.cancel();
     m_checkTimer.cancel();
     m_relayServer.stop();
+    m_crashSharing.stop();
     m_removalTimers.clear();
     for (const auto *watch : {&m_routingWatch, &m_runnerWatch, &m_groupWatch}) {
         (*watch)->stop();
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -3,9 +3,12 @@
 #include "dispatch/loadbalancer.h"
 #include "dispatch/overloaddetector.h"
 #include "dispatch/retrydelay.h"
+#include "forwarding/crashdetector.h"
+#include "forwarding/crashsharing.h"
 #include "forwarding/exchange.h"
 #include "forwarding/exchangelog.h"
 #include "forwarding/runnerconnectionpool.h"
+#include "forwarding/runnerprobe.h"
 #include "http/listener.h"
 #include "metrics/exchangemetrics.h"
 #include "platform/nodesettings.h"
@@ -71,6 +74,8 @@
     void applyRunner(const keyvalue::KeyValue &item);
     void applyGroup(const keyvalue::KeyValue &item);
     void applyRelay(const keyvalue::KeyValue &item);
+    void removeRelay(const std::string &key);
+    void updateRelays();
     void registerRelay();
     void scheduleChecks();
     void fetchDeploymentFromSeeds();
@@ -89,6 +94,10 @@
     forwarding::RunnerConnectionPool m_connectionPool;
     turns::StorePeers m_peers;
     turns::TurnClient m_turns;
+    placement::SuspectTable m_suspects;
+    forwarding::CrashSharing<platform::StoreClient> m_crashSharing;
+    forwarding::RunnerProbe m_runnerProbe;
+    forwarding::CrashDetector<forwarding::RunnerProbe> m_crashDetector;
     turns::RelayServer m_relayServer;
     forwarding::ExchangeContext m_exchangeContext;
     std::unique_ptr<platform::PrefixWatch> m_routingWatch;
--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -102,7 +102,6 @@
         std::make_unique<Manager>(m_context, m_platformStore, m_retirementReport, m_peers, *m_store, *m_server, self,
                                   turns::QuorumRule{m_settings.toleratedDiskLosses}, m_log);
     watchGroup();
-    watchRegistrations();
     watchOperators();
     watchRunners();
     m_groupManager->start();
@@ -155,27 +154,24 @@
 {
     platform::ItemHandlers handlers;
     handlers.onItem = [this](const keyvalue::KeyValue &item) {
-        m_groupManager->updateGroup(item.value, item.version);
+        if (item.key == turns::groupKey) {
+            m_groupManager->updateGroup(item.value, item.version);
+        } else if (item.key.starts_with(turns::registrationPrefix)) {
+            m_groupManager->addRegistration(item.value);
+        } else if (item.key.starts_with(turns::relayPrefix)) {
+            m_deployment[item.key] = item;
+            m_unconfirmedKeys.erase(item.key);
+            scheduleSave();
+        }
     };
     handlers.onListed = [this] {
         m_groupManager->markServiceAvailable();
     };
-    m_groupWatch = std::make_unique<platform::PrefixWatch>(m_context, m_platformStore, std::string(turns::groupKey),
+    m_groupWatch = std::make_unique<platform::PrefixWatch>(m_context, m_platformStore, std::string(turns::keyPrefix),
                                                            std::move(handlers), m_log);
     m_groupWatch->start();
 }
 
-void StoreNode::watchRegistrations()
-{
-    platform::ItemHandlers handlers;
-    handlers.onItem = [this](const keyvalue::KeyValue &item) {
-        m_groupManager->addRegistration(item.value);
-    };
-    m_registrationWatch = std::make_unique<platform::PrefixWatch>(
-        m_context, m_platformStore, std::string(turns::registrationPrefix), std::move(handlers), m_log);
-    m_registrationWatch->start();
-}
-
 void StoreNode::watchOperators()
 {
     platform::ItemHandlers handlers;
@@ -224,7 +220,7 @@
 
 void StoreNode::abort()
 {
-    for (const auto *watch : {&m_groupWatch, &m_registrationWatch, &m_operatorWatch, &m_runnerWatch}) {
+    for (const auto *watch : {&m_groupWatch, &m_operatorWatch, &m_runnerWatch}) {
         (*watch)->stop();
     }
     m_saveTimer.cancel();
--- a/src/briarhingenode/storenode.h
+++ b/src/briarhingenode/storenode.h
@@ -57,7 +57,6 @@
 
     std::variant<turns::DiskId, turns::DiskError> openDisk() const;
     void watchGroup();
-    void watchRegistrations();
     void loadDeployment();
     void scheduleSave();
     void watchOperators();
@@ -74,10 +73,9 @@
     std::unique_ptr<turns::TurnServer> m_server;
     std::unique_ptr<Manager> m_groupManager;
     std::unique_ptr<platform::PrefixWatch> m_groupWatch;
-    std::unique_ptr<platform::PrefixWatch> m_registrationWatch;
     std::unique_ptr<platform::PrefixWatch> m_operatorWatch;
     std::unique_ptr<platform::PrefixWatch> m_runnerWatch;
-    /** The routing and the runners by key, for entries that start while the platform's store is unavailable. */
+    /** The routing, the runners and the entries by key, for entries that start while the platform's store is unavailable. */
     std::map<std::string, keyvalue::KeyValue> m_deployment;
     /** Keys known only from the disk, until a listing of the platform's store confirms them. */
     std::set<std::string> m_unconfirmedKeys;
--- a/src/libbriarhinge/base/digest.cpp
+++ b/src/libbriarhinge/base/digest.cpp
@@ -7,12 +7,7 @@
 namespace briarhinge::base
 {
 
-namespace
-{
-
-constexpr std::size_t sha256Bytes = 32;
-
-std::string toHex(const std::array<unsigned char, sha256Bytes> &bytes)
+Digest toDigest(std::span<const unsigned char, sha256Bytes> bytes)
 {
     constexpr std::string_view digits = "0123456789abcdef";
     std::string text;
@@ -21,9 +16,7 @@
         text.push_back(digits[byte >> 4]);
         text.push_back(digits[byte & 0xf]);
     }
-    return text;
-}
-
+    return Digest(text);
 }
 
 Digest computeDigest(std::initializer_list<std::string_view> fields)
@@ -38,7 +31,7 @@
     }
     EVP_DigestFinal_ex(context, bytes.data(), nullptr);
     EVP_MD_CTX_free(context);
-    return Digest(toHex(bytes));
+    return toDigest(bytes);
 }
 
 std::uint64_t stableHash(std::string_view text)
--- a/src/libbriarhinge/dispatch/loadbalancer.cpp
+++ b/src/libbriarhinge/dispatch/loadbalancer.cpp
@@ -126,7 +126,8 @@
         }
         // The tie-break rotates between runners of equal cost, so that entries do not all select the first one.
         const double tieBreak = static_cast<double>((index++ * 7 + m_rotation) % 16) / 16;
-        const double cost = placementCost(runner, request, now) + tieBreak;
+        const double cost =
+            (request.isSuspect ? estimatedLoad(runner, now) : placementCost(runner, request, now)) + tieBreak;
         if (cost < bestCost) {
             bestCost = cost;
             best = &runner;
@@ -141,7 +142,7 @@
         return NoCapacity{hasFullRunners};
     }
     return Placement{best->registration.id, best->registration.address, estimatedLoad(*best, now),
-                     best->promptCache.cachedTokens(request.promptBlocks)};
+                     best->promptCache.cachedTokens(request.promptBlocks), best->registration.startedAt};
 }
 
 void LoadBalancer::requestSent(const RunnerId &id, const PlacementRequest &request)
@@ -223,4 +224,26 @@
     return m_runners.size();
 }
 
+const RegisteredRunner *LoadBalancer::registration(const RunnerId &id) const
+{
+    const auto found = m_runners.find(id);
+    return found == m_runners.end() ? nullptr : &found->second.registration;
+}
+
+std::vector<RegisteredRunner> LoadBalancer::neighbours(const RunnerId &id) const
+{
+    std::vector<RegisteredRunner> found;
+    const RegisteredRunner *self = registration(id);
+    if (self == nullptr) {
+        return found;
+    }
+    for (const auto &[otherId, other] : m_runners) {
+        if (otherId != id && other.registration.service == self->service && other.registration.zone == self->zone
+            && !other.registration.isDraining) {
+            found.push_back(other.registration);
+        }
+    }
+    return found;
+}
+
 }
--- a/src/libbriarhinge/dispatch/loadbalancer.h
+++ b/src/libbriarhinge/dispatch/loadbalancer.h
@@ -30,6 +30,8 @@
     RunnerId previousRunner;
     /** Runners that must not be selected. */
     std::set<RunnerId> excluded;
+    /** Whether a runner has crashed under the request; it then goes where a further crash breaks off the least. */
+    bool isSuspect = false;
 };
 
 /** The runner selected for a request. */
@@ -41,6 +43,8 @@
     double estimatedLoad = 0;
     /** Number of the prompt's tokens that are expected to be in the runner's cache. */
     base::Tokens cachedTokens;
+    /** Start of the runner's incarnation in Unix milliseconds, 0 when unknown. */
+    std::uint64_t startedAt = 0;
 };
 
 /** Returned when no runner can be selected. */
@@ -203,6 +207,12 @@
     /** @return number of known runners */
     std::size_t size() const;
 
+    /** @param id a runner @return its registration, or null if it is not known */
+    const RegisteredRunner *registration(const RunnerId &id) const;
+
+    /** @param id a runner @return the other runners of its service in its zone that are not draining */
+    std::vector<RegisteredRunner> neighbours(const RunnerId &id) const;
+
 private:
     struct Runner
     {
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -3,6 +3,7 @@
 #include "dispatch/loadbalancer.h"
 #include "dispatch/retrydelay.h"
 #include "dispatch/urgency.h"
+#include "forwarding/crashdetector.h"
 #include "forwarding/eventstream.h"
 #include "forwarding/exchangelog.h"
 #include "forwarding/messages.h"
@@ -55,6 +56,10 @@
     ExchangeLog &log;
     /** Computes the retry delay from the duration of faults of this entry's own dependencies. */
     dispatch::RetryDelay &retryDelay;
+    /** Requests under which runners have crashed. */
+    placement::SuspectTable &suspects;
+    /** Called with each attempt whose connection was lost. */
+    std::function<void(const LostAttempt &)> connectionLost;
     /** Returns the routing in force; null while none is known. */
     std::function<std::shared_ptr<const Routing>()> routing;
 };
@@ -78,6 +83,7 @@
         , m_caller(std::move(caller))
         , m_startedAt(std::chrono::steady_clock::now())
         , m_timer(context.context)
+        , m_trialTimer(context.context)
     {
     }
 
@@ -124,7 +130,7 @@
         if (isTurn()) {
             beginTurn();
         } else {
-            placeRequest();
+            admitRequest();
         }
     }
 
@@ -157,6 +163,9 @@
     static constexpr base::Milliseconds defaultKeepAliveTimeout{1000};
     /** Maximum wait for the turn stores at the end of a turn; callers wait two seconds for the next bytes. */
     static constexpr base::Milliseconds storeTurnTimeout{1900};
+    static constexpr base::Milliseconds trialPollInterval{5};
+    /** Requests that many callers send alike must not wait long for a trial that hangs. */
+    static constexpr base::Milliseconds maxTrialWait{250};
     static constexpr std::size_t maxBufferedBytes = std::size_t{8} * 1024 * 1024;
 
     bool isTurn() const
@@ -206,7 +215,7 @@
             }
             m_prompt = std::move(granted->prompt);
             m_placementRequest.previousRunner = dispatch::RunnerId(granted->engine);
-            placeRequest();
+            admitRequest();
             return;
         }
         if (m_isFinished) {
@@ -233,6 +242,77 @@
         m_placementRequest.promptTokens = m_request.promptTokens;
     }
 
+    /** Places the request, unless a runner has crashed under it: it then runs alone, or not at all. */
+    void admitRequest()
+    {
+        if (m_isFinished) {
+            return;
+        }
+        if (m_isOnTrial || m_shared.suspects.isEmpty()) {
+            placeRequest();
+            return;
+        }
+        switch (m_shared.suspects.admit(content(), now())) {
+        case placement::SuspectVerdict::Clear:
+            break;
+        case placement::SuspectVerdict::RunAlone:
+            m_isOnTrial = true;
+            m_placementRequest.isSuspect = true;
+            break;
+        case placement::SuspectVerdict::Wait:
+            if (waitForTrial()) {
+                return;
+            }
+            m_placementRequest.isSuspect = true;
+            break;
+        case placement::SuspectVerdict::Quarantined:
+            refuseQuarantined();
+            return;
+        }
+        placeRequest();
+    }
+
+    /** @return whether the request waits for the end of another one's trial; it does so for a limited time */
+    bool waitForTrial()
+    {
+        if (!m_trialWaitEnd) {
+            m_trialWaitEnd = now() + maxTrialWait;
+        }
+        if (now() >= *m_trialWaitEnd) {
+            return false;
+        }
+        m_trialTimer.expires_after(trialPollInterval);
+        m_trialTimer.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+            if (!error) {
+                self->admitRequest();
+            }
+        });
+        return true;
+    }
+
+    void refuseQuarantined()
+    {
+        m_record.digest = placement::contentDigest(content()).value();
+        const std::string reason = "the request, or one that it begins with, has crashed too many runners";
+        if (m_mayHaveRun) {
+            giveUp(reason);
+            return;
+        }
+        m_record.reason = reason;
+        endTurn(std::nullopt);
+        m_caller->respond({statusUnavailable, Format::refusal(m_shared.suspects.remainingQuarantine(content(), now()))},
+                          {});
+        finish(Outcome::Quarantined, statusUnavailable);
+    }
+
+    placement::RequestContent content()
+    {
+        if (m_target.empty()) {
+            m_target = m_request.method + ' ' + m_request.host + m_request.target;
+        }
+        return {m_target, m_prompt, m_request.body, m_route->kind == RouteKind::Stream};
+    }
+
     void placeRequest()
     {
         if (remainingTime() < minRemainingTime) {
@@ -284,6 +364,7 @@
         ++m_attempts;
         m_mayHaveRun = true;
         m_sentAt = now();
+        m_crash = m_shared.suspects.nextCrash(m_placement.id.value(), m_placement.startedAt);
         m_hasHead = false;
         m_response = {};
         m_body.clear();
@@ -355,6 +436,9 @@
         releasePlacement();
         if (outcome != http::ResponseOutcome::Complete) {
             m_shared.balancer.connectionFailed(m_placement.id, now());
+            if (outcome == http::ResponseOutcome::Truncated) {
+                checkRunner();
+            }
             attemptLost(outcome == http::ResponseOutcome::Malformed ? "malformed answer" : "broken off");
             return;
         }
@@ -362,6 +446,9 @@
                               m_response.keepAliveTimeout.value_or(defaultKeepAliveTimeout));
         m_connection.reset();
         recordResponse();
+        if (!m_response.isNotRun) {
+            recordSurvival();
+        }
         if (m_isStreaming) {
             streamEnded();
             return;
@@ -384,6 +471,25 @@
         finish(m_response.status < firstError ? Outcome::Served : Outcome::RunnerFailure, m_response.status);
     }
 
+    /** Lets the runner be checked after the connection to it was lost; the trial of the request lasts until then. */
+    void checkRunner()
+    {
+        const placement::CrashedRequest request = placement::crashedRequest(content());
+        m_record.digest = request.digest.value();
+        m_isOnTrial = false;
+        m_shared.connectionLost({m_placement.id, m_crash, request});
+    }
+
+    /** Clears the request of suspicion: one that crashes runners crashes each that runs it. */
+    void recordSurvival()
+    {
+        if (!m_isOnTrial && m_record.digest.empty()) {
+            return;
+        }
+        m_isOnTrial = false;
+        m_shared.suspects.endTrial(placement::contentDigest(content()), true);
+    }
+
     /** Updates the runner's performance record with the response. */
     void recordResponse()
     {
@@ -400,17 +506,10 @@
         }
     }
 
-    /** Computes the digest of what the request asks for, which does not depend on its id or its program. */
-    base::Digest contentDigest() const
-    {
-        return placement::promptDigest(base::TargetName(m_request.method + ' ' + m_request.host + m_request.target),
-                                       m_prompt + m_request.body);
-    }
-
     void retryElsewhere()
     {
         m_placementRequest.excluded.insert(m_placement.id);
-        placeRequest();
+        admitRequest();
     }
 
     /** Whether the route allows the request to be sent to another runner. */
@@ -451,7 +550,6 @@
         releasePlacement();
         m_shared.balancer.requestFailed(m_placement.id, now());
         m_hasLostAttempt = true;
-        m_record.digest = contentDigest().value();
         m_shared.log.attemptFailed(m_record, m_placement, reason);
         if (m_isStreaming) {
             m_record.reason = reason;
@@ -618,6 +716,10 @@
         }
         releasePlacement();
         m_timer.cancel();
+        m_trialTimer.cancel();
+        if (std::exchange(m_isOnTrial, false)) {
+            m_shared.suspects.endTrial(placement::contentDigest(content()), false);
+        }
         m_caller->setDisconnectHandler(nullptr);
         m_record.duration = elapsedTime();
         m_record.attempts = m_attempts;
@@ -629,11 +731,14 @@
     const std::shared_ptr<http::ServerConnection> m_caller;
     const Time m_startedAt;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_trialTimer;
     Time m_deadline;
     CallerRequest m_request;
     std::shared_ptr<const Routing> m_routing;
     const Route *m_route = nullptr;
     std::string m_prompt;
+    /** Method, host and path; empty until they are needed. */
+    std::string m_target;
     turns::AttemptId m_reservation;
     dispatch::PlacementRequest m_placementRequest;
     dispatch::Placement m_placement;
@@ -642,6 +747,10 @@
     std::string m_body;
     EventStream m_events;
     Time m_sentAt;
+    /** The crash that the current attempt would cause. */
+    placement::CrashId m_crash;
+    /** End of the wait for the trial of another request with the same content. */
+    std::optional<Time> m_trialWaitEnd;
     Time m_firstEventAt;
     Time m_lastEventAt;
     /** Number of events in the first piece of the response that completed any. */
@@ -650,6 +759,8 @@
     int m_attempts = 0;
     int m_connectFailures = 0;
     bool m_isPlaced = false;
+    /** Whether the request has the trial of its content. */
+    bool m_isOnTrial = false;
     bool m_mayHaveRun = false;
     /** Whether the runner has started to respond to the current attempt. */
     bool m_hasHead = false;
--- a/src/libbriarhinge/forwarding/exchangelog.cpp
+++ b/src/libbriarhinge/forwarding/exchangelog.cpp
@@ -18,6 +18,8 @@
         return "runner-failure";
     case Outcome::Refused:
         return "refused";
+    case Outcome::Quarantined:
+        return "quarantined";
     case Outcome::Rejected:
         return "rejected";
     case Outcome::BudgetSpent:
@@ -74,6 +76,7 @@
                  {"outcome", name},
                  {"status", status},
                  {"reason", record.reason},
+                 {"digest", record.digest},
                  {"route", record.route},
                  {"routing", record.routing},
                  {"runner", record.runner},
--- a/src/libbriarhinge/forwarding/exchangelog.h
+++ b/src/libbriarhinge/forwarding/exchangelog.h
@@ -20,6 +20,8 @@
     RunnerFailure,
     /** No runner has executed the request; the caller may retry. */
     Refused,
+    /** The request has crashed too many runners and is not run. */
+    Quarantined,
     /** The request is invalid and cannot be served. */
     Rejected,
     BudgetSpent,
@@ -55,7 +57,7 @@
     base::Milliseconds firstByte{0};
     base::Milliseconds duration{0};
     std::string reason;
-    /** Digest of what the request asks for, the same in all attempts of all callers; empty until it is needed. */
+    /** Digest of what the request asks for, the same in all attempts of all callers; empty until a connection was lost. */
     std::string digest;
 };
 
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -80,6 +80,9 @@
 inline constexpr EventKind exchangeFailed{641, "exchange-failed", Level::Warning};
 inline constexpr EventKind attemptFailed{642, "attempt-failed", Level::Warning};
 inline constexpr EventKind turnNotKept{643, "turn-not-kept", Level::Warning};
+inline constexpr EventKind runnerChecked{644, "runner-checked", Level::Warning};
+inline constexpr EventKind crashRecorded{645, "crash-recorded", Level::Warning};
+inline constexpr EventKind digestQuarantined{646, "digest-quarantined", Level::Error};
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
 // clang-format off
@@ -138,6 +141,9 @@
     exchangeFailed,
     attemptFailed,
     turnNotKept,
+    runnerChecked,
+    crashRecorded,
+    digestQuarantined,
     invariantViolated,
 };
 // clang-format on
--- a/src/libbriarhinge/metrics/exchangemetrics.cpp
+++ b/src/libbriarhinge/metrics/exchangemetrics.cpp
@@ -34,6 +34,10 @@
                                                             .Name("briarhinge_attempts_failed_total")
                                                             .Help("Attempts at runners that came to nothing")
                                                             .Register(registry);
+    prometheus::Family<prometheus::Counter> &checks = prometheus::BuildCounter()
+                                                          .Name("briarhinge_runner_checks_total")
+                                                          .Help("Checks of runners after lost connections")
+                                                          .Register(registry);
     prometheus::Family<prometheus::Histogram> &latencies = prometheus::BuildHistogram()
                                                                .Name("briarhinge_request_seconds")
                                                                .Help("Time to the end of the answer")
@@ -74,6 +78,12 @@
     counter->Increment();
 }
 
+void ExchangeMetrics::runnerChecked(std::string_view result)
+{
+    // Add() returns the existing counter for known labels.
+    d->checks.Add({{"result", std::string(result)}}).Increment();
+}
+
 std::string ExchangeMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(d->registry.Collect());
--- a/src/libbriarhinge/metrics/exchangemetrics.h
+++ b/src/libbriarhinge/metrics/exchangemetrics.h
@@ -33,6 +33,13 @@
      */
     void attemptFailed(std::string_view route, std::string_view reason);
 
+    /**
+     * Counts a check of a runner after a lost connection.
+     *
+     * @param result what was found, a label with few distinct values
+     */
+    void runnerChecked(std::string_view result);
+
     /** @return the metrics in the Prometheus text format */
     std::string text() const;
 
--- a/src/libbriarhinge/placement/callrun.h
+++ b/src/libbriarhinge/placement/callrun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "placement/calllimits.h"
+#include "placement/crash.h"
 #include "placement/placer.h"
 #include "service/concepts.h"
 
@@ -19,6 +20,8 @@
     std::string runner;
     std::shared_ptr<wire::FrameChannel> channel;
     std::uint64_t requestId = 0;
+    /** The crash that this attempt would cause. */
+    CrashId crash;
     SteadyTime sentAt;
     SteadyTime lastProgress;
     /** Arrival time of the first chunk; not set before. */
--- a/src/libbriarhinge/placement/rundispatcher.cpp
+++ b/src/libbriarhinge/placement/rundispatcher.cpp
@@ -15,7 +15,6 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::size_t maxAttempts = 4;
-constexpr std::size_t maxSuspects = 4096;
 constexpr double retryBurst = 20;
 constexpr base::Milliseconds noRunnerRetryDelay{1000};
 constexpr base::Milliseconds limitedRetryDelay{250};
@@ -24,7 +23,10 @@
 /** Maximum wait for the state of a suspect request on the runners. */
 constexpr base::Milliseconds suspectCheckTimeout{1000};
 constexpr base::Milliseconds suspectCheckInterval{100};
-constexpr std::size_t crashesUntilQuarantine = 2;
+/** How often runners that do not answer are asked again before a suspect is given up. */
+constexpr std::size_t maxSuspectChecks = 3;
+/** Lower than on the users' platform: a runner process has one upstream, and few run at a time. */
+constexpr SuspectLimits suspectLimits{2};
 /** Maximum wait for load reports before a program is placed. */
 constexpr base::Milliseconds probeTimeout{20};
 /** A call counts as stalled only after this many times its expected time, because the estimate is rough. */
@@ -37,13 +39,23 @@
             isModelCall ? prefixChain(call.prompt) : PrefixChain{}};
 }
 
+/** The content of a model call. */
+RequestContent promptContent(const core::DispatchCall &call)
+{
+    return {call.request.target.value(), {}, call.prompt, true};
+}
+
 /** The digest covers the prompt but not the program: a crashing request may be resent as another program. */
 base::Digest requestDigest(const core::DispatchCall &call)
 {
-    if (call.request.kind == core::CallKind::Tool) {
-        return core::bodyDigest(call.request);
-    }
-    return promptDigest(call.request.target, call.prompt);
+    return call.request.kind == core::CallKind::Tool ? core::bodyDigest(call.request)
+                                                     : contentDigest(promptContent(call));
+}
+
+CrashedRequest toCrashedRequest(const CallRun &run)
+{
+    const bool isPrompt = run.call.request.kind == core::CallKind::Model && !run.call.prompt.empty();
+    return {run.digest, run.call.prompt.size(), isPrompt};
 }
 
 base::Milliseconds millisecondsBetween(SteadyTime from, SteadyTime to)
@@ -69,8 +81,10 @@
     std::mutex mutex;
     std::atomic<bool> isDone{false};
     std::size_t pending = 0;
-    /** Number of runners whose upstream crashed while the request ran. */
-    std::size_t crashes = 0;
+    /** Number of runners that have not answered. */
+    std::size_t silent = 0;
+    /** Runners whose upstream crashed while the request ran. */
+    std::vector<std::string> crashedRunners;
     bool quarantined = false;
     /** Whether a request with the same digest waits or runs on any of the runners. */
     bool present = false;
@@ -84,7 +98,9 @@
         if (state == nullptr) {
             return;
         }
-        crashes += state->crashed ? 1 : 0;
+        if (state->crashed) {
+            crashedRunners.push_back(runner);
+        }
         quarantined = quarantined || state->quarantined;
         present = present || state->present;
         if (decidingRunner.empty() || runner < decidingRunner) {
@@ -104,7 +120,7 @@
     , m_settings(std::move(settings))
     , m_placer(policy, m_settings.zone)
     , m_timer(context)
-    , m_suspects(maxSuspects)
+    , m_suspects(suspectLimits)
     , m_retries(m_settings.retriesPerCall, retryBurst)
     , m_limits(m_settings.callBounds)
 {
@@ -182,9 +198,9 @@
     SuspectVerdict verdict = SuspectVerdict::Clear;
     {
         const std::scoped_lock lock(run->mutex, m_mutex);
-        verdict = m_suspects.hasQuarantinedPrefix(run->call.request.target, run->call.prompt)
-            ? SuspectVerdict::Quarantined
-            : m_suspects.admit(run->digest);
+        verdict = run->call.request.kind == core::CallKind::Model
+            ? m_suspects.admit(promptContent(run->call), Clock::now())
+            : m_suspects.admit(run->digest, Clock::now());
         run->isOnTrial = verdict == SuspectVerdict::RunAlone;
         if (verdict == SuspectVerdict::Wait) {
             m_waitingForTrial[run->digest].push_back(run);
@@ -193,7 +209,7 @@
     if (verdict == SuspectVerdict::Quarantined) {
         finish(run, quarantineOutcome(*run));
     } else if (verdict == SuspectVerdict::RunAlone) {
-        querySuspectState(run);
+        querySuspectState(run, 1);
     } else if (verdict == SuspectVerdict::Clear) {
         place(run);
     }
@@ -341,6 +357,10 @@
         if (!wasCancelled) {
             const auto attempt = std::make_shared<Attempt>();
             attempt->runner = placement.runner.view.name;
+            {
+                const std::lock_guard tableLock(m_mutex);
+                attempt->crash = m_suspects.nextCrash(attempt->runner, 0);
+            }
             attempt->channel = placement.runner.channel;
             attempt->sentAt = Clock::now();
             attempt->lastProgress = attempt->sentAt;
@@ -508,7 +528,11 @@
     bool isQuarantined = false;
     {
         const std::scoped_lock lock(run->mutex, m_mutex);
-        isQuarantined = m_suspects.recordCrash(run->digest, attempt->runner, run->isOnTrial);
+        if (run->isOnTrial) {
+            m_suspects.endTrial(run->digest, false);
+        }
+        m_suspects.recordCrash({attempt->crash, {toCrashedRequest(*run)}}, Clock::now());
+        isQuarantined = m_suspects.isQuarantined(run->digest);
     }
     m_log.write(logging::events::callSuspected,
                 {{"program", run->call.program.value()},
@@ -525,19 +549,25 @@
     }
 }
 
-void RunDispatcher::querySuspectState(const RunPtr &run)
+void RunDispatcher::querySuspectState(const RunPtr &run, std::size_t round)
 {
     const auto query = std::make_shared<SuspectQuery>();
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, suspectCheckTimeout);
-    const auto finishQuery = [this, run, query, timer] {
-        if (!query->isDone.exchange(true)) {
-            const std::lock_guard lock(query->mutex);
-            const bool isQuarantined = query->quarantined || query->crashes >= crashesUntilQuarantine;
-            handleSuspectState(run, isQuarantined, query->present || query->holder != m_settings.entryName);
+    const auto finishQuery = [this, run, query, timer, round] {
+        if (query->isDone.exchange(true)) {
+            return;
         }
+        const std::lock_guard lock(query->mutex);
+        const bool isQuarantined = query->quarantined || recordCrashes(*run, query->crashedRunners);
+        if (!isQuarantined && query->silent > 0) {
+            suspectStateUnknown(run, round);
+            return;
+        }
+        handleSuspectState(run, isQuarantined, query->present || query->holder != m_settings.entryName);
     };
     const std::vector<Candidate> runners = m_directory.candidates(run->call.request.target, Clock::now());
     query->pending = runners.size();
+    query->silent = runners.size();
     query->holder = m_settings.entryName;
     timer->async_wait([finishQuery](boost::system::error_code) {
         finishQuery();
@@ -551,6 +581,7 @@
         runner.channel->sendRequest(std::move(message),
                                     [query, timer, name = runner.view.name](const wire::ChannelReply &reply) {
                                         const std::lock_guard lock(query->mutex);
+                                        --query->silent;
                                         if (const auto *frame = std::get_if<wire::FrameT>(&reply)) {
                                             query->merge(name, frame->message.AsSuspectState());
                                         }
@@ -570,11 +601,30 @@
     } else {
         const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, suspectCheckInterval);
         timer->async_wait([this, run, timer](boost::system::error_code) {
-            querySuspectState(run);
+            querySuspectState(run, 1);
         });
     }
 }
 
+bool RunDispatcher::recordCrashes(const CallRun &run, const std::vector<std::string> &runners)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const std::string &runner : runners) {
+        m_suspects.recordCrash({{runner, 0, 0}, {toCrashedRequest(run)}}, Clock::now());
+    }
+    return m_suspects.isQuarantined(run.digest);
+}
+
+void RunDispatcher::suspectStateUnknown(const RunPtr &run, std::size_t round)
+{
+    if (round < maxSuspectChecks) {
+        querySuspectState(run, round + 1);
+        return;
+    }
+    // The upstream of a silent runner may have crashed while the request ran: one more crash could be one too many.
+    finish(run, core::NotRun{"runners do not say whether the request crashed their upstreams", noRunnerRetryDelay});
+}
+
 void RunDispatcher::clearSuspect(const base::Digest &digest)
 {
     for (const Candidate &runner : m_directory.all()) {
@@ -591,7 +641,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_suspects.quarantine(run->digest, run->call.request.target, run->call.prompt);
+        m_suspects.quarantine(toCrashedRequest(*run), Clock::now());
     }
     for (const Candidate &runner : m_directory.all()) {
         wire::QuarantineT quarantine;
--- a/src/libbriarhinge/placement/suspecttable.h
+++ b/src/libbriarhinge/placement/suspecttable.h
@@ -1,27 +1,21 @@
 #pragma once
 
-#include "base/digest.h"
-#include "base/ids.h"
+#include "base/units.h"
+#include "placement/crash.h"
+#include "placement/runnerhealth.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <map>
 #include <set>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace briarhinge::placement
 {
 
-/**
- * @param target a model or tool
- * @param prompt the input
- * @return a digest of the request that does not depend on the program or account it comes from
- */
-base::Digest promptDigest(const base::TargetName &target, std::string_view prompt);
-
 /** How to handle a request with a given digest. */
 enum class SuspectVerdict {
     /** Not a suspect: runs normally. */
@@ -30,86 +24,175 @@
     RunAlone,
     /** Another request with the same digest is on trial: wait until it ends. */
     Wait,
-    /** Crashed two upstreams: must not run. */
+    /** Crashed too many runners: must not run. */
     Quarantined,
 };
 
+/** Bounds of a SuspectTable. */
+struct SuspectLimits
+{
+    /** Number of crashes after which a request is quarantined. */
+    std::size_t crashesUntilQuarantine = 3;
+    /** Maximum number of suspects, of quarantined requests, and of crashes. */
+    std::size_t maxRecords = 4096;
+    /** How long suspects and quarantined requests are remembered. */
+    base::Milliseconds retention{600'000};
+};
+
 /**
- * Requests that were in flight when an upstream crashed, by digest. Bounded in size; not thread-safe.
+ * Requests that were running when a runner crashed, by digest. Bounded in size; not thread-safe.
+ *
+ * After one crash a digest is a suspect: its requests run alone, one at a time. A request that completes is cleared of
+ * all crashes known by then. Once a request is quarantined, the crashes counted for it no longer count for others.
  *
- * After one crash a digest is a suspect: its requests run alone, one at a time. A second crash quarantines it.
+ * Reports of one crash may come from several entries, in any order and more than once.
  */
 class SuspectTable
 {
 public:
-    /** @param maxDigests maximum number of digests; the oldest is evicted first */
-    explicit SuspectTable(std::size_t maxDigests);
+    /** @param limits the bounds */
+    explicit SuspectTable(const SuspectLimits &limits);
+
+    /** @return whether no request has to be checked */
+    bool isEmpty() const;
 
     /**
      * Decides how to handle a request; puts its digest on trial if the result is RunAlone.
      *
      * @param digest digest of the request
+     * @param now current time
      * @return how to handle the request now
      */
-    SuspectVerdict admit(const base::Digest &digest);
+    SuspectVerdict admit(const base::Digest &digest, SteadyTime now);
 
     /**
-     * Records that an upstream crashed while the request ran. Requests with the same digest that were lost in the same
-     * crash count once.
+     * The same for a request whose digest is not known yet; takes a prompt that begins with a quarantined one for
+     * quarantined.
      *
-     * @param digest digest of the request
-     * @param runner runner of the upstream
-     * @param wasOnTrial whether the request ran alone
-     * @return whether the digest is to be quarantined
+     * @param content what the request asks for
+     * @param now current time
+     * @return how to handle the request now
      */
-    bool recordCrash(const base::Digest &digest, const std::string &runner, bool wasOnTrial);
+    SuspectVerdict admit(const RequestContent &content, SteadyTime now);
 
     /**
-     * Ends the trial of a request that did not crash its upstream.
+     * Makes other requests with the same digest wait until endTrial(), for example while a crash is being confirmed.
      *
-     * @param digest digest of the request
-     * @param survived whether the request completed, which clears the suspicion
+     * @param request the request
+     * @param now current time
      */
-    void endTrial(const base::Digest &digest, bool survived);
+    void beginTrial(const CrashedRequest &request, SteadyTime now);
 
     /**
-     * Quarantines a prompt and all prompts that begin with it.
+     * Ends the trial of a request.
      *
      * @param digest digest of the request
-     * @param target the model or tool
-     * @param prompt the input
+     * @param hasSurvived whether the request completed, which clears the suspicion
      */
-    void quarantine(const base::Digest &digest, const base::TargetName &target, std::string_view prompt);
+    void endTrial(const base::Digest &digest, bool hasSurvived);
 
     /**
-     * @param target a model or tool
-     * @param prompt a prompt
-     * @return whether the prompt begins with a shorter quarantined prompt
+     * Identifies the crash that a request which is sent now would cause.
+     *
+     * @param runner the runner
+     * @param startedAt start of its incarnation in Unix milliseconds, 0 when unknown
+     * @return the id of the crash
      */
-    bool hasQuarantinedPrefix(const base::TargetName &target, std::string_view prompt) const;
+    CrashId nextCrash(const std::string &runner, std::uint64_t startedAt) const;
 
-    /** @return all quarantined digests */
-    std::vector<base::Digest> quarantined() const;
+    /** @param crash a crash @return whether it was recorded */
+    bool knows(const CrashId &crash) const;
 
-private:
-    static constexpr std::uint32_t crashesUntilQuarantine = 2;
+    /** @param runner a runner @return whether a crash of any of its incarnations is known */
+    bool hasCrashed(const std::string &runner) const;
 
+    /**
+     * Records a crash.
+     *
+     * @param report the crash and the requests that were running
+     * @param now current time
+     * @return digests of the requests that are quarantined from now on
+     */
+    std::vector<base::Digest> recordCrash(const CrashReport &report, SteadyTime now);
+
+    /**
+     * Quarantines a request at once.
+     *
+     * @param request the request
+     * @param now current time
+     */
+    void quarantine(const CrashedRequest &request, SteadyTime now);
+
+    /** @param digest digest of a request @return whether it must not run */
+    bool isQuarantined(const base::Digest &digest) const;
+
+    /** @param digest digest of a request @return number of crashes counted for it */
+    std::size_t crashCount(const base::Digest &digest) const;
+
+    /**
+     * @param digest digest of a request
+     * @param now current time
+     * @return time until the request is tried again; zero if it is not quarantined
+     */
+    base::Milliseconds remainingQuarantine(const base::Digest &digest, SteadyTime now) const;
+
+    /**
+     * @param content what a request asks for
+     * @param now current time
+     * @return the same for the quarantined request itself or the one whose prompt it begins with
+     */
+    base::Milliseconds remainingQuarantine(const RequestContent &content, SteadyTime now) const;
+
+    /** @return all crashes that are known, with the requests for which they count */
+    std::vector<CrashReport> reports() const;
+
+    /** @return how long suspects and quarantined requests are remembered */
+    base::Milliseconds retention() const;
+
+    /** @return number of digests that are remembered */
+    std::size_t size() const;
+
+private:
     struct Suspect
     {
-        std::uint32_t crashes = 0;
-        bool onTrial = false;
-        std::string lastRunner;
+        CrashedRequest request;
+        std::vector<CrashId> crashes;
+        /** Crashes that no longer count for this request. */
+        std::vector<CrashId> cleared;
+        bool isQuarantined = false;
+        bool isOnTrial = false;
+        SteadyTime updatedAt;
         std::list<base::Digest>::iterator orderPosition;
     };
 
-    Suspect &findOrAdd(const base::Digest &digest);
+    struct Crash
+    {
+        /** Whether a quarantined request has caused it. */
+        bool isExplained = false;
+        std::list<CrashId>::iterator orderPosition;
+    };
 
-    const std::size_t m_maxDigests;
+    Suspect &findOrAdd(const CrashedRequest &request, SteadyTime now);
+    Crash &findOrAddCrash(const CrashId &id);
+    void remove(std::unordered_map<base::Digest, Suspect>::iterator suspect);
+    void removeOldest(std::list<base::Digest> &order);
+    void expire(SteadyTime now);
+    void moveToQuarantine(Suspect &suspect);
+    void clearOthers(const Suspect &culprit);
+    const Suspect *findQuarantined(const base::Digest &digest) const;
+    const Suspect *findQuarantined(const RequestContent &content) const;
+
+    const SuspectLimits m_limits;
     std::unordered_map<base::Digest, Suspect> m_suspects;
-    /** Lengths of the quarantined prompts in bytes: only prefixes of these lengths need to be hashed. */
-    std::set<std::size_t> m_quarantinedLengths;
-    /** Digests in order of insertion, the oldest first. */
-    std::list<base::Digest> m_insertionOrder;
+    std::map<CrashId, Crash> m_crashes;
+    /** Suspects, quarantined requests and crashes, each in the order of their last change, the oldest first. */
+    std::list<base::Digest> m_suspectOrder;
+    std::list<base::Digest> m_quarantineOrder;
+    std::list<CrashId> m_crashOrder;
+    /** Sizes of all requests that are remembered; a request of another size needs no digest. */
+    std::multiset<std::size_t> m_sizes;
+    /** Sizes of the quarantined prompts: only prefixes of these sizes need to be hashed. */
+    std::multiset<std::size_t> m_quarantinedSizes;
 };
 
 }
--- a/src/libbriarhinge/turns/relayserver.cpp
+++ b/src/libbriarhinge/turns/relayserver.cpp
@@ -22,9 +22,11 @@
 }
 
 RelayServer::RelayServer(boost::asio::io_context &context, StorePeers &peers,
-                         std::function<bool(const wire::Address &)> isTurnStore, logging::EventLog &log)
+                         std::function<bool(const wire::Address &)> isTurnStore, RequestHandler onRequest,
+                         logging::EventLog &log)
     : m_peers(peers)
     , m_isTurnStore(std::move(isTurnStore))
+    , m_onRequest(std::move(onRequest))
     , m_server(
           context, log,
           [this](const auto &session, wire::FrameT frame) {
@@ -41,6 +43,10 @@
 
 void RelayServer::receive(const std::shared_ptr<wire::FrameSession> &session, wire::FrameT frame)
 {
+    if (frame.relay_to.empty()) {
+        answer(session, frame);
+        return;
+    }
     const auto store = wire::parseAddress(frame.relay_to);
     if (!store || !m_isTurnStore(*store) || !isRelayable(frame.message)) {
         session->close("a message that is not relayed");
@@ -65,6 +71,20 @@
                         });
 }
 
+void RelayServer::answer(const std::shared_ptr<wire::FrameSession> &session, const wire::FrameT &frame)
+{
+    auto message = m_onRequest(frame.message);
+    if (!message) {
+        session->close("a message that is not for this process");
+        return;
+    }
+    wire::FrameT reply;
+    reply.message = std::move(*message);
+    reply.request_id = frame.request_id;
+    reply.last = true;
+    session->send(reply);
+}
+
 void RelayServer::stop()
 {
     m_server.stop();
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -140,6 +140,9 @@
         [](const wire::Address &) {
             return true;
         },
+        [](const wire::MessageUnion &) {
+            return std::optional<wire::MessageUnion>();
+        },
         log);
     CHECK(std::holds_alternative<std::uint16_t>(relay.listen(relayAddress)));
     CHECK(std::holds_alternative<std::uint16_t>(standIn.listen(storeAddress)));
@@ -174,6 +177,9 @@
         [](const wire::Address &address) {
             return address == storeAddress;
         },
+        [](const wire::MessageUnion &) {
+            return std::optional<wire::MessageUnion>();
+        },
         log);
     CHECK(std::holds_alternative<std::uint16_t>(relay.listen(relayAddress)));
     CHECK(std::holds_alternative<std::uint16_t>(standIn.listen(storeAddress)));
