--- a/src/libbriarhinge/forwarding/runnerprobe.cpp
+++ b/src/libbriarhinge/forwarding/runnerprobe.cpp
@@ -73,9 +73,14 @@
 {
     const auto attempt = std::make_shared<Attempt>(m_context);
     attempt->timer.expires_after(delay);
-    attempt->timer.async_wait([attempt, address, onResult = std::move(onResult)](const error_code &error) {
+    const auto report = [lifetime = std::weak_ptr(m_lifetime), onResult = std::move(onResult)](Reachability result) {
+        if (!lifetime.expired()) {
+            onResult(result);
+        }
+    };
+    attempt->timer.async_wait([attempt, address, report](const error_code &error) {
         if (!error) {
-            connect(attempt, address, onResult);
+            connect(attempt, address, report);
         }
     });
 }
--- a/src/libbriarhinge/forwarding/runnerprobe.h
+++ b/src/libbriarhinge/forwarding/runnerprobe.h
@@ -4,6 +4,7 @@
 #include "wire/address.h"
 
 #include <functional>
+#include <memory>
 
 #include <boost/asio/io_context.hpp>
 
@@ -20,11 +21,11 @@
     Silent,
 };
 
-/** Finds out whether processes listen at the addresses of runners. Sends no request. */
+/** Finds out whether processes listen at the addresses of runners. Sends no request. Must be used on one thread. */
 class RunnerProbe
 {
 public:
-    /** Receives the result; called exactly once, never before the probe function returns. */
+    /** Receives the result; called at most once, never before probe() returns nor after the end of this object. */
     using ResultHandler = std::function<void(Reachability)>;
 
     /** @param context runs the probes; must outlive them */
@@ -41,6 +42,8 @@
 
 private:
     boost::asio::io_context &m_context;
+    /** Expires with this object; probes hold a weak pointer to it. */
+    const std::shared_ptr<const bool> m_lifetime = std::make_shared<const bool>(true);
 };
 
 }
--- a/tests/test_loadbalancer.cpp
+++ b/tests/test_loadbalancer.cpp
@@ -99,6 +99,18 @@
     LONGS_EQUAL(4, counts["two"]);
 }
 
+// Guards against crashes that break off the requests of a busy runner.
+TEST(LoadBalancer, aSuspectGoesToTheRunnerWithTheFewestRequestsThoughItsPromptIsCachedElsewhere)
+{
+    balancer.registerRunner(runner("one"));
+    balancer.registerRunner(runner("two"));
+    PlacementRequest request = turnRequest(4000, {block("own", 4000)});
+    balancer.requestSent(RunnerId("one"), request);
+    STRCMP_EQUAL("one", selectedRunner(balancer, request).c_str());
+    request.isSuspect = true;
+    STRCMP_EQUAL("two", selectedRunner(balancer, request).c_str());
+}
+
 TEST(LoadBalancer, loadFromOtherEntriesIsSeenInTheReportedLoad)
 {
     balancer.registerRunner(runner("one"));
--- a/tests/test_wholeplatform.cpp
+++ b/tests/test_wholeplatform.cpp
@@ -335,6 +335,47 @@
     STRCMP_EQUAL("one t1.1\nt1.2\nt1.3\ntwo", deployment.model.receivedRequests().back().body.c_str());
 }
 
+// Guards against attempts at one request that end runner after runner, through any entry.
+TEST(WholePlatform, aRequestThatCrashesRunnersIsRefusedAtEveryEntryAfterTheThird)
+{
+    PlatformDeployment deployment;
+    deployment.model.setCrashText("crash");
+    const std::string request = "crash all of them";
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        const auto lost = deployment.sendAndWait(static_cast<std::size_t>(attempt % 2),
+                                                 PlatformDeployment::turn("t" + std::to_string(attempt), "", request));
+        LONGS_EQUAL(502, lost->status);
+        CHECK_FALSE(deployment.model.isRunning());
+        deployment.runFor(std::chrono::milliseconds(200));
+        deployment.model.restart("i-model");
+        deployment.store.put("servers/i-model", deployment.model.registration("chat"));
+        deployment.runFor(std::chrono::milliseconds(1000));
+    }
+    for (std::size_t entry = 0; entry < PlatformDeployment::entryCount; ++entry) {
+        const std::string id = "again-" + std::to_string(entry);
+        const auto refused = deployment.sendAndWait(entry, PlatformDeployment::turn(id, "", request));
+        LONGS_EQUAL(503, refused->status);
+        CHECK(refused->headers.find("Retry-After").has_value());
+        LONGS_EQUAL(200, deployment.sendAndWait(entry, PlatformDeployment::turn("ok-" + id, "", "hello"))->status);
+    }
+    LONGS_EQUAL(5, deployment.model.executedRequests());
+    // Both entries answer, so nothing was written for them.
+    STRCMP_EQUAL("", deployment.store.value("briarhinge/crashes/entry-0").c_str());
+}
+
+// Guards against refusing a request whose answers were lost while its runner lived on.
+TEST(WholePlatform, aRequestWhoseConnectionsAreResetIsServedLater)
+{
+    PlatformDeployment deployment;
+    for (int attempt = 0; attempt < 5; ++attempt) {
+        deployment.model.queueBehaviour(Behaviour::DropAnswer);
+        LONGS_EQUAL(
+            502, deployment.sendAndWait(0, PlatformDeployment::turn("t" + std::to_string(attempt), "", "x"))->status);
+        deployment.runFor(std::chrono::milliseconds(400));
+    }
+    LONGS_EQUAL(200, deployment.sendAndWait(0, PlatformDeployment::turn("t9", "", "x"))->status);
+}
+
 TEST(WholePlatform, badRequestsEndOnlyTheirOwnConnection)
 {
     PlatformDeployment deployment;
