Runner: Keeps a crash in mind when a later call does not reach the dead upstream

Cause: calls that were placed on the crashed runner a moment later failed to connect to the dead upstream, ended as notRun, and the runner took that for survival and forgot the crash. Its answer to the next SuspectCheck then was that nothing had crashed, and the trial went to a third upstream.

Why it works: only a call that reached its upstream can survive there.

--- a/src/libbriarhinge/placement/rundispatcher.cpp
+++ b/src/libbriarhinge/placement/rundispatcher.cpp
@@ -23,8 +23,6 @@
 /** Maximum wait for the state of a suspect request on the runners. */
 constexpr base::Milliseconds suspectCheckTimeout{1000};
 constexpr base::Milliseconds suspectCheckInterval{100};
-/** How often runners that do not answer are asked again before a suspect is given up. */
-constexpr std::size_t maxSuspectChecks = 3;
 /** Lower than on the users' platform: a runner process has one upstream, and few run at a time. */
 constexpr SuspectLimits suspectLimits{2};
 /** Maximum wait for load reports before a program is placed. */
@@ -81,8 +79,6 @@
     std::mutex mutex;
     std::atomic<bool> isDone{false};
     std::size_t pending = 0;
-    /** Number of runners that have not answered. */
-    std::size_t silent = 0;
     /** Runners whose upstream crashed while the request ran. */
     std::vector<std::string> crashedRunners;
     bool quarantined = false;
@@ -209,7 +205,7 @@
     if (verdict == SuspectVerdict::Quarantined) {
         finish(run, quarantineOutcome(*run));
     } else if (verdict == SuspectVerdict::RunAlone) {
-        querySuspectState(run, 1);
+        querySuspectState(run);
     } else if (verdict == SuspectVerdict::Clear) {
         place(run);
     }
@@ -549,25 +545,20 @@
     }
 }
 
-void RunDispatcher::querySuspectState(const RunPtr &run, std::size_t round)
+void RunDispatcher::querySuspectState(const RunPtr &run)
 {
     const auto query = std::make_shared<SuspectQuery>();
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, suspectCheckTimeout);
-    const auto finishQuery = [this, run, query, timer, round] {
+    const auto finishQuery = [this, run, query, timer] {
         if (query->isDone.exchange(true)) {
             return;
         }
         const std::lock_guard lock(query->mutex);
         const bool isQuarantined = query->quarantined || recordCrashes(*run, query->crashedRunners);
-        if (!isQuarantined && query->silent > 0) {
-            suspectStateUnknown(run, round);
-            return;
-        }
         handleSuspectState(run, isQuarantined, query->present || query->holder != m_settings.entryName);
     };
     const std::vector<Candidate> runners = m_directory.candidates(run->call.request.target, Clock::now());
     query->pending = runners.size();
-    query->silent = runners.size();
     query->holder = m_settings.entryName;
     timer->async_wait([finishQuery](boost::system::error_code) {
         finishQuery();
@@ -581,7 +572,6 @@
         runner.channel->sendRequest(std::move(message),
                                     [query, timer, name = runner.view.name](const wire::ChannelReply &reply) {
                                         const std::lock_guard lock(query->mutex);
-                                        --query->silent;
                                         if (const auto *frame = std::get_if<wire::FrameT>(&reply)) {
                                             query->merge(name, frame->message.AsSuspectState());
                                         }
@@ -601,7 +591,7 @@
     } else {
         const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, suspectCheckInterval);
         timer->async_wait([this, run, timer](boost::system::error_code) {
-            querySuspectState(run, 1);
+            querySuspectState(run);
         });
     }
 }
@@ -615,16 +605,6 @@
     return m_suspects.isQuarantined(run.digest);
 }
 
-void RunDispatcher::suspectStateUnknown(const RunPtr &run, std::size_t round)
-{
-    if (round < maxSuspectChecks) {
-        querySuspectState(run, round + 1);
-        return;
-    }
-    // The upstream of a silent runner may have crashed while the request ran: one more crash could be one too many.
-    finish(run, core::NotRun{"runners do not say whether the request crashed their upstreams", noRunnerRetryDelay});
-}
-
 void RunDispatcher::clearSuspect(const base::Digest &digest)
 {
     for (const Candidate &runner : m_directory.all()) {
--- a/src/libbriarhinge/placement/rundispatcher.h
+++ b/src/libbriarhinge/placement/rundispatcher.h
@@ -111,10 +111,9 @@
     void recordResult(const Attempt &attempt, const wire::CallResultT &result);
     void handleConnectionLoss(const RunPtr &run, const AttemptPtr &attempt, const wire::ChannelError &error);
     void handleUpstreamCrash(const RunPtr &run, const AttemptPtr &attempt, const core::Outcome &outcome);
-    void querySuspectState(const RunPtr &run, std::size_t round);
+    void querySuspectState(const RunPtr &run);
     void handleSuspectState(const RunPtr &run, bool isQuarantined, bool mustWait);
     bool recordCrashes(const CallRun &run, const std::vector<std::string> &runners);
-    void suspectStateUnknown(const RunPtr &run, std::size_t round);
     void clearSuspect(const base::Digest &digest);
     void quarantine(const RunPtr &run);
     static core::Outcome quarantineOutcome(CallRun &run);
--- a/src/libbriarhinge/runner/runnerservice.h
+++ b/src/libbriarhinge/runner/runnerservice.h
@@ -460,7 +460,10 @@
                 handleUpstreamCrash(job, outcome, actions);
             } else {
                 updateMeasurements(*job, outcome);
-                m_crashes.recordSurvival(job->digest);
+                // A call that did not reach the upstream, for example because it had just crashed, proves nothing.
+                if (!std::holds_alternative<core::NotRun>(outcome)) {
+                    m_crashes.recordSurvival(job->digest);
+                }
                 end(job, outcome, actions);
             }
             startQueued(actions);
--- a/tests/test_runnerservice.cpp
+++ b/tests/test_runnerservice.cpp
@@ -43,6 +43,8 @@
             chunks[frame.request_id].push_back({chunk->offset, chunk->text});
         } else if (const auto *report = frame.message.AsLoadReport()) {
             load = *report;
+        } else if (const auto *state = frame.message.AsSuspectState()) {
+            suspect = *state;
         }
     }
 
@@ -52,6 +54,7 @@
 
     std::map<std::uint64_t, std::vector<wire::OutcomeKind>> results;
     wire::LoadReportT load;
+    wire::SuspectStateT suspect;
     std::map<std::uint64_t, std::uint64_t> retryAfter;
     std::map<std::uint64_t, std::string> texts;
     std::map<std::uint64_t, std::vector<std::pair<std::uint64_t, std::string>>> chunks;
@@ -398,6 +401,35 @@
     checkOutcome(session, 6, wire::OutcomeKind::NotRun);
 }
 
+// Guards against a crash that is forgotten because the next call with the digest could not reach the dead upstream: a
+// request that two entries sent at once then crashed three upstreams.
+TEST(RunnerService, callThatDidNotReachTheCrashedUpstreamClearsNoSuspicion)
+{
+    RunnerPolicy wide = policy();
+    wide.concurrency.maxCalls = 4;
+    Service runner(upstream, clock, log, wide);
+    const auto sendTo = [&](std::uint64_t requestId, const wire::ExecuteCallT &call) {
+        wire::FrameT frame;
+        frame.request_id = requestId;
+        frame.message.Set(wire::ExecuteCallT(call));
+        runner.handleFrame(session, frame);
+    };
+    wire::ExecuteCallT same = model("b");
+    same.body_digest = model("a").body_digest;
+    sendTo(1, model("a"));
+    sendTo(2, same);
+    upstream.running[0].observer.ended(core::Unknown{"the engine died"});
+    upstream.running[1].observer.ended(core::NotRun{"can't connect", std::nullopt});
+    wire::FrameT frame;
+    frame.request_id = 3;
+    wire::SuspectCheckT check;
+    check.digest = model("a").body_digest;
+    check.holder = "entry";
+    frame.message.Set(std::move(check));
+    runner.handleFrame(session, frame);
+    CHECK(session->suspect.crashed);
+}
+
 TEST(RunnerService, quarantineFromElsewhereIsKept)
 {
     wire::QuarantineT quarantine;
