Runner: Counts a crash once for a call that was started while the upstream was ending

In the log, runner-1 writes 513 for one call and, 1 ms later, 514 for another that had been started on the ending upstream as a suspect: it counted as a second crash. An innocent call could be quarantined by one crash in this way.

The runner counts a suspect's crash as a second one only if the upstream has answered anything since the last one. RunnerService.callThatWasLostInTheSameCrashIsNoSecondOne failed before.

--- a/src/libbriarhinge/runner/runnerservice.h
+++ b/src/libbriarhinge/runner/runnerservice.h
@@ -22,6 +22,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace briarhinge::runner
@@ -439,6 +440,7 @@
             job->hasFirstToken = true;
             job->timeToFirstToken = gap;
         }
+        m_hasCrashedSinceProgress = false;
         job->lastActivityAt = now;
         job->answer += text;
         for (const ListenerT &listener : job->listeners) {
@@ -462,6 +464,7 @@
                 updateMeasurements(*job, outcome);
                 // A call that did not reach the upstream, for example because it had just crashed, proves nothing.
                 if (!std::holds_alternative<core::NotRun>(outcome)) {
+                    m_hasCrashedSinceProgress = false;
                     m_crashes.recordSurvival(job->digest);
                 }
                 end(job, outcome, actions);
@@ -500,7 +503,9 @@
     /** Handles a crash of the upstream: the running call becomes a suspect, or is quarantined if it ran alone. */
     void handleUpstreamCrash(const JobPointer &job, const core::Outcome &outcome, UpstreamActions &actions)
     {
-        const bool quarantined = m_crashes.recordCrash(job->digest, job->suspect, m_clock.now());
+        // A call that was started while the upstream was still ending was lost in the same crash.
+        const bool isNewCrash = !std::exchange(m_hasCrashedSinceProgress, true);
+        const bool quarantined = m_crashes.recordCrash(job->digest, job->suspect && isNewCrash, m_clock.now());
         m_log.write(quarantined ? logging::events::requestQuarantined : logging::events::requestSuspected,
                     {{"program", job->call.call.program.value()},
                      {"call", job->call.call.request.number.value()},
@@ -734,6 +739,8 @@
     std::map<CallKey, JobPointer> m_jobs;
     CallRegister m_register;
     CrashRegister m_crashes;
+    /** Whether the upstream has crashed and answered nothing since. */
+    bool m_hasCrashedSinceProgress = false;
     ConcurrencyLimit m_limit;
     DrainRate m_drainRate;
     EnginePace m_pace;
--- a/tests/test_runnerservice.cpp
+++ b/tests/test_runnerservice.cpp
@@ -430,6 +430,30 @@
     CHECK(session->suspect.crashed);
 }
 
+// Guards against one crash that counts twice: a call that was started while the upstream was ending was quarantined.
+TEST(RunnerService, callThatWasLostInTheSameCrashIsNoSecondOne)
+{
+    Service runner(upstream, clock, log, policy());
+    const auto sendTo = [&](std::uint64_t requestId, const std::string &program) {
+        wire::FrameT frame;
+        frame.request_id = requestId;
+        wire::ExecuteCallT call = model(program);
+        call.body_digest = "same";
+        frame.message.Set(std::move(call));
+        runner.handleFrame(session, frame);
+    };
+    sendTo(1, "a");
+    upstream.running[0].observer.ended(core::Unknown{"the engine died"});
+    sendTo(2, "b");
+    upstream.running[1].observer.ended(core::Unknown{"the engine died"});
+    checkOutcome(session, 2, wire::OutcomeKind::Unknown);
+    // It answers again, and crashes again.
+    sendTo(3, "c");
+    upstream.running[2].observer.chunk(0, "x");
+    upstream.running[2].observer.ended(core::Unknown{"the engine died"});
+    checkOutcome(session, 3, wire::OutcomeKind::Failed);
+}
+
 TEST(RunnerService, quarantineFromElsewhereIsKept)
 {
     wire::QuarantineT quarantine;
