--- a/src/libbriarhinge/placement/rundispatcher.cpp
+++ b/src/libbriarhinge/placement/rundispatcher.cpp
@@ -23,7 +23,7 @@
 /** Maximum wait for the state of a suspect request on the runners. */
 constexpr base::Milliseconds suspectCheckTimeout{1000};
 constexpr base::Milliseconds suspectCheckInterval{100};
-/** Lower than on the users' platform: a runner process has one upstream, and few run at a time. */
+/** A suspect runs alone on its upstream, so a second crash is its own. */
 constexpr SuspectLimits suspectLimits{2};
 /** Maximum wait for load reports before a program is placed. */
 constexpr base::Milliseconds probeTimeout{20};
