Base: One place that computes digests; suspects: one that clears crashes

RunDispatcher repeated the rule that an empty prompt is no prefix; it calls crashedRequest(). All paths that clear a crash of a suspect now go through addCleared(), which bounds the list: one went past the bound when a crash was explained before the report came. Digests are the same.

--- a/src/libbriarhinge/base/digest.cpp
+++ b/src/libbriarhinge/base/digest.cpp
@@ -1,37 +1,17 @@
 #include "base/digest.h"
 
-#include <array>
-
-#include <openssl/evp.h>
+#include "base/prefixhasher.h"
 
 namespace briarhinge::base
 {
 
-Digest toDigest(std::span<const unsigned char, sha256Bytes> bytes)
-{
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    text.reserve(bytes.size() * 2);
-    for (const unsigned char byte : bytes) {
-        text.push_back(digits[byte >> 4]);
-        text.push_back(digits[byte & 0xf]);
-    }
-    return Digest(text);
-}
-
 Digest computeDigest(std::initializer_list<std::string_view> fields)
 {
-    std::array<unsigned char, sha256Bytes> bytes{};
-    EVP_MD_CTX *context = EVP_MD_CTX_new();
-    EVP_DigestInit_ex(context, EVP_sha256(), nullptr);
+    PrefixHasher hasher;
     for (const std::string_view field : fields) {
-        const std::uint64_t length = field.size();
-        EVP_DigestUpdate(context, &length, sizeof length);
-        EVP_DigestUpdate(context, field.data(), field.size());
+        hasher.appendField(field);
     }
-    EVP_DigestFinal_ex(context, bytes.data(), nullptr);
-    EVP_MD_CTX_free(context);
-    return toDigest(bytes);
+    return hasher.digest();
 }
 
 std::uint64_t stableHash(std::string_view text)
--- a/src/libbriarhinge/base/digest.h
+++ b/src/libbriarhinge/base/digest.h
@@ -2,10 +2,8 @@
 
 #include "base/strongtype.h"
 
-#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
-#include <span>
 #include <string>
 #include <string_view>
 
@@ -15,15 +13,6 @@
 /** A SHA-256 digest as 64 lower-case hexadecimal digits. */
 using Digest = StrongType<struct DigestTag, std::string>;
 
-/** Size of a SHA-256 digest in bytes. */
-inline constexpr std::size_t sha256Bytes = 32;
-
-/**
- * @param bytes a SHA-256 digest
- * @return the digest in hexadecimal digits
- */
-Digest toDigest(std::span<const unsigned char, sha256Bytes> bytes);
-
 /**
  * Computes the digest of a sequence of fields. Each field is hashed with its length, so that different sequences never
  * yield the same hash input.
--- a/src/libbriarhinge/base/prefixhasher.h
+++ b/src/libbriarhinge/base/prefixhasher.h
@@ -12,17 +12,19 @@
 class PrefixHasher
 {
 public:
-    /** @param field a field that precedes the text, hashed with its length */
-    explicit PrefixHasher(std::string_view field);
+    PrefixHasher();
     ~PrefixHasher();
 
     PrefixHasher(const PrefixHasher &) = delete;
     PrefixHasher &operator=(const PrefixHasher &) = delete;
 
+    /** @param field a field, hashed with its length so that different sequences of fields differ */
+    void appendField(std::string_view field);
+
     /** @param text the next part of the text */
     void append(std::string_view text);
 
-    /** @return the digest of the field and of the text so far */
+    /** @return the digest of all fields and of the text so far */
     Digest digest() const;
 
 private:
--- a/src/libbriarhinge/placement/crash.cpp
+++ b/src/libbriarhinge/placement/crash.cpp
@@ -7,7 +7,8 @@
 
 base::Digest contentDigest(const RequestContent &content)
 {
-    base::PrefixHasher hasher(content.target);
+    base::PrefixHasher hasher;
+    hasher.appendField(content.target);
     hasher.append(content.history);
     hasher.append(content.input);
     return hasher.digest();
--- a/src/libbriarhinge/placement/rundispatcher.cpp
+++ b/src/libbriarhinge/placement/rundispatcher.cpp
@@ -52,8 +52,8 @@
 
 CrashedRequest toCrashedRequest(const CallRun &run)
 {
-    const bool isPrompt = run.call.request.kind == core::CallKind::Model && !run.call.prompt.empty();
-    return {run.digest, run.call.prompt.size(), isPrompt};
+    return run.call.request.kind == core::CallKind::Tool ? CrashedRequest{run.digest, run.call.prompt.size(), false}
+                                                         : crashedRequest(promptContent(run.call));
 }
 
 base::Milliseconds millisecondsBetween(SteadyTime from, SteadyTime to)
--- a/src/libbriarhinge/placement/suspecttable.cpp
+++ b/src/libbriarhinge/placement/suspecttable.cpp
@@ -19,10 +19,9 @@
     return std::find(crashes.begin(), crashes.end(), crash) != crashes.end();
 }
 
-void clearCrashes(std::vector<CrashId> &crashes, std::vector<CrashId> &cleared)
+void addCleared(std::vector<CrashId> &cleared, const std::vector<CrashId> &crashes)
 {
     cleared.insert(cleared.end(), crashes.begin(), crashes.end());
-    crashes.clear();
     if (cleared.size() > maxClearedCrashes) {
         cleared.erase(cleared.begin(), cleared.end() - maxClearedCrashes);
     }
@@ -97,7 +96,8 @@
     Suspect &suspect = found->second;
     suspect.isOnTrial = false;
     if (hasSurvived && !suspect.isQuarantined) {
-        clearCrashes(suspect.crashes, suspect.cleared);
+        addCleared(suspect.cleared, suspect.crashes);
+        suspect.crashes.clear();
     }
     if (suspect.crashes.empty() && suspect.cleared.empty() && !suspect.isQuarantined) {
         remove(found);
@@ -136,7 +136,7 @@
             continue;
         }
         if (isExplained && !suspect.isQuarantined) {
-            suspect.cleared.push_back(report.crash);
+            addCleared(suspect.cleared, {report.crash});
             continue;
         }
         if (suspect.crashes.size() < m_limits.crashesUntilQuarantine) {
@@ -309,7 +309,7 @@
             explained.push_back(crash);
             return true;
         });
-        clearCrashes(explained, other.cleared);
+        addCleared(other.cleared, explained);
     }
 }
 
@@ -327,7 +327,8 @@
     if (m_quarantinedSizes.empty() || *m_quarantinedSizes.begin() > content.size()) {
         return nullptr;
     }
-    base::PrefixHasher hasher(content.target);
+    base::PrefixHasher hasher;
+    hasher.appendField(content.target);
     std::size_t hashed = 0;
     for (auto size = m_quarantinedSizes.begin(); size != m_quarantinedSizes.end() && *size <= content.size();
          size = m_quarantinedSizes.upper_bound(*size)) {
