Forwarding, StoreNode: Removes repetitions around crashing requests

The crash names its runner, so LostAttempt no longer does, too. Exchange computes the digest of its content once. CrashSharing has its key and the end of its sequence in one place. StoreNode kept an item of the deployment in three handlers: updateDeployment().

--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -125,6 +125,13 @@
     }
 }
 
+void StoreNode::updateDeployment(const keyvalue::KeyValue &item)
+{
+    m_deployment[item.key] = item;
+    m_unconfirmedKeys.erase(item.key);
+    scheduleSave();
+}
+
 void StoreNode::scheduleSave()
 {
     if (m_isSaveScheduled) {
@@ -159,9 +166,7 @@
         } else if (item.key.starts_with(turns::registrationPrefix)) {
             m_groupManager->addRegistration(item.value);
         } else if (item.key.starts_with(turns::relayPrefix)) {
-            m_deployment[item.key] = item;
-            m_unconfirmedKeys.erase(item.key);
-            scheduleSave();
+            updateDeployment(item);
         }
     };
     handlers.onListed = [this] {
@@ -179,8 +184,7 @@
         if (item.key.starts_with(platform::retirementPrefix)) {
             m_groupManager->setRetirement(turns::StoreName(item.key.substr(platform::retirementPrefix.size())), true);
         } else if (item.key == platform::routingKey) {
-            m_deployment[item.key] = item;
-            scheduleSave();
+            updateDeployment(item);
         }
     };
     handlers.onRemoved = [this](const std::string &key, base::Milliseconds) {
@@ -197,9 +201,7 @@
 {
     platform::ItemHandlers handlers;
     handlers.onItem = [this](const keyvalue::KeyValue &item) {
-        m_deployment[item.key] = item;
-        m_unconfirmedKeys.erase(item.key);
-        scheduleSave();
+        updateDeployment(item);
     };
     handlers.onRemoved = [this](const std::string &key, base::Milliseconds) {
         m_deployment.erase(key);
--- a/src/briarhingenode/storenode.h
+++ b/src/briarhingenode/storenode.h
@@ -58,6 +58,7 @@
     std::variant<turns::DiskId, turns::DiskError> openDisk() const;
     void watchGroup();
     void loadDeployment();
+    void updateDeployment(const keyvalue::KeyValue &item);
     void scheduleSave();
     void watchOperators();
     void watchRunners();
@@ -75,7 +76,7 @@
     std::unique_ptr<platform::PrefixWatch> m_groupWatch;
     std::unique_ptr<platform::PrefixWatch> m_operatorWatch;
     std::unique_ptr<platform::PrefixWatch> m_runnerWatch;
-    /** The routing, the runners and the entries by key, for entries that start while the platform's store is unavailable. */
+    /** The routing, the runners and the entries by key, for entries that start without the platform's store. */
     std::map<std::string, keyvalue::KeyValue> m_deployment;
     /** Keys known only from the disk, until a listing of the platform's store confirms them. */
     std::set<std::string> m_unconfirmedKeys;
--- a/src/libbriarhinge/forwarding/crashdetector.h
+++ b/src/libbriarhinge/forwarding/crashdetector.h
@@ -15,7 +15,6 @@
 #include <functional>
 #include <iterator>
 #include <map>
-#include <memory>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -36,7 +35,6 @@
 /** An attempt whose connection was lost after the request had been sent. */
 struct LostAttempt
 {
-    dispatch::RunnerId runner;
     /** The crash that the loss stands for, if the runner has crashed. */
     placement::CrashId crash;
     placement::CrashedRequest request;
@@ -90,13 +88,13 @@
         if (!isNew) {
             return;
         }
-        check.runner = lost.runner;
-        const dispatch::RegisteredRunner *registration = m_balancer.registration(lost.runner);
+        check.runner = dispatch::RunnerId(lost.crash.runner);
+        const dispatch::RegisteredRunner *registration = m_balancer.registration(check.runner);
         if (registration == nullptr || registration->isDraining) {
             finish(lost.crash, Result::Leaving);
             return;
         }
-        check.neighbours = m_balancer.neighbours(lost.runner);
+        check.neighbours = m_balancer.neighbours(check.runner);
         std::erase_if(check.neighbours, [this](const dispatch::RegisteredRunner &neighbour) {
             return m_suspects.hasCrashed(neighbour.id.value());
         });
--- a/src/libbriarhinge/forwarding/crashsharing.h
+++ b/src/libbriarhinge/forwarding/crashsharing.h
@@ -52,12 +52,12 @@
      * @param suspects receives all crashes
      * @param log receives crashes and quarantined requests
      */
-    CrashSharing(boost::asio::io_context &context, turns::StorePeers &peers, Service &service, std::string entryName,
-                 placement::SuspectTable &suspects, logging::EventLog &log)
+    CrashSharing(boost::asio::io_context &context, turns::StorePeers &peers, Service &service,
+                 const std::string &entryName, placement::SuspectTable &suspects, logging::EventLog &log)
         : m_context(context)
         , m_peers(peers)
         , m_service(service)
-        , m_entryName(std::move(entryName))
+        , m_key(std::string(crashPrefix) + entryName)
         , m_suspects(suspects)
         , m_log(log)
         , m_publishTimer(context)
@@ -73,7 +73,7 @@
     {
         for (const wire::Address &address : addresses) {
             if (!m_entries.contains(address)) {
-                m_entries.emplace(address, std::make_unique<Entry>(m_context, m_firstSequence + m_crashes.size()));
+                m_entries.emplace(address, std::make_unique<Entry>(m_context, endSequence()));
                 fetch(address);
             }
         }
@@ -130,7 +130,7 @@
      */
     void applyPublished(const std::string &key, const std::string &value)
     {
-        if (key == std::string(crashPrefix) + m_entryName && !m_crashes.empty()) {
+        if (key == m_key && !m_crashes.empty()) {
             return;
         }
         const auto published = parseCrashes(value);
@@ -179,6 +179,12 @@
     /** Collects the crashes of one moment into one write. */
     static constexpr base::Milliseconds publishDelay{50};
 
+    /** @return the sequence number behind the last crash that this entry has seen */
+    std::uint64_t endSequence() const
+    {
+        return m_firstSequence + m_crashes.size();
+    }
+
     void recordAll(const std::vector<placement::CrashReport> &reports, const std::string &source)
     {
         for (const placement::CrashReport &report : reports) {
@@ -225,7 +231,7 @@
     void send(const wire::Address &address)
     {
         const auto found = m_entries.find(address);
-        const std::uint64_t end = m_firstSequence + m_crashes.size();
+        const std::uint64_t end = endSequence();
         if (found == m_entries.end() || found->second->isSending || found->second->acknowledged >= end) {
             return;
         }
@@ -270,7 +276,7 @@
 
     void schedulePublishing(base::Milliseconds delay)
     {
-        const std::uint64_t end = m_firstSequence + m_crashes.size();
+        const std::uint64_t end = endSequence();
         if (m_isPublishing || m_publishedSequence == end) {
             return;
         }
@@ -296,25 +302,24 @@
             }
             published.reports.push_back(*report);
         }
-        const std::uint64_t end = m_firstSequence + m_crashes.size();
-        m_service.replace(
-            std::string(crashPrefix) + m_entryName, formatCrashes(published),
-            [this, end](const keyvalue::WriteResult &result) {
-                m_isPublishing = false;
-                if (std::holds_alternative<keyvalue::KeyVersion>(result)) {
-                    m_publishedSequence = end;
-                    schedulePublishing(publishDelay);
-                    return;
-                }
-                m_log.write(logging::events::platformUnavailable, {{"reason", "failed to publish crashes of runners"}});
-                schedulePublishing(retryDelay);
-            });
+        const std::uint64_t end = endSequence();
+        m_service.replace(m_key, formatCrashes(published), [this, end](const keyvalue::WriteResult &result) {
+            m_isPublishing = false;
+            if (std::holds_alternative<keyvalue::KeyVersion>(result)) {
+                m_publishedSequence = end;
+                schedulePublishing(publishDelay);
+                return;
+            }
+            m_log.write(logging::events::platformUnavailable, {{"reason", "failed to publish crashes of runners"}});
+            schedulePublishing(retryDelay);
+        });
     }
 
     boost::asio::io_context &m_context;
     turns::StorePeers &m_peers;
     Service &m_service;
-    const std::string m_entryName;
+    /** Key under which this entry publishes. */
+    const std::string m_key;
     placement::SuspectTable &m_suspects;
     logging::EventLog &m_log;
     std::map<wire::Address, std::unique_ptr<Entry>> m_entries;
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -292,7 +292,7 @@
 
     void refuseQuarantined()
     {
-        m_record.digest = placement::contentDigest(content()).value();
+        m_record.digest = digest().value();
         const std::string reason = "the request, or one that it begins with, has crashed too many runners";
         if (m_mayHaveRun) {
             giveUp(reason);
@@ -313,6 +313,15 @@
         return {m_target, m_prompt, m_request.body, m_route->kind == RouteKind::Stream};
     }
 
+    /** @return the digest of content(), which does not change once the request can be placed */
+    const base::Digest &digest()
+    {
+        if (m_digest.value().empty()) {
+            m_digest = placement::contentDigest(content());
+        }
+        return m_digest;
+    }
+
     void placeRequest()
     {
         if (remainingTime() < minRemainingTime) {
@@ -475,9 +484,10 @@
     void checkRunner()
     {
         const placement::CrashedRequest request = placement::crashedRequest(content());
+        m_digest = request.digest;
         m_record.digest = request.digest.value();
         m_isOnTrial = false;
-        m_shared.connectionLost({m_placement.id, m_crash, request});
+        m_shared.connectionLost({m_crash, request});
     }
 
     /** Clears the request of suspicion: one that crashes runners crashes each that runs it. */
@@ -487,7 +497,7 @@
             return;
         }
         m_isOnTrial = false;
-        m_shared.suspects.endTrial(placement::contentDigest(content()), true);
+        m_shared.suspects.endTrial(digest(), true);
     }
 
     /** Updates the runner's performance record with the response. */
@@ -718,7 +728,7 @@
         m_timer.cancel();
         m_trialTimer.cancel();
         if (std::exchange(m_isOnTrial, false)) {
-            m_shared.suspects.endTrial(placement::contentDigest(content()), false);
+            m_shared.suspects.endTrial(digest(), false);
         }
         m_caller->setDisconnectHandler(nullptr);
         m_record.duration = elapsedTime();
@@ -739,6 +749,8 @@
     std::string m_prompt;
     /** Method, host and path; empty until they are needed. */
     std::string m_target;
+    /** Empty until it is needed. */
+    base::Digest m_digest;
     turns::AttemptId m_reservation;
     dispatch::PlacementRequest m_placementRequest;
     dispatch::Placement m_placement;
--- a/src/libbriarhinge/forwarding/exchangelog.h
+++ b/src/libbriarhinge/forwarding/exchangelog.h
@@ -57,7 +57,9 @@
     base::Milliseconds firstByte{0};
     base::Milliseconds duration{0};
     std::string reason;
-    /** Digest of what the request asks for, the same in all attempts of all callers; empty until a connection was lost. */
+    /**
+     * Digest of what the request asks for, the same in all attempts of all callers; empty until a connection was lost.
+     */
     std::string digest;
 };
 
--- a/tests/test_crashdetector.cpp
+++ b/tests/test_crashdetector.cpp
@@ -73,7 +73,7 @@
     void lose(int runner, const std::string &digest)
     {
         const std::string id = "r" + std::to_string(runner);
-        detector.connectionLost({dispatch::RunnerId(id), suspects.nextCrash(id, 0), {base::Digest(digest), 1, false}});
+        detector.connectionLost({suspects.nextCrash(id, 0), {base::Digest(digest), 1, false}});
     }
 
     logging::EventLog log{"test"};
