Tests: One base of deployments, and one way to send frames to a runner service

stack.Deployment holds what Stack and PlatformStack had twice (processes, logs, pausing); the paused store is a flag instead of a second name of its process. test_crashingrequest checks that nothing runs any more in one place, and RunnerService's tests send to other services by sendTo(). The assertions are the same; a set of statuses is compared as a list, which is stricter.

--- a/tests/system/platformstack.py
+++ b/tests/system/platformstack.py
@@ -7,7 +7,6 @@
 import os
 import shutil
 import signal
-import tempfile
 import time
 
 import stack
@@ -21,6 +20,8 @@
 INTERNAL_PORT = 18380
 DISK_LOSSES = 1
 REQUEST_TIMEOUT_S = 10
+# Longer than briarhinge-node keeps lines back.
+LOG_FLUSH_S = 0.3
 
 _hosts = itertools.count(1)
 
@@ -102,14 +103,14 @@
     return True
 
 
-class PlatformStack:
+class PlatformStack(stack.Deployment):
     """A deployment on the users' platform: entries, turn stores, runners and the platform's store."""
 
     def __init__(self, entries=3, runners=5):
-        self.folder = tempfile.mkdtemp(prefix="briarhinge.")
-        self.processes = {}
+        super().__init__()
         self.runners = []
         self.entries = {}
+        self._is_store_paused = False
         self._unwritten = []
         self._request_ids = itertools.count(1)
         self.store = f"{next_host()}:{STORE_PORT}"
@@ -121,7 +122,7 @@
             raise
 
     def _start(self, entries, runners):
-        self._run("store", [os.path.join(stack.BUILD, "standins", "standin-platformstore"), "--listen", self.store])
+        self.run("store", [os.path.join(stack.BUILD, "standins", "standin-platformstore"), "--listen", self.store])
         stack.wait_until(lambda: is_listening(self.store), "the platform's store")
         self.put("op/config", json.dumps(ROUTING))
         for service in ("chat", "tools"):
@@ -146,15 +147,10 @@
             process.kill()
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def _run(self, name, command):
-        process = stack.Process(name, command, os.path.join(self.folder, name + ".log"))
-        self.processes[name] = process
-        process.start()
-
     def _start_node(self, name, role, zone):
         host = next_host()
-        path = os.path.join(self.folder, name + ".toml")
-        data = os.path.join(self.folder, name + ".data")
+        path = self.path(name + ".toml")
+        data = self.path(name + ".data")
         os.makedirs(data)
         seeds = [f"{host}:{CONTROL_PORT}"] if role == "turn-store" else []
         self._seeds += seeds
@@ -168,7 +164,7 @@
             settings.write("\n".join(lines) + "\n")
         if role == "entry":
             self.entries[name] = host
-        self._run(name, [os.path.join(stack.BUILD, "briarhinge-node"), role, "--settings", path])
+        self.run(name, [os.path.join(stack.BUILD, "briarhinge-node"), role, "--settings", path])
 
     def wait_ready(self, name):
         """Waits until an entry is ready."""
@@ -189,30 +185,27 @@
 
     def put(self, key, value):
         """Writes a key of the platform's store, at the end of its outage if there is one."""
-        if self._is_store_paused():
+        if self._is_store_paused:
             self._unwritten.append((key, value))
         else:
             self._transact([(key, value)], [])
 
     def remove(self, key):
         """Removes a key of the platform's store, at the end of its outage if there is one."""
-        if self._is_store_paused():
+        if self._is_store_paused:
             self._unwritten.append((key, None))
         else:
             self._transact([], [key])
 
-    def _is_store_paused(self):
-        return "store-paused" in self.processes
-
     def pause_store(self):
         """Makes the platform's store silent."""
-        self.processes["store"].signal(signal.SIGSTOP)
-        self.processes["store-paused"] = self.processes["store"]
+        self.pause("store")
+        self._is_store_paused = True
 
     def resume_store(self):
         """Ends the outage of the platform's store."""
-        del self.processes["store-paused"]
-        self.processes["store"].signal(signal.SIGCONT)
+        self._is_store_paused = False
+        self.resume("store")
         for key, value in self._unwritten:
             self.put(key, value) if value is not None else self.remove(key)
         self._unwritten = []
@@ -222,14 +215,14 @@
         for name in self.entries:
             self.put("briarhinge/relays/" + name, f"{next_host()}:{INTERNAL_PORT}")
 
-    def send(self, entry, path, body="", method=None, fields=None):
+    def send(self, entry, path, body="", fields=None):
         """Sends a request with a new id to an entry; returns the status, 0 for a broken connection, and the fields."""
         headers = {"Host": "h", "X-Request-Id": f"r-{next(self._request_ids)}", **(fields or {})}
         if path.startswith(("/turn/", "/stream/")):
             headers.update({"X-Token-Usage": "100,40", "X-Program-Id": "p"})
         connection = http.client.HTTPConnection(self.entries[entry], CALLER_PORT, timeout=REQUEST_TIMEOUT_S)
         try:
-            connection.request(method or ("GET" if path.startswith("/safe/") else "POST"), path, body or None, headers)
+            connection.request("GET" if path.startswith("/safe/") else "POST", path, body or None, headers)
             response = connection.getresponse()
             response.read()
             return response.status, response.headers
@@ -244,14 +237,13 @@
 
     def executed(self, path):
         """Returns how often requests with a path began to run."""
-        file = os.path.join(self.folder, "requests")
+        file = self.path("requests")
         if not os.path.exists(file):
             return 0
         with open(file, encoding="utf-8") as lines:
             return sum(line.split()[1] == path for line in lines)
 
     def log(self, name):
-        """Returns the log events of a process."""
-        time.sleep(0.3)
-        with open(os.path.join(self.folder, name + ".log"), encoding="utf-8") as lines:
-            return [json.loads(line) for line in lines if line.startswith("{")]
+        """Returns the log events of a process once it has written them."""
+        time.sleep(LOG_FLUSH_S)
+        return super().log(name)
--- a/tests/system/stack.py
+++ b/tests/system/stack.py
@@ -109,27 +109,12 @@
         self.result = self.function()
 
 
-class Stack:
-    """A deployment of stand-ins and daemons."""
+class Deployment:
+    """Named processes with their logs in a folder of their own."""
 
     def __init__(self):
         self.folder = tempfile.mkdtemp(prefix="briarhinge.")
         self.processes = {}
-        self.vms = []
-        self.entries = {}
-        self.runners = {}
-        self.engines = {}
-        self.tools = {}
-        self.key_value = self._start_standin("keyvalue", "--threads", "32")
-        self.vm_list = self._start_standin("vmlist")
-        wait_until(lambda: is_responding(self.key_value + "/admin/counts"), "the key-value service")
-        wait_until(lambda: is_responding(self.vm_list + "/v1/vms"), "the VM list")
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *unused):
-        self.close()
 
     def close(self):
         """Kills every process and removes the folder."""
@@ -138,7 +123,7 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def path(self, name):
-        """Returns the path of a file in the folder of this stack."""
+        """Returns the path of a file in the folder of this deployment."""
         return os.path.join(self.folder, name)
 
     def run(self, name, command):
@@ -148,6 +133,41 @@
         process.start()
         return process
 
+    def pause(self, name):
+        """Suspends a process with SIGSTOP."""
+        self.processes[name].signal(signal.SIGSTOP)
+
+    def resume(self, name):
+        """Resumes a suspended process."""
+        self.processes[name].signal(signal.SIGCONT)
+
+    def log(self, name):
+        """Returns the log events of a daemon."""
+        with open(self.path(name + ".log"), encoding="utf-8") as lines:
+            return [json.loads(line) for line in lines if line.startswith("{")]
+
+
+class Stack(Deployment):
+    """A deployment of stand-ins and daemons."""
+
+    def __init__(self):
+        super().__init__()
+        self.vms = []
+        self.entries = {}
+        self.runners = {}
+        self.engines = {}
+        self.tools = {}
+        self.key_value = self._start_standin("keyvalue", "--threads", "32")
+        self.vm_list = self._start_standin("vmlist")
+        wait_until(lambda: is_responding(self.key_value + "/admin/counts"), "the key-value service")
+        wait_until(lambda: is_responding(self.vm_list + "/v1/vms"), "the VM list")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *unused):
+        self.close()
+
     def _start_standin(self, kind, *flags, name=None):
         port = free_port()
         program = os.path.join(BUILD, "standins", "standin-" + kind)
@@ -226,14 +246,6 @@
         result = subprocess.run(command, capture_output=True, text=True, check=False)
         return result.returncode, result.stdout, result.stderr
 
-    def pause(self, name):
-        """Suspends a process with SIGSTOP."""
-        self.processes[name].signal(signal.SIGSTOP)
-
-    def resume(self, name):
-        """Resumes a suspended process."""
-        self.processes[name].signal(signal.SIGCONT)
-
     def kill(self, name):
         """Kills a process and forgets its address."""
         self.processes[name].kill()
@@ -257,11 +269,6 @@
         """Returns the number of tokens that an engine holds, by program."""
         return json.loads(send_request("GET", self.engines[name] + "/v1/account")[1])["held"]
 
-    def log(self, name):
-        """Returns the log events of a daemon."""
-        with open(self.path(name + ".log"), encoding="utf-8") as lines:
-            return [json.loads(line) for line in lines if line.startswith("{")]
-
     def terminate(self, name):
         """Sends SIGTERM to a process and waits for its end; returns its exit code."""
         self.processes[name].signal(signal.SIGTERM)
--- a/tests/system/test_crashingrequest.py
+++ b/tests/system/test_crashingrequest.py
@@ -35,12 +35,12 @@
         for runner in self.stack.ended():
             runner.start(runner.identity if keep_id else None)
 
-    def send_everywhere(self, path, body="", attempts=ATTEMPTS, keep_id=False):
+    def send_everywhere(self, path, body="", attempts=ATTEMPTS, keep_id=False, fields=None):
         """Sends a request through one entry after the other, and brings the runners back; returns the statuses."""
         statuses = []
         names = list(self.stack.entries)
         for attempt in range(attempts):
-            statuses.append(self.stack.send(names[attempt % len(names)], path, body)[0])
+            statuses.append(self.stack.send(names[attempt % len(names)], path, body, fields)[0])
             time.sleep(PAUSE_BETWEEN_ATTEMPTS_S)
             self.restart_ended(keep_id)
         return statuses
@@ -49,11 +49,15 @@
         """Checks that no entry lets the request reach a runner once it has crashed the third."""
         self.send_everywhere(path, body, ATTEMPTS, keep_id)
         time.sleep(CONTACT_S)
+        self.check_no_further_run(path, body, keep_id)
+        self.assertLessEqual(self.stack.executed(path), LAST_RUNNER)
+
+    def check_no_further_run(self, path, body, keep_id=False):
+        """Checks that no entry lets a request reach a runner any more."""
         executed = self.stack.executed(path)
         self.assertEqual(self.send_everywhere(path, body, len(self.stack.entries), keep_id),
                          [503] * len(self.stack.entries))
         self.assertEqual(self.stack.executed(path), executed)
-        self.assertLessEqual(executed, LAST_RUNNER)
 
     def test_turn_that_comes_again_at_every_entry(self):
         self.check_third_is_last("/turn/x", CRASHING)
@@ -86,11 +90,7 @@
     def test_turn_that_continues_another(self):
         self.assertEqual(self.stack.send("entry-0", "/turn/first", "hello ")[0], 200)
         first = "r-1"
-        names = list(self.stack.entries)
-        for attempt in range(ATTEMPTS):
-            self.stack.send(names[attempt % len(names)], "/turn/x", CRASHING, fields={"X-Previous-Turn": first})
-            time.sleep(PAUSE_BETWEEN_ATTEMPTS_S)
-            self.restart_ended()
+        self.send_everywhere("/turn/x", CRASHING, fields={"X-Previous-Turn": first})
         self.assertLessEqual(self.stack.executed("/turn/x"), LAST_RUNNER)
         self.assertEqual(
             self.stack.send("entry-1", "/turn/x", "go on", fields={"X-Previous-Turn": first})[0], 200)
@@ -133,13 +133,7 @@
         self.assertLessEqual(self.stack.executed("/turn/x"), 6)
         self.restart_ended()
         time.sleep(CONTACT_S)
-        self.check_no_further_run("/turn/x")
-
-    def check_no_further_run(self, path):
-        """Checks that no entry lets a request reach a runner any more."""
-        executed = self.stack.executed(path)
-        self.assertEqual(set(self.send_everywhere(path, CRASHING, len(self.stack.entries))), {503})
-        self.assertEqual(self.stack.executed(path), executed)
+        self.check_no_further_run("/turn/x", CRASHING)
 
 
 class InnocentRequestTest(unittest.TestCase):
--- a/tests/test_runnerservice.cpp
+++ b/tests/test_runnerservice.cpp
@@ -165,12 +165,18 @@
     std::shared_ptr<FakeSession> other = std::make_shared<FakeSession>();
 
     template <class MessageT>
-    void send(const std::shared_ptr<FakeSession> &from, std::uint64_t requestId, MessageT message)
+    void sendTo(Service & to, const std::shared_ptr<FakeSession> &from, std::uint64_t requestId, MessageT message)
     {
         wire::FrameT frame;
         frame.request_id = requestId;
         frame.message.Set(std::move(message));
-        service.handleFrame(from, frame);
+        to.handleFrame(from, frame);
+    }
+
+    template <class MessageT>
+    void send(const std::shared_ptr<FakeSession> &from, std::uint64_t requestId, MessageT message)
+    {
+        sendTo(service, from, requestId, std::move(message));
     }
 
     void complete(std::size_t index, const std::string &answer = "done")
@@ -378,26 +384,20 @@
     RunnerPolicy wide = policy();
     wide.concurrency.maxCalls = 4;
     Service runner(upstream, clock, log, wide);
-    const auto sendTo = [&](std::uint64_t requestId, const wire::ExecuteCallT &call) {
-        wire::FrameT frame;
-        frame.request_id = requestId;
-        frame.message.Set(wire::ExecuteCallT(call));
-        runner.handleFrame(session, frame);
-    };
-    sendTo(1, model("a"));
-    sendTo(2, model("b"));
+    sendTo(runner, session, 1, model("a"));
+    sendTo(runner, session, 2, model("b"));
     upstream.running[0].observer.ended(core::Unknown{"the engine died"});
     upstream.running[1].observer.ended(core::Unknown{"the engine died"});
-    sendTo(3, model("c"));
-    sendTo(4, model("a"));
-    sendTo(5, model("d"));
+    sendTo(runner, session, 3, model("c"));
+    sendTo(runner, session, 4, model("a"));
+    sendTo(runner, session, 5, model("d"));
     CHECK_EQUAL(3U, upstream.running.size());
     complete(2);
     CHECK_EQUAL(4U, upstream.running.size());
     upstream.running[3].observer.ended(core::Unknown{"the engine died"});
     checkOutcome(session, 4, wire::OutcomeKind::Failed);
     CHECK_EQUAL(5U, upstream.running.size());
-    sendTo(6, model("a"));
+    sendTo(runner, session, 6, model("a"));
     checkOutcome(session, 6, wire::OutcomeKind::NotRun);
 }
 
@@ -408,47 +408,34 @@
     RunnerPolicy wide = policy();
     wide.concurrency.maxCalls = 4;
     Service runner(upstream, clock, log, wide);
-    const auto sendTo = [&](std::uint64_t requestId, const wire::ExecuteCallT &call) {
-        wire::FrameT frame;
-        frame.request_id = requestId;
-        frame.message.Set(wire::ExecuteCallT(call));
-        runner.handleFrame(session, frame);
-    };
     wire::ExecuteCallT same = model("b");
     same.body_digest = model("a").body_digest;
-    sendTo(1, model("a"));
-    sendTo(2, same);
+    sendTo(runner, session, 1, model("a"));
+    sendTo(runner, session, 2, same);
     upstream.running[0].observer.ended(core::Unknown{"the engine died"});
     upstream.running[1].observer.ended(core::NotRun{"can't connect", std::nullopt});
-    wire::FrameT frame;
-    frame.request_id = 3;
     wire::SuspectCheckT check;
     check.digest = model("a").body_digest;
     check.holder = "entry";
-    frame.message.Set(std::move(check));
-    runner.handleFrame(session, frame);
+    sendTo(runner, session, 3, std::move(check));
     CHECK(session->suspect.crashed);
 }
 
 // Guards against one crash that counts twice: a call that was started while the upstream was ending was quarantined.
 TEST(RunnerService, callThatWasLostInTheSameCrashIsNoSecondOne)
 {
-    Service runner(upstream, clock, log, policy());
-    const auto sendTo = [&](std::uint64_t requestId, const std::string &program) {
-        wire::FrameT frame;
-        frame.request_id = requestId;
+    const auto sendSame = [this](std::uint64_t requestId, const std::string &program) {
         wire::ExecuteCallT call = model(program);
         call.body_digest = "same";
-        frame.message.Set(std::move(call));
-        runner.handleFrame(session, frame);
+        send(session, requestId, std::move(call));
     };
-    sendTo(1, "a");
+    sendSame(1, "a");
     upstream.running[0].observer.ended(core::Unknown{"the engine died"});
-    sendTo(2, "b");
+    sendSame(2, "b");
     upstream.running[1].observer.ended(core::Unknown{"the engine died"});
     checkOutcome(session, 2, wire::OutcomeKind::Unknown);
     // It answers again, and crashes again.
-    sendTo(3, "c");
+    sendSame(3, "c");
     upstream.running[2].observer.chunk(0, "x");
     upstream.running[2].observer.ended(core::Unknown{"the engine died"});
     checkOutcome(session, 3, wire::OutcomeKind::Failed);
