--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -377,6 +377,7 @@
         m_hasHead = false;
         m_response = {};
         m_body.clear();
+        m_record.responseEnd.reset();
         m_record.runner = m_placement.id.value();
         m_record.estimatedLoad = m_placement.estimatedLoad;
         m_record.cachedTokens = m_placement.cachedTokens.value();
@@ -387,8 +388,8 @@
         handlers.onBody = [self = this->shared_from_this()](std::string_view piece) {
             self->bodyReceived(piece);
         };
-        handlers.onEnd = [self = this->shared_from_this()](http::ResponseOutcome outcome) {
-            self->responseEnded(outcome);
+        handlers.onEnd = [self = this->shared_from_this()](const http::ResponseEnd &end) {
+            self->responseEnded(end);
         };
         const Urgency urgency = dispatch::requestUrgency(*m_route, m_request, elapsedTime());
         m_record.urgency = urgency.value();
@@ -440,15 +441,19 @@
         m_body += piece;
     }
 
-    void responseEnded(http::ResponseOutcome outcome)
+    void responseEnded(const http::ResponseEnd &end)
     {
         releasePlacement();
-        if (outcome != http::ResponseOutcome::Complete) {
+        m_record.responseEnd = end;
+        m_record.cutBytes = m_events.remainder().size();
+        const bool isComplete = end.ending == http::Ending::Delimited
+            || (end.ending == http::Ending::Closed && end.hasHead && end.framing == http::Framing::UntilClose);
+        if (!isComplete) {
             m_shared.balancer.connectionFailed(m_placement.id, now());
-            if (outcome == http::ResponseOutcome::Truncated) {
+            if (end.ending != http::Ending::Invalid) {
                 checkRunner();
             }
-            attemptLost(outcome == http::ResponseOutcome::Malformed ? "malformed answer" : "broken off");
+            attemptLost(end.ending == http::Ending::Invalid ? "malformed answer" : "broken off");
             return;
         }
         m_shared.pool.release(m_placement.id, std::move(m_connection),
--- a/src/libbriarhinge/forwarding/exchangelog.cpp
+++ b/src/libbriarhinge/forwarding/exchangelog.cpp
@@ -44,6 +44,18 @@
     return reason.substr(0, reason.find(':'));
 }
 
+std::string framingOf(const ExchangeRecord &record)
+{
+    return record.responseEnd && record.responseEnd->hasHead
+        ? std::string(http::framingName(record.responseEnd->framing))
+        : std::string();
+}
+
+std::string endingOf(const ExchangeRecord &record)
+{
+    return record.responseEnd ? std::string(http::endingName(record.responseEnd->ending)) : std::string();
+}
+
 }
 
 ExchangeLog::ExchangeLog(logging::EventLog &log, metrics::ExchangeMetrics &metrics)
@@ -68,7 +80,10 @@
                      {"told", record.reportedLoad.value_or(0)},
                      {"urgency", record.urgency},
                      {"cached", record.cachedTokens},
-                     {"events", record.events}});
+                     {"events", record.events},
+                     {"framing", framingOf(record)},
+                     {"ending", endingOf(record)},
+                     {"cut", record.cutBytes}});
         return;
     }
     m_log.write(logging::events::exchangeFailed,
@@ -86,7 +101,10 @@
                  {"busy", std::lround(record.estimatedLoad)},
                  {"told", record.reportedLoad.value_or(0)},
                  {"urgency", record.urgency},
-                 {"events", record.events}});
+                 {"events", record.events},
+                 {"framing", framingOf(record)},
+                 {"ending", endingOf(record)},
+                 {"cut", record.cutBytes}});
 }
 
 void ExchangeLog::attemptFailed(const ExchangeRecord &record, const dispatch::Placement &placement,
@@ -99,6 +117,9 @@
                  {"address", wire::toString(placement.address)},
                  {"busy", std::lround(placement.estimatedLoad)},
                  {"digest", record.digest},
+                 {"framing", framingOf(record)},
+                 {"ending", endingOf(record)},
+                 {"cut", record.cutBytes},
                  {"reason", reason}});
 }
 
--- a/src/libbriarhinge/forwarding/exchangelog.h
+++ b/src/libbriarhinge/forwarding/exchangelog.h
@@ -2,6 +2,7 @@
 
 #include "base/units.h"
 #include "dispatch/loadbalancer.h"
+#include "http/responseend.h"
 #include "logging/eventlog.h"
 #include "metrics/exchangemetrics.h"
 
@@ -61,6 +62,10 @@
      * Digest of what the request asks for, the same in all attempts of all callers; empty until a connection was lost.
      */
     std::string digest;
+    /** How the runner's last response ended; empty if none has ended. */
+    std::optional<http::ResponseEnd> responseEnd;
+    /** Bytes of that response after its last whole event. */
+    std::size_t cutBytes = 0;
 };
 
 /** Writes log lines and updates metrics for exchanges. */
--- a/src/libbriarhinge/http/clientconnection.cpp
+++ b/src/libbriarhinge/http/clientconnection.cpp
@@ -33,10 +33,27 @@
 constexpr std::size_t readAheadBytes = std::size_t{256} * 1024;
 constexpr unsigned firstFinalStatus = 200;
 
-bool isConnectionLost(const error_code &error)
+Ending endingOf(const error_code &error)
 {
-    return error == asio::error::eof || error == beast::http::error::end_of_stream
-        || error == beast::http::error::partial_message || error.category() == asio::error::get_system_category();
+    if (error == asio::error::eof || error == beast::http::error::end_of_stream
+        || error == beast::http::error::partial_message) {
+        return Ending::Closed;
+    }
+    return error.category() == asio::error::get_system_category() ? Ending::Lost : Ending::Invalid;
+}
+
+Framing framingOf(const Parser &parser, bool isHeadRequest)
+{
+    if (isHeadRequest) {
+        return Framing::None;
+    }
+    if (parser.chunked()) {
+        return Framing::Chunks;
+    }
+    if (parser.need_eof()) {
+        return Framing::UntilClose;
+    }
+    return parser.content_length() ? Framing::Length : Framing::None;
 }
 
 }
@@ -143,20 +160,20 @@
     body.data = d->piece.data();
     body.size = d->piece.size();
     body.more = true;
-    beast::http::async_read_some(
-        d->socket, d->input, parser, [self = shared_from_this()](error_code error, std::size_t) {
-            if (self->d->isClosed) {
-                return;
-            }
-            if (error == beast::http::error::need_buffer) {
-                error = {};
-            }
-            if (error) {
-                self->fail(isConnectionLost(error) ? ResponseOutcome::Truncated : ResponseOutcome::Malformed);
-                return;
-            }
-            self->headReceived();
-        });
+    beast::http::async_read_some(d->socket, d->input, parser,
+                                 [self = shared_from_this()](error_code error, std::size_t) {
+                                     if (self->d->isClosed) {
+                                         return;
+                                     }
+                                     if (error == beast::http::error::need_buffer) {
+                                         error = {};
+                                     }
+                                     if (error) {
+                                         self->fail(endingOf(error));
+                                         return;
+                                     }
+                                     self->headReceived();
+                                 });
 }
 
 void ClientConnection::headReceived()
@@ -206,7 +223,8 @@
     }
     if (d->isSkipping) {
         if (!d->isReusable) {
-            fail(ResponseOutcome::Truncated);
+            d->isHeadReported = false;
+            fail(Ending::Closed);
             return;
         }
         d->parser.emplace();
@@ -226,21 +244,25 @@
         d->isReusable = false;
     }
     d->isBusy = false;
+    const Framing framing = framingOf(*d->parser, d->isHeadRequest);
+    const ResponseEnd end{true, framing, framing == Framing::UntilClose ? Ending::Closed : Ending::Delimited};
     const auto onEnd = std::exchange(d->handlers, {}).onEnd;
     if (d->isReusable) {
         watchIdle();
     } else {
         close();
     }
-    onEnd(ResponseOutcome::Complete);
+    onEnd(end);
 }
 
-void ClientConnection::fail(ResponseOutcome outcome)
+void ClientConnection::fail(Ending ending)
 {
+    const Framing framing = d->isHeadReported ? framingOf(*d->parser, d->isHeadRequest) : Framing::None;
+    const ResponseEnd end{d->isHeadReported, framing, ending};
     const auto handlers = std::exchange(d->handlers, {});
     close();
     if (handlers.onEnd) {
-        handlers.onEnd(outcome);
+        handlers.onEnd(end);
     }
 }
 
--- a/src/libbriarhinge/http/clientconnection.h
+++ b/src/libbriarhinge/http/clientconnection.h
@@ -2,6 +2,7 @@
 
 #include "base/units.h"
 #include "http/headers.h"
+#include "http/responseend.h"
 #include "wire/address.h"
 
 #include <functional>
@@ -23,16 +24,6 @@
     bool isKeepAlive = false;
 };
 
-/** How the response to a request ended. */
-enum class ResponseOutcome {
-    /** The response was received completely. */
-    Complete,
-    /** The connection was closed before the response was complete. */
-    Truncated,
-    /** The received bytes are not a valid HTTP response. */
-    Malformed,
-};
-
 /** How to proceed after the head of a response. */
 enum class HeadAction {
     Accept,
@@ -46,7 +37,7 @@
     std::function<HeadAction(const ResponseHead &)> onHead;
     std::function<void(std::string_view)> onBody;
     /** Called once, unless close() is called first. */
-    std::function<void(ResponseOutcome)> onEnd;
+    std::function<void(const ResponseEnd &)> onEnd;
 };
 
 /**
@@ -101,7 +92,7 @@
     void headReceived();
     void bodyReceived();
     void responseEnded();
-    void fail(ResponseOutcome outcome);
+    void fail(Ending ending);
     void watchIdle();
 
     std::unique_ptr<Private> d;
--- a/tests/platformdeployment.cpp
+++ b/tests/platformdeployment.cpp
@@ -145,9 +145,9 @@
     handlers.onBody = [exchange](std::string_view chunk) {
         exchange->body += chunk;
     };
-    handlers.onEnd = [exchange](http::ResponseOutcome ending) {
+    handlers.onEnd = [exchange](const http::ResponseEnd &end) {
         exchange->isFinished = true;
-        exchange->isComplete = ending == http::ResponseOutcome::Complete;
+        exchange->isComplete = end.ending == http::Ending::Delimited;
     };
     exchange->connection->send(request, false, std::move(handlers));
 }
