--- a/standins/platform/platformrunner.cpp
+++ b/standins/platform/platformrunner.cpp
@@ -1,11 +1,11 @@
 #include "platform/platformrunner.h"
 
+#include "platform/registration.h"
+
 #include <cstdlib>
 #include <stdexcept>
 #include <string_view>
 
-#include <nlohmann/json.hpp>
-
 namespace standins::platform
 {
 
@@ -142,16 +142,7 @@
 
 std::string PlatformRunner::registration(const std::string &service, bool isDraining) const
 {
-    return nlohmann::json{{"service", service},
-                          {"address", briarhinge::wire::toString(m_address)},
-                          {"zone", "z"},
-                          {"version", "v1"},
-                          {"slots", 4},
-                          {"state", isDraining ? "draining" : "ready"},
-                          {"cold_remaining_ms", 0},
-                          {"sequence", isDraining ? 2 : 1},
-                          {"born", m_startTime}}
-        .dump();
+    return runnerRegistration(service, m_address, m_startTime, isDraining);
 }
 
 void PlatformRunner::handle(const Connection &connection, briarhinge::http::IncomingRequest request)
