Forwarding: Decides in one place what the end of an answer proves

The turns were stored, so that later turns would have continued from half an answer.

Cause: an answer with neither a length nor chunks ends with its connection. The reader took each orderly close for the end of the answer and passed on what it had, also in the middle of an event; a whole framing around half an event was believed in the same way. Such an answer cleared its request of suspicion, also if its runner had ended under it.

An orderly close without a length proves an answer only if the content states its end, or if it is between events and the runner still listens (LivenessCheck). What follows from it in one place: what the caller sees, what is stored, the tokens spent, retries, reuse of the connection, the runner's record, and whether the request survived. A head that says "not run" needs no body.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -60,6 +60,7 @@
                       [this](const placement::CrashReport &report) {
                           m_crashSharing.publish(report);
                       })
+    , m_livenessCheck(m_runnerProbe)
     , m_relayServer(
           context, m_peers,
           [this](const wire::Address &address) {
@@ -79,6 +80,9 @@
                         [this](const forwarding::LostAttempt &lost) {
                             m_crashDetector.connectionLost(lost);
                         },
+                        [this](const wire::Address &address, std::function<void(bool)> onResult) {
+                            m_livenessCheck.check(address, std::move(onResult));
+                        },
                         [this] {
                             return m_routing;
                         }}
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -7,6 +7,7 @@
 #include "forwarding/crashsharing.h"
 #include "forwarding/exchange.h"
 #include "forwarding/exchangelog.h"
+#include "forwarding/livenesscheck.h"
 #include "forwarding/runnerconnectionpool.h"
 #include "forwarding/runnerprobe.h"
 #include "http/listener.h"
@@ -98,6 +99,7 @@
     forwarding::CrashSharing<platform::StoreClient> m_crashSharing;
     forwarding::RunnerProbe m_runnerProbe;
     forwarding::CrashDetector<forwarding::RunnerProbe> m_crashDetector;
+    forwarding::LivenessCheck<forwarding::RunnerProbe> m_livenessCheck;
     turns::RelayServer m_relayServer;
     forwarding::ExchangeContext m_exchangeContext;
     std::unique_ptr<platform::PrefixWatch> m_routingWatch;
--- a/src/libbriarhinge/forwarding/crashdetector.h
+++ b/src/libbriarhinge/forwarding/crashdetector.h
@@ -2,14 +2,13 @@
 
 #include "base/units.h"
 #include "dispatch/loadbalancer.h"
-#include "forwarding/runnerprobe.h"
+#include "forwarding/prober.h"
 #include "logging/eventlog.h"
 #include "metrics/exchangemetrics.h"
 #include "placement/suspecttable.h"
 
 #include <algorithm>
 #include <chrono>
-#include <concepts>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -22,16 +21,6 @@
 namespace briarhinge::forwarding
 {
 
-/** Finds out whether a process listens at an address. */
-template <class T>
-concept Prober = requires(T &prober, const wire::Address &address, base::Milliseconds delay,
-                          std::function<void(Reachability)> onResult)
-{
-    {
-        prober.probe(address, delay, std::move(onResult))
-        } -> std::same_as<void>;
-};
-
 /** An attempt whose connection was lost after the request had been sent. */
 struct LostAttempt
 {
@@ -101,7 +90,7 @@
         if (check.neighbours.size() > maxNeighbours) {
             check.neighbours.resize(maxNeighbours);
         }
-        m_prober.probe(registration->address, probeDelay, [this, crash = lost.crash](Reachability reachability) {
+        m_prober.probe(registration->address, socketCloseTime, [this, crash = lost.crash](Reachability reachability) {
             runnerProbed(crash, reachability);
         });
     }
@@ -118,8 +107,6 @@
         ZoneDown,
     };
 
-    /** Sockets of a process that ends are closed one after the other. */
-    static constexpr base::Milliseconds probeDelay{10};
     static constexpr std::size_t maxNeighbours = 3;
     /** Runners of one zone that end within this time may have ended for one reason. */
     static constexpr base::Milliseconds simultaneity{1000};
--- a/src/libbriarhinge/forwarding/eventstream.cpp
+++ b/src/libbriarhinge/forwarding/eventstream.cpp
@@ -85,6 +85,15 @@
     return m_incomplete;
 }
 
+bool EventStream::isInsideEvent() const
+{
+    std::string_view left = m_incomplete;
+    while (left.starts_with(':') && left.find('\n') != std::string_view::npos) {
+        removeFirstLine(left);
+    }
+    return !left.empty();
+}
+
 const std::string &EventStream::data() const
 {
     return m_data;
--- a/src/libbriarhinge/forwarding/eventstream.h
+++ b/src/libbriarhinge/forwarding/eventstream.h
@@ -22,6 +22,9 @@
     /** @return bytes after the last complete event */
     const std::string &remainder() const;
 
+    /** @return whether these bytes are more than whole comments */
+    bool isInsideEvent() const;
+
     /** @return data of all complete events so far, each followed by a line feed */
     const std::string &data() const;
 
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -60,6 +60,8 @@
     placement::SuspectTable &suspects;
     /** Called with each attempt whose connection was lost. */
     std::function<void(const LostAttempt &)> connectionLost;
+    /** Finds out whether the runner at an address lives, after it has closed a connection; see LivenessCheck. */
+    std::function<void(const wire::Address &, std::function<void(bool)>)> checkLiveness;
     /** Returns the routing in force; null while none is known. */
     std::function<std::shared_ptr<const Routing>()> routing;
 };
@@ -446,16 +448,58 @@
         releasePlacement();
         m_record.responseEnd = end;
         m_record.cutBytes = m_events.remainder().size();
-        const bool isComplete = end.ending == http::Ending::Delimited
-            || (end.ending == http::Ending::Closed && end.hasHead && end.framing == http::Framing::UntilClose);
-        if (!isComplete) {
-            m_shared.balancer.connectionFailed(m_placement.id, now());
-            if (end.ending != http::Ending::Invalid) {
-                checkRunner();
-            }
-            attemptLost(end.ending == http::Ending::Invalid ? "malformed answer" : "broken off");
+        if (end.hasHead && m_response.isNotRun) {
+            // The head alone says so.
+            responseCompleted();
+            return;
+        }
+        switch (http::completeness(end, contentEnd())) {
+        case http::Completeness::Complete:
+            responseCompleted();
             return;
+        case http::Completeness::BrokenOff:
+            responseBrokenOff(end);
+            return;
+        case http::Completeness::CompleteIfServerLives:
+            break;
+        }
+        m_shared.checkLiveness(m_placement.address, [self = this->shared_from_this(), end](bool lives) {
+            if (self->m_isFinished) {
+                return;
+            }
+            lives ? self->responseCompleted() : self->responseBrokenOff(end);
+        });
+    }
+
+    /** @return where in its content the response ends */
+    http::ContentEnd contentEnd() const
+    {
+        if (!m_isStreaming) {
+            return http::ContentEnd::Unknown;
         }
+        if (m_events.isInsideEvent()) {
+            return http::ContentEnd::InsideItem;
+        }
+        return m_events.eventCount() == 0 ? http::ContentEnd::BeforeFirstItem : http::ContentEnd::BetweenItems;
+    }
+
+    /** Handles the end of a response that is not whole. */
+    void responseBrokenOff(const http::ResponseEnd &end)
+    {
+        if (end.ending == http::Ending::Delimited) {
+            // The connection still stands, but what the runner sends on it cannot be trusted.
+            m_connection->close();
+        } else {
+            m_shared.balancer.connectionFailed(m_placement.id, now());
+        }
+        if (end.ending == http::Ending::Closed || end.ending == http::Ending::Lost) {
+            checkRunner();
+        }
+        attemptLost(end.ending == http::Ending::Invalid ? "malformed answer" : "broken off");
+    }
+
+    void responseCompleted()
+    {
         m_shared.pool.release(m_placement.id, std::move(m_connection),
                               m_response.keepAliveTimeout.value_or(defaultKeepAliveTimeout));
         m_connection.reset();
--- a/src/libbriarhinge/http/responseend.cpp
+++ b/src/libbriarhinge/http/responseend.cpp
@@ -3,6 +3,21 @@
 namespace briarhinge::http
 {
 
+Completeness completeness(const ResponseEnd &end, ContentEnd content)
+{
+    if (!end.hasHead || end.ending == Ending::Lost || end.ending == Ending::Invalid
+        || content == ContentEnd::InsideItem) {
+        return Completeness::BrokenOff;
+    }
+    if (end.ending == Ending::Delimited) {
+        return Completeness::Complete;
+    }
+    if (end.framing != Framing::UntilClose || content == ContentEnd::BeforeFirstItem) {
+        return Completeness::BrokenOff;
+    }
+    return content == ContentEnd::Stated ? Completeness::Complete : Completeness::CompleteIfServerLives;
+}
+
 std::string_view framingName(Framing framing)
 {
     switch (framing) {
--- a/src/libbriarhinge/http/responseend.h
+++ b/src/libbriarhinge/http/responseend.h
@@ -36,6 +36,39 @@
     Ending ending = Ending::Lost;
 };
 
+/** Where a response ends in its own content. */
+enum class ContentEnd {
+    /** The content does not show where it ends. */
+    Unknown,
+    /** The content states its end itself, as a JSON document does. */
+    Stated,
+    /** Within one of the items that the content consists of. */
+    InsideItem,
+    /** After a whole item. */
+    BetweenItems,
+    /** Before the first item. */
+    BeforeFirstItem,
+};
+
+/** What the end of a response proves. */
+enum class Completeness {
+    Complete,
+    /**
+     * Nothing is missing if the server ended the response by itself; if its process ended, something may be missing.
+     */
+    CompleteIfServerLives,
+    BrokenOff,
+};
+
+/**
+ * Decides whether a response is whole. All readers of responses go by this.
+ *
+ * @param end how the receipt of the response ended
+ * @param content where that is in its content
+ * @return what that proves
+ */
+Completeness completeness(const ResponseEnd &end, ContentEnd content);
+
 /** @param framing the framing of a response @return its name in log lines */
 std::string_view framingName(Framing framing);
 
