Http: Readers of our own interface go by the same decision on the end of an answer

What callers saw: half of a tool's answer without a length was reported as the tool's failure, though the tool may have done its work; a part of a value of the key-value service was taken for the value; briarhingectl printed a part of an answer as the whole.

Cause: cpprest takes an orderly close for the end of a body that has neither a length nor chunks, and its users believed that.

With the decision left out, OwnAnswerEnds fails for the tool and for the key-value service. The scripted runner reads a Content-Length without a space after the colon, as cpprest writes it.

--- a/src/briarhingectl/entryclient.cpp
+++ b/src/briarhingectl/entryclient.cpp
@@ -1,5 +1,7 @@
 #include "entryclient.h"
 
+#include "http/receivedresponse.h"
+
 #include <cpprest/http_client.h>
 
 namespace briarhinge::ctl
@@ -29,7 +31,11 @@
     try {
         web::http::client::http_client client(entry);
         const auto response = client.request(toHttp(method), web::uri::encode_uri(path)).get();
-        return EntryResponse{response.status_code(), response.extract_utf8string(true).get()};
+        std::string body = response.extract_utf8string(true).get();
+        if (!http::isWhole(response, http::ContentEnd::Unknown)) {
+            return EntryUnreachable{entry + ": its answer has no length, a part of it may be missing"};
+        }
+        return EntryResponse{response.status_code(), std::move(body)};
     } catch (const std::exception &error) {
         return EntryUnreachable{entry + ": " + error.what()};
     }
--- a/src/libbriarhinge/keyvalue/httpkeyvalue.cpp
+++ b/src/libbriarhinge/keyvalue/httpkeyvalue.cpp
@@ -1,5 +1,7 @@
 #include "keyvalue/httpkeyvalue.h"
 
+#include "http/receivedresponse.h"
+
 #include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
 
@@ -86,6 +88,10 @@
             answer.status = response.status_code();
             const std::vector<unsigned char> bytes = response.extract_vector().get();
             answer.body.assign(bytes.begin(), bytes.end());
+            // A value is any bytes: a part of it looks like a value, too.
+            if (!http::isWhole(response, http::ContentEnd::Unknown)) {
+                return PlatformUnavailable{"the key-value service's answer has no length"};
+            }
             const auto version = response.headers().find("X-Version");
             if (version != response.headers().end()) {
                 answer.version = std::stoull(version->second);
--- a/src/libbriarhinge/membership/vmlist.cpp
+++ b/src/libbriarhinge/membership/vmlist.cpp
@@ -1,5 +1,7 @@
 #include "membership/vmlist.h"
 
+#include "http/receivedresponse.h"
+
 #include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
 
@@ -64,6 +66,9 @@
         }
         const std::string body = response.extract_utf8string(true).get();
         const json parsed = json::parse(body);
+        if (!http::isWhole(response, http::ContentEnd::Stated)) {
+            return keyvalue::PlatformUnavailable{"the VM list broke off"};
+        }
         std::vector<Vm> vms;
         for (const json &item : parsed.at("vms")) {
             vms.push_back(parseVm(item));
--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -1,5 +1,6 @@
 #include "runner/engineupstream.h"
 
+#include "http/receivedresponse.h"
 #include "runner/linesink.h"
 #include "runner/sseparser.h"
 
@@ -60,12 +61,13 @@
         return concurrency::streams::streambuf<std::uint8_t>(lines).create_ostream();
     }
 
-    core::Outcome outcome() const
+    /** @param response the response, whose body was received without an error */
+    core::Outcome outcome(const http_response &response) const
     {
         if (!m_error.empty()) {
             return core::Failed{m_error};
         }
-        if (!m_complete) {
+        if (!http::isWhole(response, m_complete ? http::ContentEnd::Stated : http::ContentEnd::InsideItem)) {
             return core::Unknown{"the engine's stream broke off"};
         }
         return core::Completed{m_text, m_usage};
@@ -217,9 +219,10 @@
     client->request(request, cancellation->token())
         .then([reader](const http_response &response) -> pplx::task<std::optional<core::Outcome>> {
             if (response.status_code() == web::http::status_codes::OK) {
-                return response.content_ready().then([reader](const http_response &) -> std::optional<core::Outcome> {
-                    return reader->outcome();
-                });
+                return response.content_ready().then(
+                    [reader](const http_response &received) -> std::optional<core::Outcome> {
+                        return reader->outcome(received);
+                    });
             }
             const std::string reason = "the engine answered " + std::to_string(response.status_code());
             return pplx::task_from_result<std::optional<core::Outcome>>(core::Failed{reason});
--- a/src/libbriarhinge/runner/toolupstream.cpp
+++ b/src/libbriarhinge/runner/toolupstream.cpp
@@ -1,5 +1,7 @@
 #include "runner/toolupstream.h"
 
+#include "http/receivedresponse.h"
+
 #include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
 
@@ -23,9 +25,15 @@
     }
 };
 
-core::Outcome parseOutcome(web::http::status_code status, const std::string &body)
+core::Outcome parseOutcome(const http_response &response, const std::string &body)
 {
+    const web::http::status_code status = response.status_code();
     const json parsed = json::parse(body, nullptr, false);
+    // Another status says that the tool has failed, whatever the body.
+    const bool isStated = status != web::http::status_codes::OK || parsed.is_object();
+    if (!http::isWhole(response, isStated ? http::ContentEnd::Stated : http::ContentEnd::Unknown)) {
+        return core::Unknown{"the tool's answer broke off"};
+    }
     if (status != web::http::status_codes::OK || !parsed.is_object()) {
         return core::Failed{"the tool answered " + std::to_string(status) + ": " + body};
     }
@@ -58,13 +66,13 @@
     client->request(request)
         .then([](const http_response &response) {
             return response.extract_utf8string(true).then([response](const std::string &text) {
-                return std::make_pair(response.status_code(), text);
+                return std::make_pair(response, text);
             });
         })
-        .then([observer, client](const pplx::task<std::pair<web::http::status_code, std::string>> &task) {
+        .then([observer, client](const pplx::task<std::pair<http_response, std::string>> &task) {
             try {
-                const auto [status, text] = task.get();
-                observer.ended(parseOutcome(status, text));
+                const auto [response, text] = task.get();
+                observer.ended(parseOutcome(response, text));
             } catch (const web::http::http_exception &error) {
                 if (error.error_code() == std::errc::host_unreachable) {
                     observer.ended(core::NotRun{error.what(), unreachableRetryDelay});
--- a/standins/platform/scriptedrunner.cpp
+++ b/standins/platform/scriptedrunner.cpp
@@ -28,11 +28,11 @@
 
 std::string fieldValue(const std::string &head, const std::string &name)
 {
-    const std::size_t at = head.find("\r\n" + name + ": ");
+    const std::size_t at = head.find("\r\n" + name + ":");
     if (at == std::string::npos) {
         return {};
     }
-    const std::size_t begin = at + name.size() + 4;
+    const std::size_t begin = head.find_first_not_of(' ', at + name.size() + 3);
     return head.substr(begin, head.find("\r\n", begin) - begin);
 }
 
