Http, Forwarding: Bounds answers without end in time and memory

What callers would have seen: a request whose runner sends bytes without end waits for its deadline, while the entry reads and, for a stream or an answer to another request, keeps or searches all of them; several at once end the entry.

Cause: the reader bounded a head and a body, but neither answers to other requests nor interim ones nor their number, and a stream was bounded at 64 MB, in which each piece was searched from the beginning of its event.

Evidence: UnboundedAnswers. Before: the answer without end to another request (case 10) was read until the deadline, the stream without end (case 0) too; both tests failed. Now: no case takes 0.7 s, nor more than 24 MB from its runner.

Limits: interim and skipped answers by number and size; after an answer to another request that ends with its connection no other can follow. A turn ends when its stream has more events than its tokens allow, and is settled at what was handed out. All answers that an entry receives share 32 MB (BufferMemory), small ones always fit.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -32,6 +32,10 @@
  */
 constexpr base::Milliseconds seedDelay{250};
 constexpr base::Milliseconds seedTimeout{500};
+/** Memory for all answers that are being received; an entry has some 100 MB in all. */
+constexpr std::size_t answerMemoryBytes = std::size_t{32} * 1024 * 1024;
+/** An answer of this size is received whatever the others use. */
+constexpr std::size_t smallAnswerBytes = std::size_t{64} * 1024;
 /** Time before SIGKILL at which requests that are still running are aborted. */
 constexpr base::Milliseconds stopMargin{400};
 
@@ -61,6 +65,7 @@
                           m_crashSharing.publish(report);
                       })
     , m_livenessCheck(m_runnerProbe)
+    , m_answerMemory(answerMemoryBytes, smallAnswerBytes)
     , m_relayServer(
           context, m_peers,
           [this](const wire::Address &address) {
@@ -77,6 +82,7 @@
                         m_exchangeLog,
                         m_retryDelay,
                         m_suspects,
+                        m_answerMemory,
                         [this](const forwarding::LostAttempt &lost) {
                             m_crashDetector.connectionLost(lost);
                         },
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -3,6 +3,7 @@
 #include "dispatch/loadbalancer.h"
 #include "dispatch/overloaddetector.h"
 #include "dispatch/retrydelay.h"
+#include "forwarding/buffermemory.h"
 #include "forwarding/crashdetector.h"
 #include "forwarding/crashsharing.h"
 #include "forwarding/exchange.h"
@@ -100,6 +101,7 @@
     forwarding::RunnerProbe m_runnerProbe;
     forwarding::CrashDetector<forwarding::RunnerProbe> m_crashDetector;
     forwarding::LivenessCheck<forwarding::RunnerProbe> m_livenessCheck;
+    forwarding::BufferMemory m_answerMemory;
     turns::RelayServer m_relayServer;
     forwarding::ExchangeContext m_exchangeContext;
     std::unique_ptr<platform::PrefixWatch> m_routingWatch;
--- a/src/libbriarhinge/forwarding/eventstream.cpp
+++ b/src/libbriarhinge/forwarding/eventstream.cpp
@@ -27,30 +27,27 @@
     return line;
 }
 
-/** @return length of the first event including the empty line that ends it, or 0 when the event is incomplete */
-std::size_t firstEventLength(std::string_view text)
-{
-    std::string_view left = text;
-    while (left.find('\n') != std::string_view::npos) {
-        if (removeFirstLine(left).empty()) {
-            return text.size() - left.size();
-        }
-    }
-    return 0;
-}
-
 }
 
 std::string EventStream::append(std::string_view bytes)
 {
+    std::size_t unread = m_incomplete.size();
     m_incomplete += bytes;
+    const std::string_view text = m_incomplete;
     std::size_t whole = 0;
-    while (const std::size_t length = firstEventLength(std::string_view(m_incomplete).substr(whole))) {
-        readEvent(std::string_view(m_incomplete).substr(whole, length));
-        whole += length;
+    std::size_t line = m_lastLine;
+    for (std::size_t end = text.find('\n', unread); end != std::string_view::npos; end = text.find('\n', unread)) {
+        unread = end + 1;
+        const std::string_view content = text.substr(line, end - line);
+        line = unread;
+        if (content.empty() || content == "\r") {
+            readEvent(text.substr(whole, unread - whole));
+            whole = unread;
+        }
     }
     std::string events = m_incomplete.substr(0, whole);
     m_incomplete.erase(0, whole);
+    m_lastLine = line - whole;
     return events;
 }
 
--- a/src/libbriarhinge/forwarding/eventstream.h
+++ b/src/libbriarhinge/forwarding/eventstream.h
@@ -35,6 +35,8 @@
     void readEvent(std::string_view event);
 
     std::string m_incomplete;
+    /** Where the last, unfinished line begins in it. */
+    std::size_t m_lastLine = 0;
     std::string m_data;
     std::size_t m_eventCount = 0;
 };
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -3,6 +3,7 @@
 #include "dispatch/loadbalancer.h"
 #include "dispatch/retrydelay.h"
 #include "dispatch/urgency.h"
+#include "forwarding/buffermemory.h"
 #include "forwarding/crashdetector.h"
 #include "forwarding/eventstream.h"
 #include "forwarding/exchangelog.h"
@@ -16,6 +17,7 @@
 #include <chrono>
 #include <concepts>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <variant>
@@ -58,6 +60,8 @@
     dispatch::RetryDelay &retryDelay;
     /** Requests under which runners have crashed. */
     placement::SuspectTable &suspects;
+    /** Memory for the answers that are being received. */
+    BufferMemory &memory;
     /** Called with each attempt whose connection was lost. */
     std::function<void(const LostAttempt &)> connectionLost;
     /** Finds out whether the runner at an address lives, after it has closed a connection; see LivenessCheck. */
@@ -86,6 +90,7 @@
         , m_startedAt(std::chrono::steady_clock::now())
         , m_timer(context.context)
         , m_trialTimer(context.context)
+        , m_memory(context.memory)
     {
     }
 
@@ -168,7 +173,7 @@
     static constexpr base::Milliseconds trialPollInterval{5};
     /** Requests that many callers send alike must not wait long for a trial that hangs. */
     static constexpr base::Milliseconds maxTrialWait{250};
-    static constexpr std::size_t maxBufferedBytes = std::size_t{8} * 1024 * 1024;
+    static constexpr std::size_t maxAnswerBytes = std::size_t{8} * 1024 * 1024;
 
     bool isTurn() const
     {
@@ -379,6 +384,8 @@
         m_hasHead = false;
         m_response = {};
         m_body.clear();
+        m_answerBytes = 0;
+        m_memory.clear();
         m_record.responseEnd.reset();
         m_record.runner = m_placement.id.value();
         m_record.estimatedLoad = m_placement.estimatedLoad;
@@ -423,24 +430,54 @@
 
     void bodyReceived(std::string_view piece)
     {
-        if (m_isStreaming) {
-            const std::string events = m_events.append(piece);
-            if (!events.empty()) {
-                m_lastEventAt = now();
-                if (m_initialEventCount == 0) {
-                    m_firstEventAt = m_lastEventAt;
-                    m_initialEventCount = m_events.eventCount();
-                }
-                m_caller->sendChunk(events);
-            }
+        m_answerBytes += piece.size();
+        if (m_answerBytes > maxAnswerBytes || !m_memory.grow(piece.size())) {
+            abandonAnswer("answer too large");
             return;
         }
-        if (m_body.size() + piece.size() > maxBufferedBytes) {
-            m_connection->close();
-            attemptLost("answer too large");
+        if (!m_isStreaming) {
+            m_body += piece;
             return;
         }
-        m_body += piece;
+        const std::string events = m_events.append(piece);
+        if (m_events.eventCount() > maxEvents()) {
+            abandonAnswer("more tokens than the request allows");
+            return;
+        }
+        if (!events.empty()) {
+            m_lastEventAt = now();
+            if (m_initialEventCount == 0) {
+                m_firstEventAt = m_lastEventAt;
+                m_initialEventCount = m_events.eventCount();
+            }
+            m_caller->sendChunk(events);
+            m_passedEvents = m_events.eventCount();
+        }
+    }
+
+    /** Ends an attempt whose answer exceeds a limit. */
+    void abandonAnswer(const std::string &reason)
+    {
+        // Closing the connection destroys the handler that is running, which may hold the last reference.
+        const auto self = this->shared_from_this();
+        m_connection->close();
+        attemptLost(reason);
+    }
+
+    /** @return maximum number of events in the answer to a turn: an event has at least one token */
+    std::size_t maxEvents() const
+    {
+        if (!isTurn() || m_request.maxTokens.value() == 0) {
+            return std::numeric_limits<std::size_t>::max();
+        }
+        const std::uint64_t perEvent = tokensPerEvent();
+        return (m_request.maxTokens.value() + perEvent - 1) / perEvent;
+    }
+
+    std::uint64_t tokensPerEvent() const
+    {
+        return m_placementRequest.engine ? std::max<std::uint64_t>(1, m_placementRequest.engine->tokensPerEvent.value())
+                                         : 1;
     }
 
     void responseEnded(const http::ResponseEnd &end)
@@ -668,9 +705,7 @@
         turns::TurnEnd end;
         end.program = m_request.program;
         end.reservation = std::exchange(m_reservation, {});
-        const std::uint64_t tokensPerEvent =
-            m_placementRequest.engine ? m_placementRequest.engine->tokensPerEvent.value() : 1;
-        end.spent = base::Tokens(m_events.eventCount() * tokensPerEvent);
+        end.spent = base::Tokens(m_passedEvents * tokensPerEvent());
         const bool hasTurn = turn.has_value();
         end.turn = std::move(turn);
         m_shared.turns.end(end, storeTurnTimeout, [self = this->shared_from_this(), hasTurn](bool isStored) {
@@ -807,6 +842,9 @@
     RunnerResponse m_response;
     std::string m_body;
     EventStream m_events;
+    BufferMemory::Share m_memory;
+    /** Bytes of the body of the current attempt's response. */
+    std::size_t m_answerBytes = 0;
     Time m_sentAt;
     /** The crash that the current attempt would cause. */
     placement::CrashId m_crash;
@@ -814,6 +852,8 @@
     std::optional<Time> m_trialWaitEnd;
     Time m_firstEventAt;
     Time m_lastEventAt;
+    /** Number of events with data that the caller was sent. */
+    std::size_t m_passedEvents = 0;
     /** Number of events in the first piece of the response that completed any. */
     std::size_t m_initialEventCount = 0;
     ExchangeRecord m_record;
--- a/src/libbriarhinge/http/clientconnection.cpp
+++ b/src/libbriarhinge/http/clientconnection.cpp
@@ -31,7 +31,13 @@
 constexpr std::uint32_t headLimitBytes = 32 * 1024;
 constexpr std::uint64_t bodyLimitBytes = std::uint64_t{64} * 1024 * 1024;
 constexpr std::size_t readAheadBytes = std::size_t{256} * 1024;
+constexpr unsigned statusSwitchingProtocols = 101;
 constexpr unsigned firstFinalStatus = 200;
+/** Interim responses to one request; servers send one or two. */
+constexpr int maxInterimResponses = 8;
+/** Responses to earlier requests that are discarded while the response to the current one is awaited. */
+constexpr int maxSkippedResponses = 4;
+constexpr std::size_t maxSkippedBytes = std::size_t{1024} * 1024;
 
 Ending endingOf(const error_code &error)
 {
@@ -74,6 +80,9 @@
     std::string request;
     ResponseHandlers handlers;
     std::function<void()> onIdleClosed;
+    int interimResponses = 0;
+    int skippedResponses = 0;
+    std::size_t skippedBytes = 0;
     bool isHeadRequest = false;
     bool isHeadReported = false;
     bool isSkipping = false;
@@ -143,6 +152,14 @@
             self->d->isReusable = false;
         }
     });
+    d->interimResponses = 0;
+    d->skippedResponses = 0;
+    d->skippedBytes = 0;
+    awaitResponse();
+}
+
+void ClientConnection::awaitResponse()
+{
     d->parser.emplace();
     d->isHeadReported = false;
     readMore();
@@ -188,9 +205,13 @@
         d->isHeadReported = true;
         const auto &message = parser.get();
         if (message.result_int() < firstFinalStatus) {
-            d->parser.emplace();
             d->isHeadReported = false;
-            readMore();
+            const bool isSwitching = message.result_int() == statusSwitchingProtocols;
+            if (isSwitching || ++d->interimResponses > maxInterimResponses) {
+                fail(Ending::Invalid);
+                return;
+            }
+            awaitResponse();
             return;
         }
         ResponseHead head;
@@ -204,6 +225,12 @@
         if (d->isClosed) {
             return;
         }
+        if (d->isSkipping && (!d->isReusable || ++d->skippedResponses > maxSkippedResponses)) {
+            // The awaited response cannot follow on this connection, or is not going to.
+            d->isHeadReported = false;
+            fail(d->isReusable ? Ending::Invalid : Ending::Closed);
+            return;
+        }
     }
     bodyReceived();
 }
@@ -211,7 +238,14 @@
 void ClientConnection::bodyReceived()
 {
     const std::size_t size = d->piece.size() - d->parser->get().body().size;
-    if (size > 0 && !d->isSkipping) {
+    if (d->isSkipping) {
+        d->skippedBytes += size;
+        if (d->skippedBytes > maxSkippedBytes) {
+            d->isHeadReported = false;
+            fail(Ending::Invalid);
+            return;
+        }
+    } else if (size > 0) {
         d->handlers.onBody({d->piece.data(), size});
     }
     if (d->isClosed) {
@@ -222,14 +256,7 @@
         return;
     }
     if (d->isSkipping) {
-        if (!d->isReusable) {
-            d->isHeadReported = false;
-            fail(Ending::Closed);
-            return;
-        }
-        d->parser.emplace();
-        d->isHeadReported = false;
-        readMore();
+        awaitResponse();
         return;
     }
     responseEnded();
--- a/src/libbriarhinge/http/clientconnection.h
+++ b/src/libbriarhinge/http/clientconnection.h
@@ -43,7 +43,8 @@
 /**
  * A persistent HTTP/1.1 connection to a server, for one request at a time. Never sends a request twice.
  *
- * Bytes that arrive while no request is in progress, and bytes after the end of a response, end the connection.
+ * Bytes that arrive while no request is in progress, and bytes after the end of a response, end the connection. So do
+ * responses that exceed the limits on their head, on interim responses and on responses to earlier requests.
  */
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
@@ -88,6 +89,7 @@
     class Private;
     explicit ClientConnection(std::unique_ptr<Private> state);
 
+    void awaitResponse();
     void readMore();
     void headReceived();
     void bodyReceived();
