Dispatch: A runner that says in an answer that it leaves gets no further requests

Cause: an entry learned that a runner drains from its registration alone.

Now Server-Leaving: 1, translated in platform/, marks the incarnation that was asked (LeavingRunners). Each way to a runner goes through LoadBalancer::selectRunner(), so first attempts, retries, homes of programs and trials of suspects avoid it alike; its idle connections are closed, and a connection that was being opened is not used. Only a registration with a later start ends that. Such a runner that ends has ended by plan, not crashed.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -86,6 +86,9 @@
                         [this](const forwarding::LostAttempt &lost) {
                             m_crashDetector.connectionLost(lost);
                         },
+                        [this](const dispatch::Placement &placement, base::Milliseconds age) {
+                            recordLeavingRunner(placement, age);
+                        },
                         [this](const wire::Address &address, std::function<void(bool)> onResult) {
                             m_livenessCheck.check(address, std::move(onResult));
                         },
@@ -216,6 +219,20 @@
     }
 }
 
+void EntryNode::recordLeavingRunner(const dispatch::Placement &placement, base::Milliseconds age)
+{
+    if (!m_balancer.runnerLeaves(placement.id, placement.startedAt)) {
+        return;
+    }
+    m_connectionPool.closeIdle(placement.id);
+    m_metrics.runnerLeft();
+    m_log.write(logging::events::runnerLeaving,
+                {{"runner", placement.id.value()},
+                 {"started", placement.startedAt},
+                 {"source", "answer"},
+                 {"age", age.count()}});
+}
+
 void EntryNode::watchGroup()
 {
     platform::ItemHandlers handlers;
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -72,6 +72,13 @@
     void watchGroup();
     void scheduleRunnerRemoval(const dispatch::RunnerId &id, base::Milliseconds gracePeriod);
     void removeRunner(const dispatch::RunnerId &id);
+    /**
+     * Records that a runner has said in an answer that it leaves.
+     *
+     * @param placement the runner of the attempt that was answered
+     * @param age maximum age of that knowledge, in milliseconds
+     */
+    void recordLeavingRunner(const dispatch::Placement &placement, base::Milliseconds age);
     void applyRouting(const keyvalue::KeyValue &item);
     void applyRunner(const keyvalue::KeyValue &item);
     void applyGroup(const keyvalue::KeyValue &item);
--- a/src/libbriarhinge/dispatch/loadbalancer.cpp
+++ b/src/libbriarhinge/dispatch/loadbalancer.cpp
@@ -13,6 +13,8 @@
 constexpr base::Milliseconds maxLoadReportAge{1500};
 /** How long a runner that refused a request is considered full: a fraction of a request's duration. */
 constexpr base::Milliseconds fullBackoff{60};
+/** More runners than leave while the platform's store is away and lists them as sound. */
+constexpr std::size_t maxGoneLeavingRunners = 1024;
 /** Assumed cache size of an engine that declares none. */
 const base::Tokens defaultCacheTokens{50'000};
 
@@ -21,6 +23,7 @@
 LoadBalancer::LoadBalancer(base::ZoneName zone, const PlacementWeights &weights)
     : m_zone(std::move(zone))
     , m_weights(weights)
+    , m_leaving(maxGoneLeavingRunners)
 {
 }
 
@@ -30,6 +33,7 @@
     Runner &runner = found->second;
     if (isNew) {
         runner.registration = registration;
+        m_leaving.recordRegistration(registration.id, registration.startedAt);
         return true;
     }
     const bool isOlderStart = registration.startedAt < runner.registration.startedAt;
@@ -38,6 +42,7 @@
     if (isOlderStart || isOlder) {
         return false;
     }
+    m_leaving.recordRegistration(registration.id, registration.startedAt);
     if (registration.startedAt > runner.registration.startedAt) {
         runner.promptCache.clear();
         runner.health = {};
@@ -55,6 +60,7 @@
 
 bool LoadBalancer::removeRunner(const RunnerId &id)
 {
+    m_leaving.recordRemoval(id);
     return m_runners.erase(id) > 0;
 }
 
@@ -111,8 +117,8 @@
     ++m_rotation;
     std::size_t index = 0;
     for (const auto &[id, runner] : m_runners) {
-        const bool isEligible = runner.registration.service == request.service && !runner.registration.isDraining
-            && !request.excluded.contains(id);
+        const bool isEligible =
+            runner.registration.service == request.service && !isLeaving(runner) && !request.excluded.contains(id);
         if (!isEligible) {
             continue;
         }
@@ -219,6 +225,22 @@
     });
 }
 
+bool LoadBalancer::runnerLeaves(const RunnerId &id, std::uint64_t startedAt)
+{
+    return m_leaving.add(id, startedAt, m_runners.contains(id));
+}
+
+bool LoadBalancer::isLeaving(const RunnerId &id) const
+{
+    const auto found = m_runners.find(id);
+    return found == m_runners.end() || isLeaving(found->second);
+}
+
+bool LoadBalancer::isLeaving(const Runner &runner) const
+{
+    return runner.registration.isDraining || m_leaving.contains(runner.registration.id, runner.registration.startedAt);
+}
+
 std::size_t LoadBalancer::size() const
 {
     return m_runners.size();
@@ -239,7 +261,7 @@
     }
     for (const auto &[otherId, other] : m_runners) {
         if (otherId != id && other.registration.service == self->service && other.registration.zone == self->zone
-            && !other.registration.isDraining) {
+            && !isLeaving(other)) {
             found.push_back(other.registration);
         }
     }
--- a/src/libbriarhinge/dispatch/loadbalancer.h
+++ b/src/libbriarhinge/dispatch/loadbalancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/leavingrunners.h"
 #include "dispatch/promptcacheestimate.h"
 #include "dispatch/runner.h"
 #include "dispatch/runnerperformance.h"
@@ -204,13 +205,25 @@
     void requestStalled(const RunnerId &id, const forwarding::RouteName &route, TypicalDurations::Duration waited,
                         Time now);
 
+    /**
+     * Records that a runner has said in an answer that it leaves. It gets no further requests.
+     *
+     * @param id the runner
+     * @param startedAt start of the incarnation that answered, in Unix milliseconds, 0 when unknown
+     * @return whether that is new
+     */
+    bool runnerLeaves(const RunnerId &id, std::uint64_t startedAt);
+
+    /** @param id a runner @return whether it drains, has said that it leaves, or is not registered */
+    bool isLeaving(const RunnerId &id) const;
+
     /** @return number of known runners */
     std::size_t size() const;
 
     /** @param id a runner @return its registration, or null if it is not known */
     const RegisteredRunner *registration(const RunnerId &id) const;
 
-    /** @param id a runner @return the other runners of its service in its zone that are not draining */
+    /** @param id a runner @return the other runners of its service in its zone that do not leave */
     std::vector<RegisteredRunner> neighbours(const RunnerId &id) const;
 
 private:
@@ -238,6 +251,7 @@
         }
     }
 
+    bool isLeaving(const Runner &runner) const;
     static double estimatedLoad(const Runner &runner, Time now);
     double penalty(const Runner &runner, const PlacementRequest &request, Time now) const;
     double placementCost(const Runner &runner, const PlacementRequest &request, Time now) const;
@@ -245,6 +259,7 @@
     const base::ZoneName m_zone;
     const PlacementWeights m_weights;
     std::map<RunnerId, Runner> m_runners;
+    LeavingRunners m_leaving;
     TypicalDurations m_typicalDurations;
     std::size_t m_rotation = 0;
 };
--- a/src/libbriarhinge/forwarding/crashdetector.h
+++ b/src/libbriarhinge/forwarding/crashdetector.h
@@ -79,7 +79,7 @@
         }
         check.runner = dispatch::RunnerId(lost.crash.runner);
         const dispatch::RegisteredRunner *registration = m_balancer.registration(check.runner);
-        if (registration == nullptr || registration->isDraining) {
+        if (registration == nullptr || m_balancer.isLeaving(check.runner)) {
             finish(lost.crash, Result::Leaving);
             return;
         }
@@ -158,8 +158,8 @@
             return;
         }
         Check &check = m_checks.at(crash);
-        const dispatch::RegisteredRunner *registration = m_balancer.registration(check.runner);
-        if (registration != nullptr && registration->isDraining) {
+        const bool isRegistered = m_balancer.registration(check.runner) != nullptr;
+        if (isRegistered && m_balancer.isLeaving(check.runner)) {
             finish(crash, Result::Leaving);
             return;
         }
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -64,6 +64,8 @@
     BufferMemory &memory;
     /** Called with each attempt whose connection was lost. */
     std::function<void(const LostAttempt &)> connectionLost;
+    /** Called with each attempt in whose answer the runner says that it leaves, and the time since it was sent. */
+    std::function<void(const dispatch::Placement &, base::Milliseconds)> runnerLeaves;
     /** Finds out whether the runner at an address lives, after it has closed a connection; see LivenessCheck. */
     std::function<void(const wire::Address &, std::function<void(bool)>)> checkLiveness;
     /** Returns the routing in force; null while none is known. */
@@ -372,6 +374,13 @@
             return;
         }
         m_connection = std::move(*connection);
+        if (m_shared.balancer.isLeaving(m_placement.id)) {
+            // It said so while the connection was being opened.
+            m_connection->close();
+            releasePlacement();
+            retryElsewhere();
+            return;
+        }
         send();
     }
 
@@ -409,6 +418,10 @@
     http::HeadAction headReceived(const http::ResponseHead &head)
     {
         RunnerResponse response = Format::decodeResponse(head);
+        if (response.isLeaving) {
+            // Also in a late answer to another request: it comes from the same process.
+            m_shared.runnerLeaves(m_placement, std::chrono::duration_cast<base::Milliseconds>(now() - m_sentAt));
+        }
         if (!response.request.value().empty() && response.request != m_request.id) {
             return http::HeadAction::Skip;
         }
@@ -538,7 +551,8 @@
     void responseCompleted()
     {
         m_shared.pool.release(m_placement.id, std::move(m_connection),
-                              m_response.keepAliveTimeout.value_or(defaultKeepAliveTimeout));
+                              m_response.isLeaving ? base::Milliseconds(0)
+                                                   : m_response.keepAliveTimeout.value_or(defaultKeepAliveTimeout));
         m_connection.reset();
         recordResponse();
         if (!m_response.isNotRun) {
--- a/src/libbriarhinge/forwarding/messages.h
+++ b/src/libbriarhinge/forwarding/messages.h
@@ -80,6 +80,8 @@
     /** Whether the response carries the stamp of the runner; without it, a success cannot be trusted. */
     bool isSigned = false;
     bool isEventStream = false;
+    /** Whether the runner says that it is shutting down. */
+    bool isLeaving = false;
     /** Request that is answered; empty when the runner did not state it. */
     RequestId request;
     std::optional<ReportedLoad> load;
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -83,6 +83,7 @@
 inline constexpr EventKind runnerChecked{644, "runner-checked", Level::Warning};
 inline constexpr EventKind crashRecorded{645, "crash-recorded", Level::Warning};
 inline constexpr EventKind digestQuarantined{646, "digest-quarantined", Level::Error};
+inline constexpr EventKind runnerLeaving{647, "runner-leaving", Level::Info};
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
 // clang-format off
@@ -144,6 +145,7 @@
     runnerChecked,
     crashRecorded,
     digestQuarantined,
+    runnerLeaving,
     invariantViolated,
 };
 // clang-format on
--- a/src/libbriarhinge/metrics/exchangemetrics.cpp
+++ b/src/libbriarhinge/metrics/exchangemetrics.cpp
@@ -34,6 +34,11 @@
                                                             .Name("briarhinge_attempts_failed_total")
                                                             .Help("Attempts at runners that came to nothing")
                                                             .Register(registry);
+    prometheus::Counter &leavingRunners = prometheus::BuildCounter()
+                                              .Name("briarhinge_leaving_runners_total")
+                                              .Help("Runners that said in an answer that they leave")
+                                              .Register(registry)
+                                              .Add({});
     prometheus::Family<prometheus::Counter> &checks = prometheus::BuildCounter()
                                                           .Name("briarhinge_runner_checks_total")
                                                           .Help("Checks of runners after lost connections")
@@ -84,6 +89,11 @@
     d->checks.Add({{"result", std::string(result)}}).Increment();
 }
 
+void ExchangeMetrics::runnerLeft()
+{
+    d->leavingRunners.Increment();
+}
+
 std::string ExchangeMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(d->registry.Collect());
--- a/src/libbriarhinge/metrics/exchangemetrics.h
+++ b/src/libbriarhinge/metrics/exchangemetrics.h
@@ -40,6 +40,9 @@
      */
     void runnerChecked(std::string_view result);
 
+    /** Counts a runner that said in an answer that it leaves. */
+    void runnerLeft();
+
     /** @return the metrics in the Prometheus text format */
     std::string text() const;
 
--- a/standins/platform/platformrunner.cpp
+++ b/standins/platform/platformrunner.cpp
@@ -27,15 +27,30 @@
     return std::chrono::milliseconds(at == std::string::npos ? 0 : std::atoi(target.c_str() + at + word.size()));
 }
 
-OutgoingResponseHead answerHead(unsigned status, const std::string &request)
+}
+
+PlatformRunner::PlatformRunner(boost::asio::io_context &context, const briarhinge::wire::Address &address,
+                               std::string id)
+    : m_context(context)
+    , m_address(address)
+    , m_id(std::move(id))
+    , m_startTime(startTime)
+{
+    listen();
+}
+
+OutgoingResponseHead PlatformRunner::answerHead(unsigned status, const std::string &request) const
 {
     OutgoingResponseHead head{status, {}};
     head.headers.add("X-Request-Id", request);
     head.headers.add("Keep-Alive", "timeout=5");
+    if (m_isLeaving && m_isLeaving()) {
+        head.headers.add("Server-Leaving", "1");
+    }
     return head;
 }
 
-OutgoingResponseHead signedAnswerHead(unsigned status, const std::string &request)
+OutgoingResponseHead PlatformRunner::signedAnswerHead(unsigned status, const std::string &request) const
 {
     OutgoingResponseHead head = answerHead(status, request);
     head.headers.add("X-Server-Stamp", "stamp");
@@ -43,16 +58,9 @@
     return head;
 }
 
-}
-
-PlatformRunner::PlatformRunner(boost::asio::io_context &context, const briarhinge::wire::Address &address,
-                               std::string id)
-    : m_context(context)
-    , m_address(address)
-    , m_id(std::move(id))
-    , m_startTime(startTime)
+void PlatformRunner::setLeavingCondition(std::function<bool()> isLeaving)
 {
-    listen();
+    m_isLeaving = std::move(isLeaving);
 }
 
 void PlatformRunner::listen()
@@ -200,7 +208,7 @@
         return;
     }
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, workDuration(received.target));
-    timer->async_wait([timer, connection, id](const boost::system::error_code &) {
+    timer->async_wait([this, timer, connection, id](const boost::system::error_code &) {
         connection->respond(signedAnswerHead(200, id), "answer " + id);
     });
 }
--- a/standins/platform/platformrunner.h
+++ b/standins/platform/platformrunner.h
@@ -83,6 +83,9 @@
     /** @param mustReset returns whether requests are executed and their connections closed without an answer */
     void setResetCondition(std::function<bool()> mustReset);
 
+    /** @param isLeaving returns whether answers say that the runner leaves */
+    void setLeavingCondition(std::function<bool()> isLeaving);
+
     /** @param onExecuted called with each request that begins to run */
     void setExecutionHandler(std::function<void(const ReceivedRequest &)> onExecuted);
 
@@ -121,6 +124,8 @@
 private:
     using Connection = std::shared_ptr<briarhinge::http::ServerConnection>;
 
+    briarhinge::http::OutgoingResponseHead answerHead(unsigned status, const std::string &request) const;
+    briarhinge::http::OutgoingResponseHead signedAnswerHead(unsigned status, const std::string &request) const;
     void listen();
     void handle(const Connection &connection, briarhinge::http::IncomingRequest request);
     bool isCrashing(const ReceivedRequest &request) const;
@@ -135,6 +140,7 @@
     std::vector<std::unique_ptr<briarhinge::http::Listener>> m_closedListeners;
     std::string m_crashText;
     std::function<bool()> m_mustReset;
+    std::function<bool()> m_isLeaving;
     std::function<void()> m_onCrash;
     std::function<void(const ReceivedRequest &)> m_onExecuted;
     std::uint64_t m_startTime;
--- a/standins/platform/runnermain.cpp
+++ b/standins/platform/runnermain.cpp
@@ -14,7 +14,9 @@
         "requests", "file to which a line is appended for each request that begins to run",
         cxxopts::value<std::string>())(
         "reset-file", "while this file exists, requests run and their connections are closed without an answer",
-        cxxopts::value<std::string>()->default_value(""))(
+        cxxopts::value<std::string>()->default_value(""))("leaving-file",
+                                                          "while this file exists, answers say that the runner leaves",
+                                                          cxxopts::value<std::string>()->default_value(""))(
         "crash-text", "a request whose path or body contains this ends the process when it begins to run",
         cxxopts::value<std::string>()->default_value("crash-runner"));
     const auto parsed = parseOptions(options, argc, argv);
@@ -32,6 +34,9 @@
     runner.setResetCondition([file = (*parsed)["reset-file"].as<std::string>()] {
         return !file.empty() && std::filesystem::exists(file);
     });
+    runner.setLeavingCondition([file = (*parsed)["leaving-file"].as<std::string>()] {
+        return !file.empty() && std::filesystem::exists(file);
+    });
     runner.setCrashText((*parsed)["crash-text"].as<std::string>(), [] {
         std::_Exit(EXIT_FAILURE);
     });
