Runner, KeyValue: Bodies without end are refused at a limit

What callers would have seen: a tool, an engine, the key-value service or the VM list that sends a body without end fills the memory of the process which reads it, until it is killed with all it was doing.

Cause: cpprest collects a body whole, and the engine's stream was split into lines of any length.

Evidence: OwnAnswerEnds.aBodyWithoutEndIsUnknownAndItsReaderStops. Now the bytes go through ByteSink (LineSink without its lines), which ends the request with an error at a limit: unknown for a call, unavailable for the key-value service.

Open: cpprest's client has no limit on a head.

--- a/src/libbriarhinge/runner/linesink.h
+++ b/src/libbriarhinge/http/bytesink.h
@@ -1,25 +1,30 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
 #include <cpprest/streams.h>
 
-namespace briarhinge::runner
+namespace briarhinge::http
 {
 
 /**
- * Write-only stream buffer that passes each complete line to a callback.
+ * Write-only stream buffer that passes bytes to a callback, up to a limit. More bytes end the request with an error.
  *
  * cpprest writes a response body into it on the thread that received the data. Reading the body through cpprest's own
  * buffer would start a task for each byte that is waited for.
  */
-class LineSink : public concurrency::streams::details::streambuf_state_manager<std::uint8_t>
+class ByteSink : public concurrency::streams::details::streambuf_state_manager<std::uint8_t>
 {
 public:
-    /** @param onLine called with each line, without the line feed */
-    explicit LineSink(std::function<void(std::string_view)> onLine);
+    /**
+     * @param maxBytes maximum number of bytes
+     * @param onBytes called with the bytes as they are received
+     */
+    ByteSink(std::size_t maxBytes, std::function<void(std::string_view)> onBytes);
 
     bool can_seek() const override;
     bool has_size() const override;
@@ -47,11 +52,17 @@
     std::uint8_t *_alloc(std::size_t count) override;
     void _commit(std::size_t count) override;
 
-    void consume(std::string_view text);
+    bool consume(std::string_view bytes);
 
-    std::function<void(std::string_view)> m_onLine;
-    /** The received part of an incomplete line. */
-    std::string m_partial;
+    std::size_t m_bytesLeft;
+    std::function<void(std::string_view)> m_onBytes;
 };
 
+/**
+ * @param body receives the body
+ * @param maxBytes maximum size of the body
+ * @return a stream for the body of a response
+ */
+concurrency::streams::ostream boundedBody(const std::shared_ptr<std::string> &body, std::size_t maxBytes);
+
 }
--- a/src/libbriarhinge/keyvalue/httpkeyvalue.cpp
+++ b/src/libbriarhinge/keyvalue/httpkeyvalue.cpp
@@ -1,5 +1,6 @@
 #include "keyvalue/httpkeyvalue.h"
 
+#include "http/bytesink.h"
 #include "http/receivedresponse.h"
 
 #include <cpprest/http_client.h>
@@ -17,6 +18,9 @@
 using web::http::methods;
 using web::http::status_codes;
 
+/** Several times the largest page of a listing. */
+constexpr std::size_t maxAnswerBytes = std::size_t{64} * 1024 * 1024;
+
 /** An HTTP answer of the service. */
 struct Answer
 {
@@ -83,11 +87,12 @@
             if (body != nullptr) {
                 request.set_body(*body, "application/octet-stream");
             }
-            http_response response = client.request(request).get();
+            const auto received = std::make_shared<std::string>();
+            request.set_response_stream(http::boundedBody(received, maxAnswerBytes));
+            const http_response response = client.request(request).get().content_ready().get();
             Answer answer;
             answer.status = response.status_code();
-            const std::vector<unsigned char> bytes = response.extract_vector().get();
-            answer.body.assign(bytes.begin(), bytes.end());
+            answer.body = std::move(*received);
             // A value is any bytes: a part of it looks like a value, too.
             if (!http::isWhole(response, http::ContentEnd::Unknown)) {
                 return PlatformUnavailable{"the key-value service's answer has no length"};
--- a/src/libbriarhinge/membership/vmlist.cpp
+++ b/src/libbriarhinge/membership/vmlist.cpp
@@ -1,5 +1,6 @@
 #include "membership/vmlist.h"
 
+#include "http/bytesink.h"
 #include "http/receivedresponse.h"
 
 #include <cpprest/http_client.h>
@@ -13,6 +14,9 @@
 
 using nlohmann::json;
 
+/** A few hundred bytes for each of far more VMs than there are. */
+constexpr std::size_t maxListBytes = std::size_t{16} * 1024 * 1024;
+
 Vm parseVm(const json &item)
 {
     Vm vm;
@@ -60,11 +64,15 @@
 VmListResult VmListClient::read()
 {
     try {
-        const auto response = d->client.request(web::http::methods::GET, "/v1/vms").get();
+        const auto received = std::make_shared<std::string>();
+        web::http::http_request request(web::http::methods::GET);
+        request.set_request_uri("/v1/vms");
+        request.set_response_stream(http::boundedBody(received, maxListBytes));
+        const auto response = d->client.request(request).get().content_ready().get();
         if (response.status_code() != web::http::status_codes::OK) {
             return keyvalue::PlatformUnavailable{"the VM list answered " + std::to_string(response.status_code())};
         }
-        const std::string body = response.extract_utf8string(true).get();
+        const std::string body = std::move(*received);
         const json parsed = json::parse(body);
         if (!http::isWhole(response, http::ContentEnd::Stated)) {
             return keyvalue::PlatformUnavailable{"the VM list broke off"};
--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -1,7 +1,8 @@
 #include "runner/engineupstream.h"
 
+#include "http/bytesink.h"
 #include "http/receivedresponse.h"
-#include "runner/linesink.h"
+#include "runner/linesplitter.h"
 #include "runner/sseparser.h"
 
 #include <optional>
@@ -20,6 +21,8 @@
 
 constexpr base::Milliseconds unreachableRetryDelay{1000};
 
+/** Far more than the longest answer with the frames around its tokens. */
+constexpr std::size_t maxStreamBytes = std::size_t{64} * 1024 * 1024;
 constexpr std::string_view endOfStream = "[DONE]";
 
 class RequestCancellation : public Cancellation
@@ -49,16 +52,20 @@
         , m_parser([this](std::string_view data) {
             processEvent(data);
         })
+        , m_lines([this](std::string_view line) {
+            m_parser.processLine(line);
+        })
     {
     }
 
     /** @return stream that receives the response body; it keeps this reader alive */
     concurrency::streams::ostream sink()
     {
-        const auto lines = std::make_shared<LineSink>([self = shared_from_this()](std::string_view line) {
-            self->m_parser.processLine(line);
-        });
-        return concurrency::streams::streambuf<std::uint8_t>(lines).create_ostream();
+        const auto bytes =
+            std::make_shared<http::ByteSink>(maxStreamBytes, [self = shared_from_this()](std::string_view piece) {
+                self->m_lines.append(piece);
+            });
+        return concurrency::streams::streambuf<std::uint8_t>(bytes).create_ostream();
     }
 
     /** @param response the response, whose body was received without an error */
@@ -110,6 +117,7 @@
     UpstreamObserver m_observer;
     std::string m_text;
     SseParser m_parser;
+    LineSplitter m_lines;
     core::Usage m_usage;
     std::string m_error;
     bool m_complete = false;
--- a/src/libbriarhinge/runner/toolupstream.cpp
+++ b/src/libbriarhinge/runner/toolupstream.cpp
@@ -1,5 +1,6 @@
 #include "runner/toolupstream.h"
 
+#include "http/bytesink.h"
 #include "http/receivedresponse.h"
 
 #include <cpprest/http_client.h>
@@ -15,6 +16,7 @@
 using web::http::http_response;
 
 constexpr base::Milliseconds unreachableRetryDelay{1000};
+constexpr std::size_t maxAnswerBytes = std::size_t{16} * 1024 * 1024;
 
 /** Does nothing: tool calls are not cancelled, because it would be unknown whether they took effect. */
 class NoCancellation : public Cancellation
@@ -63,16 +65,15 @@
                     {"call", call.call.request.number.value()},
                     {"input", call.call.prompt}};
     request.set_body(body.dump(-1, ' ', false, json::error_handler_t::replace), "application/json");
+    const auto answer = std::make_shared<std::string>();
+    request.set_response_stream(http::boundedBody(answer, maxAnswerBytes));
     client->request(request)
         .then([](const http_response &response) {
-            return response.extract_utf8string(true).then([response](const std::string &text) {
-                return std::make_pair(response, text);
-            });
+            return response.content_ready();
         })
-        .then([observer, client](const pplx::task<std::pair<http_response, std::string>> &task) {
+        .then([observer, client, answer](const pplx::task<http_response> &task) {
             try {
-                const auto [response, text] = task.get();
-                observer.ended(parseOutcome(response, text));
+                observer.ended(parseOutcome(task.get(), *answer));
             } catch (const web::http::http_exception &error) {
                 if (error.error_code() == std::errc::host_unreachable) {
                     observer.ended(core::NotRun{error.what(), unreachableRetryDelay});
--- a/tests/test_ownanswerends.cpp
+++ b/tests/test_ownanswerends.cpp
@@ -55,6 +55,11 @@
         m_context.restart();
     }
 
+    std::size_t sentBytes() const
+    {
+        return m_server.sentBytes();
+    }
+
     std::string url() const
     {
         return "http://" + wire::toString(m_server.address());
@@ -67,10 +72,9 @@
 };
 
 template <class Upstream>
-core::Outcome execute(const ScriptedAnswer &answer)
+core::Outcome execute(const AnswerThread &server, base::Milliseconds timeout = base::Milliseconds(5000))
 {
-    const AnswerThread server(answer);
-    Upstream upstream(server.url(), base::Milliseconds(1000));
+    Upstream upstream(server.url(), timeout);
     std::promise<core::Outcome> ended;
     runner::UpstreamObserver observer;
     observer.chunk = [](std::size_t, const std::string &) {};
@@ -81,6 +85,13 @@
     return ended.get_future().get();
 }
 
+template <class Upstream>
+core::Outcome execute(const ScriptedAnswer &answer)
+{
+    const AnswerThread server(answer);
+    return execute<Upstream>(server);
+}
+
 template <class Upstream>
 bool isCompleted(const std::string &bytes, AnswerEnding ending)
 {
@@ -180,3 +191,39 @@
     CHECK_FALSE(list(withLength(page).substr(0, 60), AnswerEnding::Close));
     CHECK_FALSE(list(plainHead, AnswerEnding::Close));
 }
+
+// Guards against a body without end that fills the memory of the process which reads it.
+TEST(OwnAnswerEnds, aBodyWithoutEndIsUnknownAndItsReaderStops)
+{
+    constexpr std::size_t maxSentBytes = std::size_t{100} * 1024 * 1024;
+    const std::string letters(64 * 1024, 'a');
+    const auto check = [&letters](const std::string &begin, const auto &isRefused) {
+        const AnswerThread server(ScriptedAnswer{{plainHead + "\r\n" + begin, letters}, AnswerEnding::NeverEnd});
+        CHECK(isRefused(server));
+        CHECK(server.sentBytes() < maxSentBytes);
+    };
+    check("", [](const AnswerThread &server) {
+        return std::holds_alternative<core::Unknown>(execute<runner::ToolUpstream>(server));
+    });
+    check("data: ", [](const AnswerThread &server) {
+        return std::holds_alternative<core::Unknown>(execute<runner::EngineUpstream>(server));
+    });
+    check("", [](const AnswerThread &server) {
+        keyvalue::HttpKeyValue service(server.url(), base::Milliseconds(5000));
+        return std::holds_alternative<keyvalue::PlatformUnavailable>(service.read("k"));
+    });
+    check("", [](const AnswerThread &server) {
+        membership::VmListClient list(server.url(), base::Milliseconds(5000));
+        return std::holds_alternative<keyvalue::PlatformUnavailable>(list.read());
+    });
+}
+
+// Guards against a head without end that fills the memory of the process which reads it.
+TEST(OwnAnswerEnds, aHeadWithoutEndIsUnknownAndItsReaderStops)
+{
+    constexpr std::size_t maxSentBytes = std::size_t{100} * 1024 * 1024;
+    const AnswerThread server(
+        ScriptedAnswer{{"HTTP/1.1 200 OK\r\nX-A: ", std::string(64 * 1024, 'a')}, AnswerEnding::NeverEnd});
+    CHECK(std::holds_alternative<core::Unknown>(execute<runner::ToolUpstream>(server, base::Milliseconds(1000))));
+    CHECK(server.sentBytes() < maxSentBytes);
+}
