Forwarding: An entry that starts asks the next ones while others do not answer

Cause: the first three addresses were asked once; nobody else was asked when they failed.

Evidence: two tests of CrashSharing fail on the code before and pass now.

--- a/src/libbriarhinge/forwarding/crashsharing.h
+++ b/src/libbriarhinge/forwarding/crashsharing.h
@@ -61,11 +61,13 @@
         , m_suspects(suspects)
         , m_log(log)
         , m_publishTimer(context)
+        , m_fetchTimer(context)
     {
     }
 
     /**
-     * Sets the addresses of the other entries. The first ones that are set are asked for the crashes they know.
+     * Sets the addresses of the other entries. The first ones that are set and answer are asked for the crashes they
+     * know.
      *
      * @param addresses the addresses, in the order in which this entry prefers them
      */
@@ -74,12 +76,13 @@
         for (const wire::Address &address : addresses) {
             if (!m_entries.contains(address)) {
                 m_entries.emplace(address, std::make_unique<Entry>(m_context, endSequence()));
-                fetch(address);
+                m_unasked.push_back(address);
             }
         }
         std::erase_if(m_entries, [&addresses](const auto &entry) {
             return std::find(addresses.begin(), addresses.end(), entry.first) == addresses.end();
         });
+        fetchNext();
     }
 
     /**
@@ -149,6 +152,9 @@
     void stop()
     {
         m_publishTimer.cancel();
+        m_fetchTimer.cancel();
+        m_unasked.clear();
+        m_silent.clear();
         m_entries.clear();
     }
 
@@ -173,6 +179,8 @@
     /** An entry that is away for longer reads what was published when it is back. */
     static constexpr std::size_t maxFailures = 10;
     static constexpr std::size_t maxFetches = 3;
+    /** Rounds in which entries that did not answer are asked again: they may be starting as well. */
+    static constexpr int maxFetchRounds = 10;
     static constexpr std::size_t maxOwnCrashes = 256;
     /** Bounds the published value, at some 120 bytes a request, well below the 1 MB of the service. */
     static constexpr std::size_t maxPublishedRequests = 4000;
@@ -208,26 +216,55 @@
         }
     }
 
-    void fetch(const wire::Address &address)
+    /** Asks entries until enough have answered or are being asked. */
+    void fetchNext()
     {
-        if (m_fetches >= maxFetches) {
-            return;
+        while (m_fetches < maxFetches && !m_unasked.empty()) {
+            const wire::Address address = m_unasked.front();
+            m_unasked.pop_front();
+            if (m_entries.contains(address)) {
+                fetch(address);
+            }
         }
+    }
+
+    void fetch(const wire::Address &address)
+    {
         ++m_fetches;
         wire::MessageUnion message;
         message.Set(wire::FetchCrashesT{});
-        m_peers.sendRequest(address, std::move(message), sendTimeout, [this](const wire::ChannelReply &reply) {
+        m_peers.sendRequest(address, std::move(message), sendTimeout, [this, address](const wire::ChannelReply &reply) {
             const auto *frame = std::get_if<wire::FrameT>(&reply);
             const auto *reports = frame == nullptr ? nullptr : frame->message.AsCrashReports();
             if (reports == nullptr) {
-                // Another entry may be asked instead when it becomes known.
                 --m_fetches;
+                m_silent.push_back(address);
+                scheduleFetchRound();
+                fetchNext();
                 return;
             }
             recordAll(fromMessage(*reports), "entry");
         });
     }
 
+    void scheduleFetchRound()
+    {
+        if (m_isFetchRoundScheduled || m_fetchRounds >= maxFetchRounds) {
+            return;
+        }
+        m_isFetchRoundScheduled = true;
+        ++m_fetchRounds;
+        m_fetchTimer.expires_after(retryDelay);
+        m_fetchTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                m_isFetchRoundScheduled = false;
+                m_unasked.insert(m_unasked.end(), m_silent.begin(), m_silent.end());
+                m_silent.clear();
+                fetchNext();
+            }
+        });
+    }
+
     void send(const wire::Address &address)
     {
         const auto found = m_entries.find(address);
@@ -329,9 +366,16 @@
     std::uint64_t m_firstSequence = 0;
     /** Sequence number behind the last crash that was published. */
     std::uint64_t m_publishedSequence = 0;
+    /** Entries that have not been asked for the crashes they know, and those that did not answer. */
+    std::deque<wire::Address> m_unasked;
+    std::deque<wire::Address> m_silent;
+    /** Number of entries that have answered or are being asked. */
     std::size_t m_fetches = 0;
+    int m_fetchRounds = 0;
+    bool m_isFetchRoundScheduled = false;
     bool m_isPublishing = false;
     boost::asio::steady_timer m_publishTimer;
+    boost::asio::steady_timer m_fetchTimer;
 };
 
 }
--- a/tests/test_crashsharing.cpp
+++ b/tests/test_crashsharing.cpp
@@ -171,6 +171,42 @@
     started.sharing.stop();
 }
 
+// Guards against an entry that starts without the crashes because the first entries that it asks are down.
+TEST(CrashSharing, anEntryThatStartsAsksTheNextOneWhileOthersAreDown)
+{
+    entries[0]->sharing.publish(crashOf("r1"));
+    Entry late(context, service, "late", log);
+    constexpr int firstUnused = 10;
+    late.sharing.setEntries({addressAt(firstUnused), addressAt(firstUnused + 1), addressAt(firstUnused + 2),
+                             addressAt(firstUnused + 3), addressAt(0)});
+    CHECK(runUntil([&late] {
+        return late.suspects.knows(crashOf("r1").crash);
+    }));
+    late.sharing.stop();
+    late.server.stop();
+    context.run_for(std::chrono::milliseconds(20));
+}
+
+// Guards against an entry that starts together with all others and asks each of them too early.
+TEST(CrashSharing, anEntryThatDidNotAnswerIsAskedAgain)
+{
+    constexpr int lateOffset = 3;
+    Entry first(context, service, "first", log);
+    first.sharing.setEntries({addressAt(lateOffset)});
+    context.run_for(std::chrono::milliseconds(100));
+    Entry second(context, service, "second", log);
+    second.sharing.publish(crashOf("r2"));
+    CHECK(std::holds_alternative<std::uint16_t>(second.server.listen(addressAt(lateOffset))));
+    CHECK(runUntil([&first] {
+        return first.suspects.knows(crashOf("r2").crash);
+    }));
+    for (Entry *entry : {&first, &second}) {
+        entry->sharing.stop();
+        entry->server.stop();
+    }
+    context.run_for(std::chrono::milliseconds(20));
+}
+
 // Guards against a quarantine that a restart prolongs from what was published long ago.
 TEST(CrashSharing, whatWasPublishedLongAgoDoesNotCount)
 {
