--- /dev/null
+++ b/tests/test_storewatches.cpp
@@ -0,0 +1,140 @@
+#include "logging/eventlog.h"
+#include "platform/platformstore.h"
+#include "platform/prefixwatch.h"
+#include "platform/storeclient.h"
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace briarhinge;
+using standins::platform::StoreFault;
+
+namespace
+{
+
+wire::Address storeAddress()
+{
+    constexpr int lowest = 31'000;
+    constexpr int range = 900;
+    return {"127.0.0.1", static_cast<std::uint16_t>(lowest + ::getpid() % range)};
+}
+
+}
+
+TEST_GROUP(StoreWatches)
+{
+    void setup() override
+    {
+        store.put("op/config", "1");
+        store.put("servers/one", "1");
+        operatorWatch.start();
+        runnerWatch.start();
+        CHECK(runUntil([this] {
+            return config == "1" && runner == "1";
+        }));
+        runFor(std::chrono::milliseconds(50));
+    }
+
+    void teardown() override
+    {
+        operatorWatch.stop();
+        runnerWatch.stop();
+        client.close();
+        runFor(std::chrono::milliseconds(20));
+    }
+
+    platform::ItemHandlers keep(std::string & value)
+    {
+        platform::ItemHandlers handlers;
+        handlers.onItem = [&value](const keyvalue::KeyValue &item) {
+            value = item.value;
+        };
+        return handlers;
+    }
+
+    void runFor(std::chrono::milliseconds time)
+    {
+        context.restart();
+        context.run_for(time);
+    }
+
+    bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit = std::chrono::seconds(5))
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            context.restart();
+            context.run_one_for(std::chrono::milliseconds(10));
+        }
+        return condition();
+    }
+
+    /** Lets the watch of op/ be asked again into the silence, while that of servers/ notices it. */
+    void fallSilent(std::chrono::milliseconds duration)
+    {
+        store.put("op/config", "2");
+        CHECK(runUntil([this] {
+            return config == "2";
+        }));
+        store.setFault(StoreFault::Unresponsive);
+        runFor(duration);
+        store.setFault(StoreFault::None);
+    }
+
+    boost::asio::io_context context;
+    logging::EventLog log{"test"};
+    standins::platform::PlatformStore store{context, storeAddress()};
+    platform::StoreClient client{context, storeAddress()};
+    std::string config;
+    std::string runner;
+    platform::PrefixWatch operatorWatch{context, client, "op/", keep(config), log};
+    platform::PrefixWatch runnerWatch{context, client, "servers/", keep(runner), log};
+};
+
+// Guards against a watch that is opened as the store falls silent and keeps an old configuration for its whole wait.
+TEST(StoreWatches, aWatchAskedIntoASilenceIsAskedAgainWhenAnotherOneIsAnswered)
+{
+    for (const int silence : {1000, 2500, 4000}) {
+        config.clear();
+        fallSilent(std::chrono::milliseconds(silence));
+        store.put("op/config", "3");
+        // In force within 2 s of the acknowledgement.
+        CHECK(runUntil(
+            [this] {
+                return config == "3";
+            },
+            std::chrono::seconds(2)));
+    }
+}
+
+// Guards against watches that are asked again with each call that fails for another reason than an outage.
+TEST(StoreWatches, aLostAnswerToAWriteLeavesTheWatchesAlone)
+{
+    bool isDone = false;
+    store.dropAnswers(1);
+    client.replace("briarhinge/x", "1", [&isDone](const keyvalue::WriteResult &) {
+        isDone = true;
+    });
+    CHECK(runUntil([&isDone] {
+        return isDone;
+    }));
+    bool isListed = false;
+    client.list("briarhinge/", "", [&isListed](const auto &result) {
+        isListed = std::holds_alternative<platform::ItemPage>(result);
+    });
+    CHECK(runUntil([&isListed] {
+        return isListed;
+    }));
+    store.put("op/config", "4");
+    CHECK(runUntil(
+        [this] {
+            return config == "4";
+        },
+        std::chrono::milliseconds(200)));
+}
