--- a/tests/system/platformstack.py
+++ b/tests/system/platformstack.py
@@ -73,12 +73,28 @@
         self.process = stack.Process(
             self.name, [program, "--listen", self.address, "--id", self.identity,
                         "--requests", os.path.join(folder, "requests"),
-                        "--reset-file", os.path.join(folder, "reset")],
+                        "--reset-file", os.path.join(folder, "reset"), "--leaving-file", self.leaving_file()],
             os.path.join(folder, self.name + ".log"))
         self.process.start()
         stack.wait_until(lambda: is_listening(self.address), self.name)
         self.register("ready")
 
+    def leaving_file(self):
+        """Returns the path of the file whose presence lets the answers say that the runner leaves."""
+        return os.path.join(self.platform.folder, self.name + ".leaving")
+
+    def leave(self):
+        """Lets all answers from now on say that the runner leaves."""
+        with open(self.leaving_file(), "w", encoding="utf-8"):
+            pass
+
+    def restart(self, identity=None):
+        """Ends the process and starts the next incarnation."""
+        self.process.kill()
+        if os.path.exists(self.leaving_file()):
+            os.remove(self.leaving_file())
+        self.start(identity)
+
     def register(self, state):
         """Writes the runner's registration."""
         document = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 4,
--- a/tests/test_ownanswerends.cpp
+++ b/tests/test_ownanswerends.cpp
@@ -196,7 +196,7 @@
 TEST(OwnAnswerEnds, aBodyWithoutEndIsUnknownAndItsReaderStops)
 {
     constexpr std::size_t maxSentBytes = std::size_t{100} * 1024 * 1024;
-    const std::string letters(64 * 1024, 'a');
+    const std::string letters(std::size_t{64} * 1024, 'a');
     const auto check = [&letters](const std::string &begin, const auto &isRefused) {
         const AnswerThread server(ScriptedAnswer{{plainHead + "\r\n" + begin, letters}, AnswerEnding::NeverEnd});
         CHECK(isRefused(server));
@@ -223,7 +223,7 @@
 {
     constexpr std::size_t maxSentBytes = std::size_t{100} * 1024 * 1024;
     const AnswerThread server(
-        ScriptedAnswer{{"HTTP/1.1 200 OK\r\nX-A: ", std::string(64 * 1024, 'a')}, AnswerEnding::NeverEnd});
+        ScriptedAnswer{{"HTTP/1.1 200 OK\r\nX-A: ", std::string(std::size_t{64} * 1024, 'a')}, AnswerEnding::NeverEnd});
     CHECK(std::holds_alternative<core::Unknown>(execute<runner::ToolUpstream>(server, base::Milliseconds(1000))));
     CHECK(server.sentBytes() < maxSentBytes);
 }
