--- a/standins/platform/scriptedrunner.cpp
+++ b/standins/platform/scriptedrunner.cpp
@@ -99,7 +99,11 @@
         }
         asio::async_read(m_socket, m_input, asio::transfer_at_least(bytes - m_input.size()),
                          [self = shared_from_this(), bytes](error_code error, std::size_t) {
-                             error ? self->close() : self->readBody(bytes);
+                             if (error) {
+                                 self->close();
+                                 return;
+                             }
+                             self->readBody(bytes);
                          });
     }
 
--- a/tests/test_answerends.cpp
+++ b/tests/test_answerends.cpp
@@ -50,6 +50,12 @@
 /** Longer than a runner keeps the connection of an answer that it ends with a reset. */
 constexpr std::chrono::milliseconds endingTime{20};
 
+/** The script of a runner that is given its answers later, or gets no request. */
+ScriptedAnswer noAnswer(const std::string &)
+{
+    return {};
+}
+
 std::string framed(Framing framing, const std::string &bytes)
 {
     if (framing != Framing::Chunks || bytes.empty()) {
@@ -222,13 +228,7 @@
 // Guards against an answer of a call that ended early being passed as complete, and against a second run of the call.
 TEST(AnswerEnds, theEndOfACallProvesWhatItsFramingAndItsConnectionSay)
 {
-    ScriptedDeployment deployment(
-        [](const std::string &) {
-            return ScriptedAnswer{};
-        },
-        [](const std::string &) {
-            return ScriptedAnswer{};
-        });
+    ScriptedDeployment deployment(noAnswer, noAnswer);
     deployment.removeOtherTools();
     const std::string body = "0123456789";
     struct Row
@@ -279,14 +279,9 @@
 // Guards against the answer to a call being believed although its runner ended under it.
 TEST(AnswerEnds, aCallWithoutLengthWhoseRunnerHasEndedIsUnknownOrGoesToAnotherRunner)
 {
-    ScriptedDeployment deployment(
-        [](const std::string &) {
-            return ScriptedAnswer{};
-        },
-        [](const std::string &) {
-            return ScriptedAnswer{{answerHead(Framing::Neither, 0, "application/json"), "0123"},
-                                  AnswerEnding::EndProcess};
-        });
+    ScriptedDeployment deployment(noAnswer, [](const std::string &) {
+        return ScriptedAnswer{{answerHead(Framing::Neither, 0, "application/json"), "0123"}, AnswerEnding::EndProcess};
+    });
     const auto call = [&deployment](const std::string &request) {
         // The other runner of the service may be chosen as well.
         for (int i = 0; i < 20; ++i) {
@@ -314,13 +309,7 @@
 // Guards against an answer to HEAD that waits for a body, and against one that ended in its head being believed.
 TEST(AnswerEnds, anAnswerToHeadEndsWithItsHead)
 {
-    ScriptedDeployment deployment(
-        [](const std::string &) {
-            return ScriptedAnswer{};
-        },
-        [](const std::string &) {
-            return ScriptedAnswer{};
-        });
+    ScriptedDeployment deployment(noAnswer, noAnswer);
     deployment.removeOtherTools();
     int number = 0;
     const auto sendHead = [&deployment, &number] {
