Http: One client for our own interface, with a limit on heads

Cause: cpprest's client reads a head of any length and has no limit to set. Ruled out: a small receive buffer, which bounds the socket and not the reader; http::ClientConnection as it is, which has no TLS.

Change: http::Client on Beast shares parser, limits and completeness() with http::ClientConnection and serves all five readers; ByteSink and the cpprest readers go. The timeout of an engine's stream starts again with each whole event: a stalled engine that sends single bytes now ends (two tests), a slow one goes on.

--- a/src/briarhingectl/entryclient.cpp
+++ b/src/briarhingectl/entryclient.cpp
@@ -1,9 +1,7 @@
 #include "entryclient.h"
 
-#include "http/bytesink.h"
-#include "http/receivedresponse.h"
-
-#include <cpprest/http_client.h>
+#include "http/client.h"
+#include "http/percentencoding.h"
 
 namespace briarhinge::ctl
 {
@@ -11,19 +9,22 @@
 namespace
 {
 
+constexpr base::Milliseconds answerTimeout{30'000};
 constexpr std::size_t maxAnswerBytes = std::size_t{64} * 1024 * 1024;
+/** Characters that separate the parts of a path and query. */
+constexpr std::string_view separators = ":/?#[]@!$&'()*+,;=";
 
-web::http::method toHttp(Method method)
+std::string toHttp(Method method)
 {
     switch (method) {
     case Method::Get:
-        return web::http::methods::GET;
+        return "GET";
     case Method::Post:
-        return web::http::methods::POST;
+        return "POST";
     case Method::Delete:
         break;
     }
-    return web::http::methods::DEL;
+    return "DELETE";
 }
 
 }
@@ -31,20 +32,15 @@
 std::variant<EntryResponse, EntryUnreachable> sendRequest(const std::string &entry, Method method,
                                                           const std::string &path)
 {
-    try {
-        web::http::client::http_client client(entry);
-        const auto body = std::make_shared<std::string>();
-        web::http::http_request request(toHttp(method));
-        request.set_request_uri(web::uri::encode_uri(path));
-        request.set_response_stream(http::boundedBody(body, maxAnswerBytes));
-        const auto response = client.request(request).get().content_ready().get();
-        if (!http::isWhole(response, http::ContentEnd::Unknown)) {
-            return EntryUnreachable{entry + ": its answer has no length, a part of it may be missing"};
-        }
-        return EntryResponse{response.status_code(), std::move(*body)};
-    } catch (const std::exception &error) {
-        return EntryUnreachable{entry + ": " + error.what()};
+    http::Client client(entry, {answerTimeout, maxAnswerBytes}, http::Client::Reuse::Never);
+    http::ClientResponse response = client.call({toHttp(method), http::percentEncoded(path, separators), {}, {}});
+    if (!response.end.reason.empty()) {
+        return EntryUnreachable{entry + ": " + response.end.reason};
+    }
+    if (http::completeness(response.end.response, http::ContentEnd::Unknown) != http::Completeness::Complete) {
+        return EntryUnreachable{entry + ": its answer has no length, a part of it may be missing"};
     }
+    return EntryResponse{response.head.status, std::move(response.body)};
 }
 
 }
--- a/src/libbriarhinge/http/clientconnection.cpp
+++ b/src/libbriarhinge/http/clientconnection.cpp
@@ -1,5 +1,6 @@
 #include "http/clientconnection.h"
 
+#include "http/responseparser.h"
 #include "http/socketoptions.h"
 
 #include <array>
@@ -10,8 +11,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
 namespace briarhinge::http
@@ -25,43 +24,11 @@
 namespace
 {
 
-using Parser = beast::http::response_parser<beast::http::buffer_body>;
-
-constexpr std::size_t bodyPieceBytes = std::size_t{16} * 1024;
-constexpr std::uint32_t headLimitBytes = 32 * 1024;
 constexpr std::uint64_t bodyLimitBytes = std::uint64_t{64} * 1024 * 1024;
-constexpr std::size_t readAheadBytes = std::size_t{256} * 1024;
-constexpr unsigned statusSwitchingProtocols = 101;
-constexpr unsigned firstFinalStatus = 200;
-/** Interim responses to one request; servers send one or two. */
-constexpr int maxInterimResponses = 8;
 /** Responses to earlier requests that are discarded while the response to the current one is awaited. */
 constexpr int maxSkippedResponses = 4;
 constexpr std::size_t maxSkippedBytes = std::size_t{1024} * 1024;
 
-Ending endingOf(const error_code &error)
-{
-    if (error == asio::error::eof || error == beast::http::error::end_of_stream
-        || error == beast::http::error::partial_message) {
-        return Ending::Closed;
-    }
-    return error.category() == asio::error::get_system_category() ? Ending::Lost : Ending::Invalid;
-}
-
-Framing framingOf(const Parser &parser, bool isHeadRequest)
-{
-    if (isHeadRequest) {
-        return Framing::None;
-    }
-    if (parser.chunked()) {
-        return Framing::Chunks;
-    }
-    if (parser.need_eof()) {
-        return Framing::UntilClose;
-    }
-    return parser.content_length() ? Framing::Length : Framing::None;
-}
-
 }
 
 class ClientConnection::Private
@@ -75,7 +42,7 @@
 
     tcp::socket socket;
     beast::flat_buffer input;
-    std::optional<Parser> parser;
+    std::optional<ResponseParser> parser;
     std::array<char, bodyPieceBytes> piece{};
     std::string request;
     ResponseHandlers handlers;
@@ -167,7 +134,7 @@
 
 void ClientConnection::readMore()
 {
-    Parser &parser = *d->parser;
+    ResponseParser &parser = *d->parser;
     if (!d->isHeadReported) {
         parser.header_limit(headLimitBytes);
         parser.body_limit(bodyLimitBytes);
@@ -196,7 +163,7 @@
 void ClientConnection::headReceived()
 {
     const auto self = shared_from_this();
-    Parser &parser = *d->parser;
+    ResponseParser &parser = *d->parser;
     if (!parser.is_header_done()) {
         readMore();
         return;
--- /dev/null
+++ b/src/libbriarhinge/http/responseparser.cpp
@@ -0,0 +1,35 @@
+#include "http/responseparser.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace briarhinge::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+Ending endingOf(const boost::system::error_code &error)
+{
+    if (error == asio::error::eof || error == beast::http::error::end_of_stream
+        || error == beast::http::error::partial_message) {
+        return Ending::Closed;
+    }
+    return error.category() == asio::error::get_system_category() ? Ending::Lost : Ending::Invalid;
+}
+
+Framing framingOf(const ResponseParser &parser, bool isHeadRequest)
+{
+    if (isHeadRequest) {
+        return Framing::None;
+    }
+    if (parser.chunked()) {
+        return Framing::Chunks;
+    }
+    if (parser.need_eof()) {
+        return Framing::UntilClose;
+    }
+    return parser.content_length() ? Framing::Length : Framing::None;
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/http/responseparser.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "http/responseend.h"
+
+#include <cstddef>
+#include <cstdint>
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/system/error_code.hpp>
+
+namespace briarhinge::http
+{
+
+/** Parses a response whose body is passed on in pieces. */
+using ResponseParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+/** Largest piece of a body that is passed on at once. */
+inline constexpr std::size_t bodyPieceBytes = std::size_t{16} * 1024;
+/** Largest head of a response. */
+inline constexpr std::uint32_t headLimitBytes = 32 * 1024;
+/** Most bytes of a response that are read before they are parsed. */
+inline constexpr std::size_t readAheadBytes = std::size_t{256} * 1024;
+inline constexpr unsigned firstFinalStatus = 200;
+inline constexpr unsigned statusSwitchingProtocols = 101;
+/** Interim responses to one request; servers send one or two. */
+inline constexpr int maxInterimResponses = 8;
+
+/**
+ * @param error the error that ended the receipt of a response
+ * @return how the receipt ended
+ */
+Ending endingOf(const boost::system::error_code &error);
+
+/**
+ * @param parser a parser that has received the head of a response
+ * @param isHeadRequest whether the request was a HEAD request
+ * @return what delimits the body
+ */
+Framing framingOf(const ResponseParser &parser, bool isHeadRequest);
+
+}
--- a/src/libbriarhinge/keyvalue/httpkeyvalue.cpp
+++ b/src/libbriarhinge/keyvalue/httpkeyvalue.cpp
@@ -1,9 +1,12 @@
 #include "keyvalue/httpkeyvalue.h"
 
-#include "http/bytesink.h"
-#include "http/receivedresponse.h"
+#include "http/client.h"
+#include "http/percentencoding.h"
+
+#include <charconv>
+#include <initializer_list>
+#include <utility>
 
-#include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
 
 namespace briarhinge::keyvalue
@@ -13,18 +16,17 @@
 {
 
 using nlohmann::json;
-using web::uri_builder;
-using web::http::http_response;
-using web::http::methods;
-using web::http::status_codes;
 
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusConflict = 409;
 /** Several times the largest page of a listing. */
 constexpr std::size_t maxAnswerBytes = std::size_t{64} * 1024 * 1024;
 
 /** An HTTP answer of the service. */
 struct Answer
 {
-    web::http::status_code status = 0;
+    unsigned status = 0;
     std::string body;
     std::uint64_t version = 0;
 };
@@ -46,70 +48,65 @@
     return keys;
 }
 
+/** Appends parameters to a path; a number is given as text. */
+std::string withQuery(std::string path, std::initializer_list<std::pair<std::string_view, std::string>> parameters)
+{
+    char separator = '?';
+    for (const auto &[name, value] : parameters) {
+        path += separator;
+        path += name;
+        path += '=' + http::percentEncoded(value);
+        separator = '&';
+    }
+    return path;
+}
+
 }
 
 class HttpKeyValue::Private
 {
 public:
     Private(const std::string &url, base::Milliseconds timeout)
-        : m_url(url)
-        , m_timeout(timeout)
-        , m_client(url, config(timeout))
-    {
-    }
-
-    AnswerResult send(const web::http::method &method, const uri_builder &uri, const std::string *body = nullptr)
-    {
-        return sendWith(m_client, method, uri, body);
-    }
-
-    /** Sends a request on its own connection, whose timeout includes the wait. */
-    AnswerResult sendLongPoll(const uri_builder &uri, base::Milliseconds wait)
+        : m_client(url, {timeout, maxAnswerBytes}, http::Client::Reuse::Keep)
     {
-        web::http::client::http_client client(m_url, config(m_timeout + wait));
-        return sendWith(client, methods::GET, uri, nullptr);
     }
 
-private:
-    static web::http::client::http_client_config config(base::Milliseconds timeout)
+    /**
+     * @param method the HTTP method
+     * @param target path and query
+     * @param body the value to write
+     * @param wait how long the service may delay its answer
+     */
+    AnswerResult send(const std::string &method, std::string target, const std::string &body = {},
+                      base::Milliseconds wait = base::Milliseconds(0))
     {
-        web::http::client::http_client_config settings;
-        settings.set_timeout(timeout);
-        return settings;
-    }
-
-    static AnswerResult sendWith(web::http::client::http_client &client, const web::http::method &method,
-                                 const uri_builder &uri, const std::string *body)
-    {
-        try {
-            web::http::http_request request(method);
-            request.set_request_uri(uri.to_uri());
-            if (body != nullptr) {
-                request.set_body(*body, "application/octet-stream");
-            }
-            const auto received = std::make_shared<std::string>();
-            request.set_response_stream(http::boundedBody(received, maxAnswerBytes));
-            const http_response response = client.request(request).get().content_ready().get();
-            Answer answer;
-            answer.status = response.status_code();
-            answer.body = std::move(*received);
-            // A value is any bytes: a part of it looks like a value, too.
-            if (!http::isWhole(response, http::ContentEnd::Unknown)) {
-                return PlatformUnavailable{"the key-value service's answer has no length"};
-            }
-            const auto version = response.headers().find("X-Version");
-            if (version != response.headers().end()) {
-                answer.version = std::stoull(version->second);
+        http::ClientRequest request{method, std::move(target), {}, body};
+        if (!body.empty()) {
+            request.contentType = "application/octet-stream";
+        }
+        http::ClientResponse response = m_client.call(std::move(request), wait);
+        if (!response.end.reason.empty()) {
+            return PlatformUnavailable{"the key-value service: " + response.end.reason};
+        }
+        // A value is any bytes: a part of it looks like a value, too.
+        const auto completeness = http::completeness(response.end.response, http::ContentEnd::Unknown);
+        if (completeness != http::Completeness::Complete) {
+            return PlatformUnavailable{"the key-value service's answer has no length"};
+        }
+        Answer answer;
+        answer.status = response.head.status;
+        answer.body = std::move(response.body);
+        if (const auto version = response.head.headers.find("X-Version")) {
+            const char *end = version->data() + version->size();
+            if (std::from_chars(version->data(), end, answer.version).ptr != end) {
+                return PlatformUnavailable{"the key-value service's version is not a number"};
             }
-            return answer;
-        } catch (const std::exception &error) {
-            return PlatformUnavailable{error.what()};
         }
+        return answer;
     }
 
-    const std::string m_url;
-    const base::Milliseconds m_timeout;
-    web::http::client::http_client m_client;
+private:
+    http::Client m_client;
 };
 
 HttpKeyValue::HttpKeyValue(const std::string &url, base::Milliseconds timeout)
@@ -121,17 +118,15 @@
 
 ReadResult HttpKeyValue::read(const std::string &key)
 {
-    uri_builder uri("/v1/value");
-    uri.append_query("key", key);
-    const AnswerResult result = d->send(methods::GET, uri);
+    const AnswerResult result = d->send("GET", withQuery("/v1/value", {{"key", key}}));
     if (const auto *unavailable = std::get_if<PlatformUnavailable>(&result)) {
         return *unavailable;
     }
     const auto &answer = std::get<Answer>(result);
-    if (answer.status == status_codes::NotFound) {
+    if (answer.status == statusNotFound) {
         return KeyNotFound{};
     }
-    if (answer.status != status_codes::OK) {
+    if (answer.status != statusOk) {
         return unexpectedStatus(answer);
     }
     return KeyValue{key, answer.body, KeyVersion(answer.version)};
@@ -140,20 +135,19 @@
 WriteResult HttpKeyValue::write(const std::string &key, const std::string &value, KeyVersion expected,
                                 std::optional<LeaseId> lease)
 {
-    uri_builder uri("/v1/value");
-    uri.append_query("key", key).append_query("expect", expected.value());
+    std::string target = withQuery("/v1/value", {{"key", key}, {"expect", std::to_string(expected.value())}});
     if (lease) {
-        uri.append_query("lease", lease->value());
+        target += "&lease=" + std::to_string(lease->value());
     }
-    const AnswerResult result = d->send(methods::PUT, uri, &value);
+    const AnswerResult result = d->send("PUT", std::move(target), value);
     if (const auto *unavailable = std::get_if<PlatformUnavailable>(&result)) {
         return *unavailable;
     }
     const auto &answer = std::get<Answer>(result);
-    if (answer.status == status_codes::Conflict) {
+    if (answer.status == statusConflict) {
         return VersionConflict{KeyVersion(answer.version)};
     }
-    if (answer.status != status_codes::OK) {
+    if (answer.status != statusOk) {
         return unexpectedStatus(answer);
     }
     return KeyVersion(answer.version);
@@ -161,14 +155,12 @@
 
 WriteResult HttpKeyValue::remove(const std::string &key)
 {
-    uri_builder uri("/v1/value");
-    uri.append_query("key", key);
-    const AnswerResult result = d->send(methods::DEL, uri);
+    const AnswerResult result = d->send("DELETE", withQuery("/v1/value", {{"key", key}}));
     if (const auto *unavailable = std::get_if<PlatformUnavailable>(&result)) {
         return *unavailable;
     }
     const auto &answer = std::get<Answer>(result);
-    if (answer.status != status_codes::OK) {
+    if (answer.status != statusOk) {
         return unexpectedStatus(answer);
     }
     return KeyVersion(answer.version);
@@ -176,14 +168,13 @@
 
 ListResult HttpKeyValue::list(const std::string &prefix, const std::string &after, std::size_t limit)
 {
-    uri_builder uri("/v1/values");
-    uri.append_query("prefix", prefix).append_query("after", after).append_query("limit", limit);
-    const AnswerResult result = d->send(methods::GET, uri);
+    const AnswerResult result = d->send(
+        "GET", withQuery("/v1/values", {{"prefix", prefix}, {"after", after}, {"limit", std::to_string(limit)}}));
     if (const auto *unavailable = std::get_if<PlatformUnavailable>(&result)) {
         return *unavailable;
     }
     const auto &answer = std::get<Answer>(result);
-    if (answer.status != status_codes::OK) {
+    if (answer.status != statusOk) {
         return unexpectedStatus(answer);
     }
     try {
@@ -195,14 +186,12 @@
 
 LeaseResult HttpKeyValue::openLease(base::Milliseconds ttl)
 {
-    uri_builder uri("/v1/leases");
-    uri.append_query("ttl", ttl.count());
-    const AnswerResult result = d->send(methods::POST, uri);
+    const AnswerResult result = d->send("POST", withQuery("/v1/leases", {{"ttl", std::to_string(ttl.count())}}));
     if (const auto *unavailable = std::get_if<PlatformUnavailable>(&result)) {
         return *unavailable;
     }
     const auto &answer = std::get<Answer>(result);
-    if (answer.status != status_codes::OK) {
+    if (answer.status != statusOk) {
         return unexpectedStatus(answer);
     }
     return LeaseId(answer.version);
@@ -210,17 +199,15 @@
 
 LeaseResult HttpKeyValue::renewLease(LeaseId lease)
 {
-    uri_builder uri("/v1/leases");
-    uri.append_query("lease", lease.value());
-    const AnswerResult result = d->send(methods::PUT, uri);
+    const AnswerResult result = d->send("PUT", withQuery("/v1/leases", {{"lease", std::to_string(lease.value())}}));
     if (const auto *unavailable = std::get_if<PlatformUnavailable>(&result)) {
         return *unavailable;
     }
     const auto &answer = std::get<Answer>(result);
-    if (answer.status == status_codes::NotFound) {
+    if (answer.status == statusNotFound) {
         return KeyNotFound{};
     }
-    if (answer.status != status_codes::OK) {
+    if (answer.status != statusOk) {
         return unexpectedStatus(answer);
     }
     return lease;
@@ -228,14 +215,15 @@
 
 WatchResult HttpKeyValue::watch(const std::string &prefix, KeyVersion after, base::Milliseconds wait)
 {
-    uri_builder uri("/v1/watch");
-    uri.append_query("prefix", prefix).append_query("after", after.value()).append_query("wait", wait.count());
-    const AnswerResult result = d->sendLongPoll(uri, wait);
+    const std::string target = withQuery(
+        "/v1/watch",
+        {{"prefix", prefix}, {"after", std::to_string(after.value())}, {"wait", std::to_string(wait.count())}});
+    const AnswerResult result = d->send("GET", target, {}, wait);
     if (const auto *unavailable = std::get_if<PlatformUnavailable>(&result)) {
         return *unavailable;
     }
     const auto &answer = std::get<Answer>(result);
-    if (answer.status != status_codes::OK) {
+    if (answer.status != statusOk) {
         return unexpectedStatus(answer);
     }
     try {
--- a/src/libbriarhinge/membership/vmlist.cpp
+++ b/src/libbriarhinge/membership/vmlist.cpp
@@ -1,9 +1,7 @@
 #include "membership/vmlist.h"
 
-#include "http/bytesink.h"
-#include "http/receivedresponse.h"
+#include "http/client.h"
 
-#include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
 
 namespace briarhinge::membership
@@ -14,6 +12,7 @@
 
 using nlohmann::json;
 
+constexpr unsigned statusOk = 200;
 /** A few hundred bytes for each of far more VMs than there are. */
 constexpr std::size_t maxListBytes = std::size_t{16} * 1024 * 1024;
 
@@ -38,20 +37,12 @@
 {
 public:
     Private(const std::string &url, base::Milliseconds timeout)
-        : client(url, config(timeout))
+        : client(url, {timeout, maxListBytes}, http::Client::Reuse::Keep)
     {
     }
 
-    web::http::client::http_client client;
+    http::Client client;
     std::size_t lastListBytes = 0;
-
-private:
-    static web::http::client::http_client_config config(base::Milliseconds timeout)
-    {
-        web::http::client::http_client_config settings;
-        settings.set_timeout(timeout);
-        return settings;
-    }
 };
 
 VmListClient::VmListClient(const std::string &url, base::Milliseconds timeout)
@@ -63,25 +54,23 @@
 
 VmListResult VmListClient::read()
 {
+    const http::ClientResponse response = d->client.call({"GET", "/v1/vms", {}, {}});
+    if (!response.end.response.hasHead) {
+        return keyvalue::PlatformUnavailable{"the VM list: " + response.end.reason};
+    }
+    if (response.head.status != statusOk) {
+        return keyvalue::PlatformUnavailable{"the VM list answered " + std::to_string(response.head.status)};
+    }
+    if (http::completeness(response.end.response, http::ContentEnd::Stated) != http::Completeness::Complete) {
+        return keyvalue::PlatformUnavailable{"the VM list broke off: " + response.end.reason};
+    }
     try {
-        const auto received = std::make_shared<std::string>();
-        web::http::http_request request(web::http::methods::GET);
-        request.set_request_uri("/v1/vms");
-        request.set_response_stream(http::boundedBody(received, maxListBytes));
-        const auto response = d->client.request(request).get().content_ready().get();
-        if (response.status_code() != web::http::status_codes::OK) {
-            return keyvalue::PlatformUnavailable{"the VM list answered " + std::to_string(response.status_code())};
-        }
-        const std::string body = std::move(*received);
-        const json parsed = json::parse(body);
-        if (!http::isWhole(response, http::ContentEnd::Stated)) {
-            return keyvalue::PlatformUnavailable{"the VM list broke off"};
-        }
+        const json parsed = json::parse(response.body);
         std::vector<Vm> vms;
         for (const json &item : parsed.at("vms")) {
             vms.push_back(parseVm(item));
         }
-        d->lastListBytes = body.size();
+        d->lastListBytes = response.body.size();
         return vms;
     } catch (const std::exception &error) {
         return keyvalue::PlatformUnavailable{error.what()};
--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -1,13 +1,11 @@
 #include "runner/engineupstream.h"
 
-#include "http/bytesink.h"
-#include "http/receivedresponse.h"
+#include "http/client.h"
 #include "runner/linesplitter.h"
 #include "runner/sseparser.h"
 
 #include <optional>
 
-#include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
 
 namespace briarhinge::runner
@@ -17,29 +15,32 @@
 {
 
 using nlohmann::json;
-using web::http::http_response;
 
 constexpr base::Milliseconds unreachableRetryDelay{1000};
 
+constexpr unsigned statusOk = 200;
 /** Far more than the longest answer with the frames around its tokens. */
 constexpr std::size_t maxStreamBytes = std::size_t{64} * 1024 * 1024;
 constexpr std::string_view endOfStream = "[DONE]";
 
+/** Cancels a call of the client. Does not keep it, so that the client may end first. */
 class RequestCancellation : public Cancellation
 {
 public:
-    void cancel() override
+    explicit RequestCancellation(std::weak_ptr<http::ClientCall> call)
+        : m_call(std::move(call))
     {
-        m_source.cancel();
     }
 
-    pplx::cancellation_token token() const
+    void cancel() override
     {
-        return m_source.get_token();
+        if (const auto call = m_call.lock()) {
+            call->cancel();
+        }
     }
 
 private:
-    pplx::cancellation_token_source m_source;
+    const std::weak_ptr<http::ClientCall> m_call;
 };
 
 /** Parses the streamed response to one call. */
@@ -58,24 +59,41 @@
     {
     }
 
-    /** @return stream that receives the response body; it keeps this reader alive */
-    concurrency::streams::ostream sink()
+    /** @param head the head of the response */
+    void start(const http::ResponseHead &head)
     {
-        const auto bytes =
-            std::make_shared<http::ByteSink>(maxStreamBytes, [self = shared_from_this()](std::string_view piece) {
-                self->m_lines.append(piece);
-            });
-        return concurrency::streams::streambuf<std::uint8_t>(bytes).create_ostream();
+        m_status = head.status;
+    }
+
+    /**
+     * @param piece the next bytes of the body
+     * @return whether they end an event
+     */
+    bool append(std::string_view piece)
+    {
+        if (m_status != statusOk) {
+            return false;
+        }
+        const std::size_t events = m_events;
+        m_lines.append(piece);
+        return m_events > events;
     }
 
-    /** @param response the response, whose body was received without an error */
-    core::Outcome outcome(const http_response &response) const
+    /** @param end how the call ended */
+    core::Outcome outcome(const http::CallEnd &end) const
     {
+        if (!end.wasConnected) {
+            return core::NotRun{end.reason, unreachableRetryDelay};
+        }
+        if (end.response.hasHead && m_status != statusOk) {
+            return core::Failed{"the engine answered " + std::to_string(m_status)};
+        }
+        const auto content = m_complete ? http::ContentEnd::Stated : http::ContentEnd::InsideItem;
         if (!m_error.empty()) {
             return core::Failed{m_error};
         }
-        if (!http::isWhole(response, m_complete ? http::ContentEnd::Stated : http::ContentEnd::InsideItem)) {
-            return core::Unknown{"the engine's stream broke off"};
+        if (http::completeness(end.response, content) != http::Completeness::Complete) {
+            return core::Unknown{"the engine's stream broke off: " + end.reason};
         }
         return core::Completed{m_text, m_usage};
     }
@@ -83,6 +101,7 @@
 private:
     void processEvent(std::string_view data)
     {
+        ++m_events;
         if (data == endOfStream) {
             m_complete = true;
             return;
@@ -120,6 +139,9 @@
     LineSplitter m_lines;
     core::Usage m_usage;
     std::string m_error;
+    unsigned m_status = 0;
+    /** Number of events that were received. */
+    std::size_t m_events = 0;
     bool m_complete = false;
 };
 
@@ -152,58 +174,30 @@
     return events;
 }
 
-/** Returns whether the request was certainly not sent: cpprest reports host_unreachable only for a failed connect. */
-bool isConnectFailure(const web::http::http_exception &error)
-{
-    return error.error_code() == std::errc::host_unreachable;
-}
-
 }
 
 class EngineUpstream::Private
 {
 public:
     Private(const std::string &url, base::Milliseconds timeout)
-        : client(url, config(timeout))
-        , m_url(url)
-        , m_timeout(timeout)
-    {
-    }
-
-    /** @return a client without a connection */
-    std::shared_ptr<web::http::client::http_client> makeClient() const
+        : calls(url, {timeout, maxStreamBytes}, http::Client::Reuse::Never)
+        , cache(url, {timeout, maxStreamBytes}, http::Client::Reuse::Keep)
     {
-        return std::make_shared<web::http::client::http_client>(m_url, config(m_timeout));
     }
 
     /** Sends a request about held prefixes. Errors are ignored, since each hold is a lease that expires by itself. */
     void post(const std::string &path, const json &body)
     {
-        web::http::http_request request(web::http::methods::POST);
-        request.set_request_uri(path);
-        request.set_body(body.dump(-1, ' ', false, json::error_handler_t::replace), "application/json");
-        client.request(request).then([](const pplx::task<http_response> &task) {
-            try {
-                task.get();
-            } catch (const std::exception &) {
-                return;
-            }
-        });
+        cache.send({"POST", path, "application/json", body.dump(-1, ' ', false, json::error_handler_t::replace)}, {});
     }
 
-    /** Used for requests about the cache, which may safely be sent twice. */
-    web::http::client::http_client client;
-
-private:
-    static web::http::client::http_client_config config(base::Milliseconds timeout)
-    {
-        web::http::client::http_client_config settings;
-        settings.set_timeout(timeout);
-        return settings;
-    }
-
-    const std::string m_url;
-    const base::Milliseconds m_timeout;
+    /**
+     * Runs calls, each on its own connection: it would be unknown whether a request on a kept connection that closes
+     * has crashed the engine.
+     */
+    http::Client calls;
+    /** Used for requests about the cache, which may safely be lost. */
+    http::Client cache;
 };
 
 EngineUpstream::EngineUpstream(const std::string &url, base::Milliseconds timeout)
@@ -215,40 +209,19 @@
 
 std::shared_ptr<Cancellation> EngineUpstream::execute(const UpstreamCall &call, const UpstreamObserver &observer)
 {
-    const auto cancellation = std::make_shared<RequestCancellation>();
     const auto reader = std::make_shared<StreamReader>(call, observer);
-    web::http::http_request request(web::http::methods::POST);
-    request.set_request_uri("/v1/chat/completions");
-    request.set_body(requestBody(call), "application/json");
-    request.set_response_stream(reader->sink());
-    // Each call uses its own client, because cpprest resends a request by itself when the engine closes a reused
-    // connection. A request that crashed the engine would crash it again, or be reported as never sent.
-    const auto client = d->makeClient();
-    client->request(request, cancellation->token())
-        .then([reader](const http_response &response) -> pplx::task<std::optional<core::Outcome>> {
-            if (response.status_code() == web::http::status_codes::OK) {
-                return response.content_ready().then(
-                    [reader](const http_response &received) -> std::optional<core::Outcome> {
-                        return reader->outcome(received);
-                    });
-            }
-            const std::string reason = "the engine answered " + std::to_string(response.status_code());
-            return pplx::task_from_result<std::optional<core::Outcome>>(core::Failed{reason});
-        })
-        .then([observer, client](const pplx::task<std::optional<core::Outcome>> &task) {
-            try {
-                observer.ended(*task.get());
-            } catch (const web::http::http_exception &error) {
-                if (isConnectFailure(error)) {
-                    observer.ended(core::NotRun{error.what(), unreachableRetryDelay});
-                } else {
-                    observer.ended(core::Unknown{error.what()});
-                }
-            } catch (const std::exception &error) {
-                observer.ended(core::Unknown{error.what()});
-            }
-        });
-    return cancellation;
+    http::CallHandlers handlers;
+    handlers.onHead = [reader](const http::ResponseHead &head) {
+        reader->start(head);
+    };
+    handlers.onBody = [reader](std::string_view piece) {
+        return reader->append(piece);
+    };
+    handlers.onEnd = [reader, observer](const http::CallEnd &end) {
+        observer.ended(reader->outcome(end));
+    };
+    return std::make_shared<RequestCancellation>(
+        d->calls.send({"POST", "/v1/chat/completions", "application/json", requestBody(call)}, std::move(handlers)));
 }
 
 void EngineUpstream::release(const base::ProgramId &program)
@@ -272,17 +245,18 @@
 
 void EngineUpstream::requestCacheEvents(std::uint64_t after, const CacheEventsHandler &handler)
 {
-    d->client.request(web::http::methods::GET, "/v1/events?after=" + std::to_string(after))
-        .then([](const http_response &response) {
-            return response.extract_utf8string(true);
-        })
-        .then([after, handler](const pplx::task<std::string> &task) {
-            try {
-                handler(parseCacheEvents(task.get(), after));
-            } catch (const std::exception &) {
-                handler(std::nullopt);
-            }
-        });
+    const auto body = std::make_shared<std::string>();
+    http::CallHandlers handlers;
+    handlers.onBody = [body](std::string_view piece) {
+        *body += piece;
+        return false;
+    };
+    handlers.onEnd = [after, handler, body](const http::CallEnd &end) {
+        const auto content = json::accept(*body) ? http::ContentEnd::Stated : http::ContentEnd::InsideItem;
+        const bool isWhole = http::completeness(end.response, content) == http::Completeness::Complete;
+        handler(isWhole ? parseCacheEvents(*body, after) : std::nullopt);
+    };
+    d->cache.send({"GET", "/v1/events?after=" + std::to_string(after), {}, {}}, std::move(handlers));
 }
 
 }
--- a/src/libbriarhinge/runner/toolupstream.cpp
+++ b/src/libbriarhinge/runner/toolupstream.cpp
@@ -1,9 +1,8 @@
 #include "runner/toolupstream.h"
 
-#include "http/bytesink.h"
-#include "http/receivedresponse.h"
+#include "http/client.h"
+#include "http/percentencoding.h"
 
-#include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
 
 namespace briarhinge::runner
@@ -13,9 +12,9 @@
 {
 
 using nlohmann::json;
-using web::http::http_response;
 
 constexpr base::Milliseconds unreachableRetryDelay{1000};
+constexpr unsigned statusOk = 200;
 constexpr std::size_t maxAnswerBytes = std::size_t{16} * 1024 * 1024;
 
 /** Does nothing: tool calls are not cancelled, because it would be unknown whether they took effect. */
@@ -27,17 +26,21 @@
     }
 };
 
-core::Outcome parseOutcome(const http_response &response, const std::string &body)
+core::Outcome parseOutcome(const http::ClientResponse &response)
 {
-    const web::http::status_code status = response.status_code();
-    const json parsed = json::parse(body, nullptr, false);
+    if (!response.end.wasConnected) {
+        return core::NotRun{response.end.reason, unreachableRetryDelay};
+    }
+    const unsigned status = response.head.status;
+    const json parsed = json::parse(response.body, nullptr, false);
     // Another status says that the tool has failed, whatever the body.
-    const bool isStated = status != web::http::status_codes::OK || parsed.is_object();
-    if (!http::isWhole(response, isStated ? http::ContentEnd::Stated : http::ContentEnd::Unknown)) {
-        return core::Unknown{"the tool's answer broke off"};
+    const bool isStated = status != statusOk || parsed.is_object();
+    const auto content = isStated ? http::ContentEnd::Stated : http::ContentEnd::Unknown;
+    if (http::completeness(response.end.response, content) != http::Completeness::Complete) {
+        return core::Unknown{"the tool's answer broke off: " + response.end.reason};
     }
-    if (status != web::http::status_codes::OK || !parsed.is_object()) {
-        return core::Failed{"the tool answered " + std::to_string(status) + ": " + body};
+    if (status != statusOk || !parsed.is_object()) {
+        return core::Failed{"the tool answered " + std::to_string(status) + ": " + response.body};
     }
     core::Usage usage;
     usage.money = base::MicroMoney(parsed.value("cost", std::uint64_t{0}));
@@ -46,44 +49,39 @@
 
 }
 
-ToolUpstream::ToolUpstream(std::string url, base::Milliseconds timeout)
-    : m_url(std::move(url))
-    , m_timeout(timeout)
+// A kept connection that the service closes would leave it unknown whether a non-idempotent tool has run.
+ToolUpstream::ToolUpstream(const std::string &url, base::Milliseconds timeout)
+    : m_client(
+        std::make_unique<http::Client>(url, http::ClientLimits{timeout, maxAnswerBytes}, http::Client::Reuse::Never))
 {
 }
 
+ToolUpstream::~ToolUpstream() = default;
+
 std::shared_ptr<Cancellation> ToolUpstream::execute(const UpstreamCall &call, const UpstreamObserver &observer)
 {
-    web::http::client::http_client_config config;
-    config.set_timeout(m_timeout);
-    // Each call uses its own client, because cpprest resends a request by itself when the service closes a reused
-    // connection, which would run a non-idempotent tool twice.
-    const auto client = std::make_shared<web::http::client::http_client>(m_url, config);
-    web::http::http_request request(web::http::methods::POST);
-    request.set_request_uri("/v1/tools/" + web::uri::encode_data_string(call.call.request.target.value()));
     const json body{{"program", call.call.program.value()},
                     {"call", call.call.request.number.value()},
                     {"input", call.call.prompt}};
-    request.set_body(body.dump(-1, ' ', false, json::error_handler_t::replace), "application/json");
-    const auto answer = std::make_shared<std::string>();
-    request.set_response_stream(http::boundedBody(answer, maxAnswerBytes));
-    client->request(request)
-        .then([](const http_response &response) {
-            return response.content_ready();
-        })
-        .then([observer, client, answer](const pplx::task<http_response> &task) {
-            try {
-                observer.ended(parseOutcome(task.get(), *answer));
-            } catch (const web::http::http_exception &error) {
-                if (error.error_code() == std::errc::host_unreachable) {
-                    observer.ended(core::NotRun{error.what(), unreachableRetryDelay});
-                } else {
-                    observer.ended(core::Unknown{error.what()});
-                }
-            } catch (const std::exception &error) {
-                observer.ended(core::Unknown{error.what()});
-            }
-        });
+    http::ClientRequest request;
+    request.method = "POST";
+    request.target = "/v1/tools/" + http::percentEncoded(call.call.request.target.value());
+    request.contentType = "application/json";
+    request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    const auto response = std::make_shared<http::ClientResponse>();
+    http::CallHandlers handlers;
+    handlers.onHead = [response](const http::ResponseHead &head) {
+        response->head = head;
+    };
+    handlers.onBody = [response](std::string_view piece) {
+        response->body += piece;
+        return false;
+    };
+    handlers.onEnd = [response, observer](const http::CallEnd &end) {
+        response->end = end;
+        observer.ended(parseOutcome(*response));
+    };
+    m_client->send(std::move(request), std::move(handlers));
     return std::make_shared<NoCancellation>();
 }
 
--- a/src/libbriarhinge/runner/toolupstream.h
+++ b/src/libbriarhinge/runner/toolupstream.h
@@ -5,6 +5,11 @@
 #include <memory>
 #include <string>
 
+namespace briarhinge::http
+{
+class Client;
+}
+
 namespace briarhinge::runner
 {
 
@@ -13,7 +18,8 @@
 {
 public:
     /** @param url base URL of the service @param timeout maximum time to wait for a response */
-    ToolUpstream(std::string url, base::Milliseconds timeout);
+    ToolUpstream(const std::string &url, base::Milliseconds timeout);
+    ~ToolUpstream();
 
     /**
      * Runs a tool call.
@@ -37,8 +43,7 @@
     void requestCacheEvents(std::uint64_t after, const CacheEventsHandler &handler);
 
 private:
-    const std::string m_url;
-    const base::Milliseconds m_timeout;
+    std::unique_ptr<http::Client> m_client;
 };
 
 }
--- a/standins/platform/scriptedrunner.cpp
+++ b/standins/platform/scriptedrunner.cpp
@@ -129,10 +129,12 @@
     {
         if (m_answer.ending == AnswerEnding::NeverEnd && m_next == m_answer.pieces.size()) {
             --m_next;
-            sendNext();
-            return;
+            if (!m_answer.interval) {
+                sendNext();
+                return;
+            }
         }
-        m_timer.expires_after(pieceInterval);
+        m_timer.expires_after(m_answer.interval.value_or(pieceInterval));
         m_timer.async_wait([self = shared_from_this()](error_code error) {
             if (!error) {
                 self->sendNext();
--- a/standins/platform/scriptedrunner.h
+++ b/standins/platform/scriptedrunner.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,6 +34,8 @@
     /** Sent one after the other, with a pause between them; "{id}" stands for the id of the request. */
     std::vector<std::string> pieces;
     AnswerEnding ending = AnswerEnding::KeepOpen;
+    /** Pause after each piece; without one, pieces just arrive one by one, and a repeated piece without a pause. */
+    std::optional<std::chrono::milliseconds> interval = std::nullopt;
 };
 
 /** Stand-in for a runner of the users' platform that answers with given bytes, valid or not. */
--- a/tests/test_ownanswerends.cpp
+++ b/tests/test_ownanswerends.cpp
@@ -5,9 +5,11 @@
 #include "runner/engineupstream.h"
 #include "runner/toolupstream.h"
 
+#include <chrono>
 #include <future>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -227,3 +229,24 @@
     CHECK(std::holds_alternative<core::Unknown>(execute<runner::ToolUpstream>(server, base::Milliseconds(1000))));
     CHECK(server.sentBytes() < maxSentBytes);
 }
+
+// Guards against an engine that stalled and sends a byte now and then, whose stream never ended.
+TEST(OwnAnswerEnds, anEngineThatSendsSingleBytesWithoutEventsIsUnknownAfterTheTimeout)
+{
+    const AnswerThread server(
+        ScriptedAnswer{{plainHead + "\r\n", std::string("x")}, AnswerEnding::NeverEnd, std::chrono::milliseconds(50)});
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(std::holds_alternative<core::Unknown>(execute<runner::EngineUpstream>(server, base::Milliseconds(500))));
+    CHECK(std::chrono::steady_clock::now() - begin < std::chrono::milliseconds(2000));
+}
+
+// Guards against a slow engine whose stream is cut while its events still come.
+TEST(OwnAnswerEnds, aSlowStreamGoesOnWhileItsEventsCome)
+{
+    std::vector<std::string> pieces{plainHead + "\r\n"};
+    const std::string event = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
+    pieces.insert(pieces.end(), 8, event);
+    pieces.push_back("data: [DONE]\n\n");
+    const AnswerThread server(ScriptedAnswer{pieces, AnswerEnding::Close, std::chrono::milliseconds(150)});
+    CHECK(std::holds_alternative<core::Completed>(execute<runner::EngineUpstream>(server, base::Milliseconds(500))));
+}
