Platform: One watch of the store for a process, which notices silences and lost answers

Cause: a silence that begins and ends within the long polls of all watches makes no call fail; the answer to a long poll may be lost with its connection. Ruled out: shorter long polls (priced), reads of op/config (bytes between zones).

Change: StoreWatch replaces three PrefixWatches with one long poll of 28 s; after 1.5 s without an answer it reads the store's revision (a tenth of a call's price). A failed read begins an outage; a revision that was not reported within 0.5 s means a lost answer. Changes wait for others a sixth of config_apply_ms.

New tests: a silence within a long poll (2.5 and 4 s), a key that expired in it, a lost answer, a quiet store that is asked little.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -53,6 +53,7 @@
     , m_log(log)
     , m_exchangeLog(log, m_metrics)
     , m_store(context, settings.storeAddress)
+    , m_watch(context, m_store, log, settings.changeTimeLimit)
     , m_balancer(settings.zone)
     , m_connectionPool(context)
     , m_peers(context)
@@ -140,6 +141,7 @@
         watchRouting();
         watchRunners();
         watchGroup();
+        m_watch.start();
         m_startTime = std::chrono::steady_clock::now();
         scheduleChecks();
     }
@@ -152,9 +154,7 @@
     handlers.onItem = [this](const keyvalue::KeyValue &item) {
         applyRouting(item);
     };
-    m_routingWatch = std::make_unique<platform::PrefixWatch>(m_context, m_store, std::string(platform::operatorPrefix),
-                                                             std::move(handlers), m_log);
-    m_routingWatch->start();
+    m_watch.subscribe(std::string(platform::operatorPrefix), std::move(handlers));
 }
 
 void EntryNode::applyRouting(const keyvalue::KeyValue &item)
@@ -190,9 +190,7 @@
             scheduleRunnerRemoval(id, platform::removalGracePeriod);
         }
     };
-    m_runnerWatch = std::make_unique<platform::PrefixWatch>(m_context, m_store, std::string(platform::runnerPrefix),
-                                                            std::move(handlers), m_log);
-    m_runnerWatch->start();
+    m_watch.subscribe(std::string(platform::runnerPrefix), std::move(handlers));
 }
 
 void EntryNode::applyRunner(const keyvalue::KeyValue &item)
@@ -251,9 +249,7 @@
     handlers.onListed = [this] {
         registerRelay();
     };
-    m_groupWatch = std::make_unique<platform::PrefixWatch>(m_context, m_store, std::string(turns::keyPrefix),
-                                                           std::move(handlers), m_log);
-    m_groupWatch->start();
+    m_watch.subscribe(std::string(turns::keyPrefix), std::move(handlers));
 }
 
 void EntryNode::applyRelay(const keyvalue::KeyValue &item)
@@ -449,9 +445,7 @@
     m_relayServer.stop();
     m_crashSharing.stop();
     m_removalTimers.clear();
-    for (const auto *watch : {&m_routingWatch, &m_runnerWatch, &m_groupWatch}) {
-        (*watch)->stop();
-    }
+    m_watch.stop();
     for (const auto *listener : {&m_callerListener, &m_readinessListener, &m_metricsListener}) {
         (*listener)->close();
     }
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -14,8 +14,8 @@
 #include "http/listener.h"
 #include "metrics/exchangemetrics.h"
 #include "platform/nodesettings.h"
-#include "platform/prefixwatch.h"
 #include "platform/storeclient.h"
+#include "platform/storewatch.h"
 #include "turns/relayserver.h"
 #include "turns/turnclient.h"
 
@@ -99,6 +99,7 @@
     metrics::ExchangeMetrics m_metrics;
     forwarding::ExchangeLog m_exchangeLog;
     platform::StoreClient m_store;
+    platform::StoreWatch m_watch;
     dispatch::LoadBalancer m_balancer;
     forwarding::RunnerConnectionPool m_connectionPool;
     turns::StorePeers m_peers;
@@ -111,9 +112,6 @@
     forwarding::BufferMemory m_answerMemory;
     turns::RelayServer m_relayServer;
     forwarding::ExchangeContext m_exchangeContext;
-    std::unique_ptr<platform::PrefixWatch> m_routingWatch;
-    std::unique_ptr<platform::PrefixWatch> m_runnerWatch;
-    std::unique_ptr<platform::PrefixWatch> m_groupWatch;
     /** Relay addresses of other entries by the keys of their registrations. */
     std::map<std::string, wire::Address> m_relays;
     /** The address registered for this entry's relay in the platform's store, and the version of that key. */
--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -38,6 +38,7 @@
     , m_settings(settings)
     , m_log(log)
     , m_platformStore(context, settings.storeAddress)
+    , m_watch(context, m_platformStore, log, settings.changeTimeLimit)
     , m_retirementReport(m_platformStore, settings.name, log)
     , m_peers(context)
     , m_journal(settings.dataFolder)
@@ -104,6 +105,7 @@
     watchGroup();
     watchOperators();
     watchRunners();
+    m_watch.start();
     m_groupManager->start();
     return {};
 }
@@ -172,9 +174,7 @@
     handlers.onListed = [this] {
         m_groupManager->markServiceAvailable();
     };
-    m_groupWatch = std::make_unique<platform::PrefixWatch>(m_context, m_platformStore, std::string(turns::keyPrefix),
-                                                           std::move(handlers), m_log);
-    m_groupWatch->start();
+    m_watch.subscribe(std::string(turns::keyPrefix), std::move(handlers));
 }
 
 void StoreNode::watchOperators()
@@ -192,9 +192,7 @@
             m_groupManager->setRetirement(turns::StoreName(key.substr(platform::retirementPrefix.size())), false);
         }
     };
-    m_operatorWatch = std::make_unique<platform::PrefixWatch>(
-        m_context, m_platformStore, std::string(platform::operatorPrefix), std::move(handlers), m_log);
-    m_operatorWatch->start();
+    m_watch.subscribe(std::string(platform::operatorPrefix), std::move(handlers));
 }
 
 void StoreNode::watchRunners()
@@ -214,17 +212,12 @@
             }
         }
     };
-    m_runnerWatch =
-        std::make_unique<platform::PrefixWatch>(m_context, m_platformStore, std::string(platform::runnerPrefix),
-                                                std::move(handlers), m_log, platform::WatchLatency::Relaxed);
-    m_runnerWatch->start();
+    m_watch.subscribe(std::string(platform::runnerPrefix), std::move(handlers));
 }
 
 void StoreNode::abort()
 {
-    for (const auto *watch : {&m_groupWatch, &m_operatorWatch, &m_runnerWatch}) {
-        (*watch)->stop();
-    }
+    m_watch.stop();
     m_saveTimer.cancel();
     m_groupManager->stop();
     m_platformStore.close();
--- a/src/briarhingenode/storenode.h
+++ b/src/briarhingenode/storenode.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "platform/nodesettings.h"
-#include "platform/prefixwatch.h"
 #include "platform/storeclient.h"
+#include "platform/storewatch.h"
 #include "retirementreport.h"
 #include "turns/groupmanager.h"
 #include "turns/journal.h"
@@ -67,15 +67,13 @@
     const platform::NodeSettings m_settings;
     logging::EventLog &m_log;
     platform::StoreClient m_platformStore;
+    platform::StoreWatch m_watch;
     RetirementReport m_retirementReport;
     turns::StorePeers m_peers;
     turns::Journal m_journal;
     std::unique_ptr<turns::TurnStore> m_store;
     std::unique_ptr<turns::TurnServer> m_server;
     std::unique_ptr<Manager> m_groupManager;
-    std::unique_ptr<platform::PrefixWatch> m_groupWatch;
-    std::unique_ptr<platform::PrefixWatch> m_operatorWatch;
-    std::unique_ptr<platform::PrefixWatch> m_runnerWatch;
     /** The routing, the runners and the entries by key, for entries that start without the platform's store. */
     std::map<std::string, keyvalue::KeyValue> m_deployment;
     /** Keys known only from the disk, until a listing of the platform's store confirms them. */
--- a/standins/platform/platformstore.cpp
+++ b/standins/platform/platformstore.cpp
@@ -140,6 +140,10 @@
     if (fault == StoreFault::None) {
         return;
     }
+    if (fault == StoreFault::Silent) {
+        loseWatchAnswers();
+        return;
+    }
     for (const Watch &watch : m_watches) {
         watch.connection->abort();
     }
@@ -151,6 +155,11 @@
     m_answersToDrop = count;
 }
 
+void PlatformStore::loseWatchAnswers()
+{
+    m_lostWatches.splice(m_lostWatches.end(), m_watches);
+}
+
 void PlatformStore::discardHistory()
 {
     m_events.clear();
@@ -162,6 +171,11 @@
     m_watches.clear();
 }
 
+int PlatformStore::reads() const
+{
+    return m_reads;
+}
+
 int PlatformStore::conflicts() const
 {
     return m_conflicts;
@@ -169,7 +183,7 @@
 
 void PlatformStore::handle(const Connection &connection, const IncomingRequest &request)
 {
-    if (m_fault == StoreFault::Unresponsive) {
+    if (m_fault == StoreFault::Unresponsive || m_fault == StoreFault::Silent) {
         return;
     }
     if (m_fault == StoreFault::Unavailable) {
@@ -178,6 +192,7 @@
     }
     const std::string path = request.target.substr(0, request.target.find('?'));
     const Query query = parseQuery(request.target);
+    m_reads += path == "/-/kv-txn" ? 0 : 1;
     if (path == "/-/kv-range") {
         range(connection, query);
     } else if (path == "/-/kv-key") {
--- a/standins/platform/platformstore.h
+++ b/standins/platform/platformstore.h
@@ -24,6 +24,8 @@
     Unavailable,
     /** Answers no call. */
     Unresponsive,
+    /** Answers no call, and leaves the connections of pending watches open and silent for good. */
+    Silent,
 };
 
 /** In-memory stand-in for the users' store that speaks its published protocol and simulates faults on demand. */
@@ -57,7 +59,7 @@
     std::string value(const std::string &key) const;
 
     /**
-     * Starts or ends a simulated fault. Starting one closes the connections of pending watches.
+     * Starts or ends a simulated fault. Starting one closes the connections of pending watches, unless it is Silent.
      *
      * @param fault the fault
      */
@@ -70,9 +72,15 @@
      */
     void dropAnswers(int count);
 
+    /** Never answers the pending watches, whose connections stay open. */
+    void loseWatchAnswers();
+
     /** Discards the history, so that watches from earlier revisions are answered with status 410. */
     void discardHistory();
 
+    /** @return number of listings, reads of keys and watches that were answered or wait */
+    int reads() const;
+
     /** @return number of writes answered with a version conflict */
     int conflicts() const;
 
@@ -116,11 +124,14 @@
     std::map<std::string, Item> m_items;
     std::vector<Event> m_events;
     std::list<Watch> m_watches;
+    /** Kept so that their connections stay open. */
+    std::list<Watch> m_lostWatches;
     std::uint64_t m_revision = 1;
     std::uint64_t m_historyStart = 0;
     StoreFault m_fault = StoreFault::None;
     int m_answersToDrop = 0;
     int m_conflicts = 0;
+    int m_reads = 0;
 };
 
 }
--- a/tests/system/test_leavingrunners.py
+++ b/tests/system/test_leavingrunners.py
@@ -36,6 +36,11 @@
             count += fields.get(LEAVING_FIELD) == "1"
         return count
 
+    def is_served_by_one_that_stays(self, path):
+        """Returns whether a request is served by a runner that does not say that it leaves."""
+        status, fields = self.stack.send("entry-0", path)
+        return status == 200 and fields.get(LEAVING_FIELD) is None
+
     # Guards against requests that go on to a runner which has said itself that it leaves, as the store can't say so.
     def test_a_runner_that_leaves_is_avoided_while_the_store_is_silent(self):
         self.stack.pause_store()
@@ -64,8 +69,7 @@
         self.tools[0].restart(self.tools[0].identity)
         for other in self.tools[1:]:
             other.leave()
-        platformstack.stack.wait_until(
-            lambda: self.stack.send("entry-0", "/safe/again")[1].get(LEAVING_FIELD) is None, "the later start")
+        platformstack.stack.wait_until(lambda: self.is_served_by_one_that_stays("/safe/again"), "the later start")
         self.tools[0].leave()
         self.send_until_leaving("entry-0")
         # All leave: refused at once, with a time to come back.
@@ -76,8 +80,7 @@
                 runner.leave()
         self.tools[0].service = "chat"
         self.tools[0].restart()
-        platformstack.stack.wait_until(
-            lambda: self.stack.send("entry-0", "/stream/x")[1].get(LEAVING_FIELD) is None, "the other service")
+        platformstack.stack.wait_until(lambda: self.is_served_by_one_that_stays("/stream/x"), "the other service")
         self.assertEqual(self.stack.send("entry-0", "/stream/x")[0], 200)
         lines = [line for line in self.stack.log("entry-0") if line["name"] == "exchange-ended"]
         self.assertEqual(lines[-1]["runner"], self.tools[0].identity)
--- a/tests/test_platformdocuments.cpp
+++ b/tests/test_platformdocuments.cpp
@@ -26,6 +26,7 @@
 machines = 2
 [timing_bounds]
 grace_s = 6
+config_apply_ms = 3000
 [platform]
 address = "10.200.1.7:8142"
 )";
@@ -91,6 +92,7 @@
     LONGS_EQUAL(7380, settings.firstInternalPort);
     LONGS_EQUAL(2, settings.toleratedDiskLosses);
     LONGS_EQUAL(6000, settings.stopTimeout.count());
+    LONGS_EQUAL(3000, settings.changeTimeLimit.count());
     STRCMP_EQUAL("10.1.0.38:8149", wire::toString(*settings.callerAddress).c_str());
     CHECK(settings.dataFolder.empty());
 }
--- a/tests/test_storewatches.cpp
+++ b/tests/test_storewatches.cpp
@@ -1,7 +1,7 @@
 #include "logging/eventlog.h"
 #include "platform/platformstore.h"
-#include "platform/prefixwatch.h"
 #include "platform/storeclient.h"
+#include "platform/storewatch.h"
 
 #include <chrono>
 #include <functional>
@@ -34,8 +34,14 @@
     {
         store.put("op/config", "1");
         store.put("servers/one", "1");
-        operatorWatch.start();
-        runnerWatch.start();
+        watch.subscribe("op/", keep(config));
+        platform::ItemHandlers runnerHandlers = keep(runner);
+        runnerHandlers.onRemoved = [this](const std::string &, base::Milliseconds gracePeriod) {
+            runner.clear();
+            removalGracePeriod = gracePeriod;
+        };
+        watch.subscribe("servers/", std::move(runnerHandlers));
+        watch.start();
         CHECK(runUntil([this] {
             return config == "1" && runner == "1";
         }));
@@ -44,8 +50,7 @@
 
     void teardown() override
     {
-        operatorWatch.stop();
-        runnerWatch.stop();
+        watch.stop();
         client.close();
         runFor(std::chrono::milliseconds(20));
     }
@@ -75,7 +80,7 @@
         return condition();
     }
 
-    /** Lets the watch of op/ be asked again into the silence, while that of servers/ notices it. */
+    /** Lets the watch be asked again into the silence. */
     void fallSilent(std::chrono::milliseconds duration)
     {
         store.put("op/config", "2");
@@ -93,12 +98,12 @@
     platform::StoreClient client{context, storeAddress()};
     std::string config;
     std::string runner;
-    platform::PrefixWatch operatorWatch{context, client, "op/", keep(config), log};
-    platform::PrefixWatch runnerWatch{context, client, "servers/", keep(runner), log};
+    base::Milliseconds removalGracePeriod{0};
+    platform::StoreWatch watch{context, client, log, base::Milliseconds(2000)};
 };
 
 // Guards against a watch that is opened as the store falls silent and keeps an old configuration for its whole wait.
-TEST(StoreWatches, aWatchAskedIntoASilenceIsAskedAgainWhenAnotherOneIsAnswered)
+TEST(StoreWatches, aWatchAskedIntoASilenceIsAskedAgainAfterIt)
 {
     for (const int silence : {1000, 2500, 4000}) {
         config.clear();
@@ -138,3 +143,61 @@
         },
         std::chrono::milliseconds(200)));
 }
+
+// Guards against a silence that begins and ends within a long poll, so that no call fails and an old configuration stays.
+TEST(StoreWatches, aSilenceWithinALongPollIsNoticed)
+{
+    for (const int silence : {2500, 4000}) {
+        config.clear();
+        store.setFault(StoreFault::Silent);
+        store.put("op/config", std::to_string(silence));
+        runFor(std::chrono::milliseconds(silence));
+        store.setFault(StoreFault::None);
+        CHECK(runUntil(
+            [this, silence] {
+                return config == std::to_string(silence);
+            },
+            std::chrono::seconds(2)));
+    }
+}
+
+// Guards against runners that expired with the store's silence and are taken for gone at once.
+TEST(StoreWatches, aKeyThatExpiredInASilenceMayReappear)
+{
+    store.setFault(StoreFault::Silent);
+    store.remove("servers/one");
+    runFor(std::chrono::milliseconds(4000));
+    CHECK_EQUAL("1", runner);
+    store.setFault(StoreFault::None);
+    CHECK(runUntil([this] {
+        return runner.empty();
+    }));
+    CHECK(removalGracePeriod > base::Milliseconds(1000));
+}
+
+// Guards against a change that stays unknown until the long poll ends, since the answer to it was lost.
+TEST(StoreWatches, aChangeWhoseAnswerWasLostIsReadAgain)
+{
+    store.loseWatchAnswers();
+    store.put("op/config", "5");
+    // In force within 2 s, once time limits apply again 3 s after the loss.
+    CHECK(runUntil(
+        [this] {
+            return config == "5";
+        },
+        std::chrono::seconds(3)));
+    store.put("op/config", "6");
+    CHECK(runUntil(
+        [this] {
+            return config == "6";
+        },
+        std::chrono::seconds(1)));
+}
+
+// Guards against reads that are repeated over and over on a store that changes nothing.
+TEST(StoreWatches, aQuietStoreIsAskedLittle)
+{
+    const int before = store.reads();
+    runFor(std::chrono::milliseconds(6500));
+    CHECK(store.reads() - before <= 5);
+}
