--- a/tests/platformdeployment.cpp
+++ b/tests/platformdeployment.cpp
@@ -62,6 +62,8 @@
     return R"({"version":)" + std::to_string(version) + R"(,"routes":[
 {"name":"turns","host":"h","prefix":"/turn/","kind":"streaming","timeout_ms":4000,"target_latency_ms":200,"priority":0,
  "service":"chat","max_attempts":2,"retain_history":true,"retention_s":60.0,"sticky":true},
+{"name":"drafts","host":"h","prefix":"/draft/","kind":"streaming","timeout_ms":4000,"target_latency_ms":200,
+ "priority":0,"service":"chat","max_attempts":2,"resumable":true,"sticky":true},
 {"name":"safe","host":"h","prefix":"/safe/","kind":"safe","timeout_ms":1000,"target_latency_ms":200,"priority":2,
  "service":"tools","max_attempts":2},
 {"name":"unsafe","host":"h","prefix":"/unsafe/","kind":"unsafe","timeout_ms":1000,"target_latency_ms":200,
@@ -202,9 +204,10 @@
     return waitUntilFinished(sendTo(address, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"))->status == 200;
 }
 
-std::string PlatformDeployment::turn(const std::string &id, const std::string &fields, const std::string &body)
+std::string PlatformDeployment::turn(const std::string &id, const std::string &fields, const std::string &body,
+                                     const std::string &path)
 {
-    return "POST /turn/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id
         + "\r\nX-Program-Id: p\r\nX-Token-Usage: 100,40\r\nX-Deadline-Remaining: 3000\r\n" + fields
         + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
--- a/tests/platformdeployment.h
+++ b/tests/platformdeployment.h
@@ -102,9 +102,11 @@
      * @param id the id of the request
      * @param fields additional header fields, each terminated by CRLF
      * @param body the body
+     * @param path the path; that of a route on which turns are stored, or "/draft/x", on which they are not
      * @return the bytes of a turn's request
      */
-    static std::string turn(const std::string &id, const std::string &fields, const std::string &body);
+    static std::string turn(const std::string &id, const std::string &fields, const std::string &body,
+                            const std::string &path = "/turn/x");
 
     /**
      * @param method the HTTP method
