Forwarding: An answer without an id on a kept connection reaches nobody

What operators of similar systems saw: a server sent a second copy of an answer late, on a connection in use again, and the next caller got an answer that was not its own. It could happen here where the copy has no X-Request-Id: Exchange took an answer that names no request for the one under way, also on a kept connection.

On a new connection nothing earlier can have been answered, and an answer needs no id there.

--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -439,6 +439,11 @@
         if (!response.request.value().empty() && response.request != m_request.id) {
             return http::HeadAction::Skip;
         }
+        if (response.request.value().empty() && m_connection->isReused()) {
+            // It may be a late copy of the answer to an earlier request.
+            abandonAnswer("an answer without an id on a kept connection");
+            return http::HeadAction::Accept;
+        }
         m_response = std::move(response);
         m_hasHead = true;
         m_shared.balancer.responseStarted(m_placement.id);
--- a/src/libbriarhinge/http/clientconnection.cpp
+++ b/src/libbriarhinge/http/clientconnection.cpp
@@ -47,6 +47,7 @@
     std::string request;
     ResponseHandlers handlers;
     std::function<void()> onIdleClosed;
+    std::size_t sentRequests = 0;
     int interimResponses = 0;
     int skippedResponses = 0;
     std::size_t skippedBytes = 0;
@@ -107,6 +108,7 @@
     d->isHeadRequest = isHeadRequest;
     d->isBusy = true;
     d->isSending = true;
+    ++d->sentRequests;
     if (d->isWatchingIdle) {
         // Cancels the wait for the server to close the idle connection; the parser reads from now on.
         error_code ignored;
@@ -292,6 +294,11 @@
     d->onIdleClosed = std::move(onClosed);
 }
 
+bool ClientConnection::isReused() const
+{
+    return d->sentRequests > 1;
+}
+
 bool ClientConnection::isReusable() const
 {
     return d->isReusable && !d->isBusy && !d->isClosed;
--- a/src/libbriarhinge/http/clientconnection.h
+++ b/src/libbriarhinge/http/clientconnection.h
@@ -85,6 +85,9 @@
     /** @return whether another request may be sent */
     bool isReusable() const;
 
+    /** @return whether the current request is not the first one, so that a response may belong to an earlier one */
+    bool isReused() const;
+
 private:
     class Private;
     explicit ClientConnection(std::unique_ptr<Private> state);
