Dispatch: New programs are refused while the engines can't finish them in time

Runners run later turns before first ones, so new programs waited some 3 s in their queues and failed, and those that did begin made the others late (398 tries ended at the deadline).

Cause: nothing refused a program that could not end in time.

Programs under way go on.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -78,6 +78,7 @@
           log)
     , m_exchangeContext{context,
                         m_balancer,
+                        m_admission,
                         m_connectionPool,
                         m_turns,
                         m_exchangeLog,
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -101,6 +101,7 @@
     platform::StoreClient m_store;
     platform::StoreWatch m_watch;
     dispatch::LoadBalancer m_balancer;
+    const dispatch::ProgramAdmission m_admission;
     forwarding::RunnerConnectionPool m_connectionPool;
     turns::StorePeers m_peers;
     turns::TurnClient m_turns;
--- a/src/libbriarhinge/dispatch/loadbalancer.cpp
+++ b/src/libbriarhinge/dispatch/loadbalancer.cpp
@@ -11,6 +11,10 @@
 
 /** Age at which a reported load no longer counts; its weight falls linearly until then. Requests take about 200 ms. */
 constexpr base::Milliseconds maxLoadReportAge{1500};
+/** Age up to which reports show the load of a service as a whole: bursts change it within a second. */
+constexpr base::Milliseconds maxServiceReportAge{700};
+/** Fewer reports may come from the busiest runners by chance. */
+constexpr int minServiceReports = 5;
 /** How long a runner that refused a request is considered full: a fraction of a request's duration. */
 constexpr base::Milliseconds fullBackoff{60};
 /** More runners than leave while the platform's store is away and lists them as sound. */
@@ -241,6 +245,22 @@
     return runner.registration.isDraining || m_leaving.contains(runner.registration.id, runner.registration.startedAt);
 }
 
+std::optional<double> LoadBalancer::loadPerSlot(const forwarding::ServiceName &service, Time now) const
+{
+    double sum = 0;
+    int reports = 0;
+    for (const auto &[id, runner] : m_runners) {
+        const bool isRecent = runner.loadReportedAt && now - *runner.loadReportedAt < maxServiceReportAge;
+        if (runner.registration.service != service || !isRecent) {
+            continue;
+        }
+        const double others = std::max(0.0, static_cast<double>(runner.reportedLoad) - runner.outstandingAtReport);
+        sum += (others + runner.outstanding) / std::max(1U, runner.registration.slots);
+        ++reports;
+    }
+    return reports < minServiceReports ? std::nullopt : std::optional(sum / reports);
+}
+
 std::size_t LoadBalancer::size() const
 {
     return m_runners.size();
--- a/src/libbriarhinge/dispatch/loadbalancer.h
+++ b/src/libbriarhinge/dispatch/loadbalancer.h
@@ -217,6 +217,14 @@
     /** @param id a runner @return whether it drains, has said that it leaves, or is not registered */
     bool isLeaving(const RunnerId &id) const;
 
+    /**
+     * @param service a service
+     * @param now current time
+     * @return mean number of running and queued requests per slot of its runners, from recent reports; nothing if too
+     *         few runners have reported
+     */
+    std::optional<double> loadPerSlot(const forwarding::ServiceName &service, Time now) const;
+
     /** @return number of known runners */
     std::size_t size() const;
 
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/loadbalancer.h"
+#include "dispatch/programadmission.h"
 #include "dispatch/retrydelay.h"
 #include "dispatch/urgency.h"
 #include "forwarding/buffermemory.h"
@@ -53,6 +54,7 @@
 {
     boost::asio::io_context &context;
     dispatch::LoadBalancer &balancer;
+    const dispatch::ProgramAdmission &admission;
     RunnerConnectionPool &pool;
     turns::TurnClient &turns;
     ExchangeLog &log;
@@ -136,6 +138,13 @@
             }
         });
         preparePlacement();
+        if (isFirstTurn()) {
+            const auto load = m_shared.balancer.loadPerSlot(m_placementRequest.service, now());
+            if (const auto retryDelay = m_shared.admission.refusal(*m_route, load)) {
+                refuse("the runners can't finish another program in time", *retryDelay);
+                return;
+            }
+        }
         if (isTurn()) {
             beginTurn();
         } else {
@@ -182,6 +191,12 @@
         return m_route->storesTurns && m_route->kind == RouteKind::Stream;
     }
 
+    /** Whether the request begins a program; where turns are not stored, it can't be told from a later turn. */
+    bool isFirstTurn() const
+    {
+        return isStoredTurn() && m_request.previousTurn.value().empty();
+    }
+
     /** Whether the tokens of the response count against the budget of a program. */
     bool hasBudget() const
     {
--- a/tests/test_storewatches.cpp
+++ b/tests/test_storewatches.cpp
@@ -167,7 +167,7 @@
     store.setFault(StoreFault::Silent);
     store.remove("servers/one");
     runFor(std::chrono::milliseconds(4000));
-    CHECK_EQUAL("1", runner);
+    STRCMP_EQUAL("1", runner.c_str());
     store.setFault(StoreFault::None);
     CHECK(runUntil([this] {
         return runner.empty();
