--- a/standins/platform/platformstore.h
+++ b/standins/platform/platformstore.h
@@ -26,6 +26,8 @@
     Unresponsive,
     /** Answers no call, and leaves the connections of pending watches open and silent for good. */
     Silent,
+    /** Answers every call with status 429, and leaves pending watches silent for good. */
+    TooMany,
 };
 
 /** In-memory stand-in for the users' store that speaks its published protocol and simulates faults on demand. */
@@ -59,7 +61,7 @@
     std::string value(const std::string &key) const;
 
     /**
-     * Starts or ends a simulated fault. Starting one closes the connections of pending watches, unless it is Silent.
+     * Starts or ends a simulated fault. Starting one closes the connections of pending watches, unless it leaves them silent.
      *
      * @param fault the fault
      */
--- a/tests/test_storewatches.cpp
+++ b/tests/test_storewatches.cpp
@@ -161,6 +161,20 @@
     }
 }
 
+// Guards against a store that rejects this process for a while, as if it called too often, after which nothing is asked again.
+TEST(StoreWatches, aLongPollThatWasLostWhileTheStoreRejectedAllCallsIsAskedAgain)
+{
+    store.setFault(StoreFault::TooMany);
+    store.put("op/config", "7");
+    runFor(std::chrono::milliseconds(3000));
+    store.setFault(StoreFault::None);
+    CHECK(runUntil(
+        [this] {
+            return config == "7";
+        },
+        std::chrono::seconds(2)));
+}
+
 // Guards against runners that expired with the store's silence and are taken for gone at once.
 TEST(StoreWatches, aKeyThatExpiredInASilenceMayReappear)
 {
