Http: One reader of heads, and one that gathers a response

http::Client and http::ClientConnection turned the parsed head into a ResponseHead with the same lines: headOf(). The three handlers that gather a whole response stood in Client::call(), ToolUpstream and EngineUpstream: Client::send() with a ResponseHandler. Behaviour as before.

--- a/src/libbriarhinge/http/client.cpp
+++ b/src/libbriarhinge/http/client.cpp
@@ -387,13 +387,7 @@
     void reportHead()
     {
         m_hasHead = true;
-        const auto &message = m_parser->get();
-        ResponseHead head;
-        head.status = message.result_int();
-        head.isKeepAlive = m_parser->keep_alive();
-        for (const auto &field : message) {
-            head.headers.add(std::string(field.name_string()), std::string(field.value()));
-        }
+        const ResponseHead head = headOf(*m_parser);
         m_isKept = m_isKept && head.isKeepAlive;
         if (m_handlers.onHead) {
             m_handlers.onHead(head);
@@ -488,25 +482,34 @@
     return d->start(std::move(request), std::move(handlers), d->limits.timeout);
 }
 
-ClientResponse Client::call(ClientRequest request, base::Milliseconds wait)
+std::shared_ptr<ClientCall> Client::send(ClientRequest request, ResponseHandler onResponse, base::Milliseconds wait)
 {
-    ClientResponse response;
-    std::promise<void> ended;
+    const auto response = std::make_shared<ClientResponse>();
     CallHandlers handlers;
-    handlers.onHead = [&response](const ResponseHead &head) {
-        response.head = head;
+    handlers.onHead = [response](const ResponseHead &head) {
+        response->head = head;
     };
-    handlers.onBody = [&response](std::string_view piece) {
-        response.body += piece;
+    handlers.onBody = [response](std::string_view piece) {
+        response->body += piece;
         return false;
     };
-    handlers.onEnd = [&response, &ended](const CallEnd &end) {
-        response.end = end;
-        ended.set_value();
+    handlers.onEnd = [response, onResponse = std::move(onResponse)](const CallEnd &end) {
+        response->end = end;
+        onResponse(*response);
     };
-    d->start(std::move(request), std::move(handlers), d->limits.timeout + wait);
-    ended.get_future().wait();
-    return response;
+    return d->start(std::move(request), std::move(handlers), d->limits.timeout + wait);
+}
+
+ClientResponse Client::call(ClientRequest request, base::Milliseconds wait)
+{
+    std::promise<ClientResponse> ended;
+    send(
+        std::move(request),
+        [&ended](ClientResponse &response) {
+            ended.set_value(std::move(response));
+        },
+        wait);
+    return ended.get_future().get();
 }
 
 }
--- a/src/libbriarhinge/http/client.h
+++ b/src/libbriarhinge/http/client.h
@@ -81,6 +81,8 @@
 class Client
 {
 public:
+    using ResponseHandler = std::function<void(ClientResponse &)>;
+
     /** What becomes of a connection after a whole response. */
     enum class Reuse {
         Keep,
@@ -107,6 +109,17 @@
      */
     std::shared_ptr<ClientCall> send(ClientRequest request, CallHandlers handlers);
 
+    /**
+     * Sends a request and gathers the response, without waiting for it.
+     *
+     * @param request the request
+     * @param onResponse called once, on the thread of the client; the end of the response says whether it is whole
+     * @param wait how long the service may delay the response, in addition to the timeout
+     * @return handle of the call
+     */
+    std::shared_ptr<ClientCall> send(ClientRequest request, ResponseHandler onResponse,
+                                     base::Milliseconds wait = base::Milliseconds(0));
+
     /**
      * Sends a request and waits for the response.
      *
--- a/src/libbriarhinge/http/clientconnection.cpp
+++ b/src/libbriarhinge/http/clientconnection.cpp
@@ -183,12 +183,7 @@
             awaitResponse();
             return;
         }
-        ResponseHead head;
-        head.status = message.result_int();
-        head.isKeepAlive = parser.keep_alive();
-        for (const auto &field : message) {
-            head.headers.add(std::string(field.name_string()), std::string(field.value()));
-        }
+        const ResponseHead head = headOf(parser);
         d->isReusable = d->isReusable && head.isKeepAlive;
         d->isSkipping = d->handlers.onHead(head) == HeadAction::Skip;
         if (d->isClosed) {
--- a/src/libbriarhinge/http/responseparser.cpp
+++ b/src/libbriarhinge/http/responseparser.cpp
@@ -32,4 +32,16 @@
     return parser.content_length() ? Framing::Length : Framing::None;
 }
 
+ResponseHead headOf(const ResponseParser &parser)
+{
+    const auto &message = parser.get();
+    ResponseHead head;
+    head.status = message.result_int();
+    head.isKeepAlive = parser.keep_alive();
+    for (const auto &field : message) {
+        head.headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    return head;
+}
+
 }
--- a/src/libbriarhinge/http/responseparser.h
+++ b/src/libbriarhinge/http/responseparser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/clientconnection.h"
 #include "http/responseend.h"
 
 #include <cstddef>
@@ -39,4 +40,10 @@
  */
 Framing framingOf(const ResponseParser &parser, bool isHeadRequest);
 
+/**
+ * @param parser a parser that has received the head of a response
+ * @return the head
+ */
+ResponseHead headOf(const ResponseParser &parser);
+
 }
--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -188,7 +188,8 @@
     /** Sends a request about held prefixes. Errors are ignored, since each hold is a lease that expires by itself. */
     void post(const std::string &path, const json &body)
     {
-        cache.send({"POST", path, "application/json", body.dump(-1, ' ', false, json::error_handler_t::replace)}, {});
+        cache.send({"POST", path, "application/json", body.dump(-1, ' ', false, json::error_handler_t::replace)},
+                   http::CallHandlers());
     }
 
     /**
@@ -245,18 +246,14 @@
 
 void EngineUpstream::requestCacheEvents(std::uint64_t after, const CacheEventsHandler &handler)
 {
-    const auto body = std::make_shared<std::string>();
-    http::CallHandlers handlers;
-    handlers.onBody = [body](std::string_view piece) {
-        *body += piece;
-        return false;
-    };
-    handlers.onEnd = [after, handler, body](const http::CallEnd &end) {
-        const auto content = json::accept(*body) ? http::ContentEnd::Stated : http::ContentEnd::InsideItem;
-        const bool isWhole = http::completeness(end.response, content) == http::Completeness::Complete;
-        handler(isWhole ? parseCacheEvents(*body, after) : std::nullopt);
-    };
-    d->cache.send({"GET", "/v1/events?after=" + std::to_string(after), {}, {}}, std::move(handlers));
+    d->cache.send({"GET", "/v1/events?after=" + std::to_string(after), {}, {}},
+                  [after, handler](const http::ClientResponse &response) {
+                      const bool isDocument = json::accept(response.body);
+                      const auto content = isDocument ? http::ContentEnd::Stated : http::ContentEnd::InsideItem;
+                      const bool isWhole =
+                          http::completeness(response.end.response, content) == http::Completeness::Complete;
+                      handler(isWhole ? parseCacheEvents(response.body, after) : std::nullopt);
+                  });
 }
 
 }
--- a/src/libbriarhinge/runner/toolupstream.cpp
+++ b/src/libbriarhinge/runner/toolupstream.cpp
@@ -68,20 +68,9 @@
     request.target = "/v1/tools/" + http::percentEncoded(call.call.request.target.value());
     request.contentType = "application/json";
     request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
-    const auto response = std::make_shared<http::ClientResponse>();
-    http::CallHandlers handlers;
-    handlers.onHead = [response](const http::ResponseHead &head) {
-        response->head = head;
-    };
-    handlers.onBody = [response](std::string_view piece) {
-        response->body += piece;
-        return false;
-    };
-    handlers.onEnd = [response, observer](const http::CallEnd &end) {
-        response->end = end;
-        observer.ended(parseOutcome(*response));
-    };
-    m_client->send(std::move(request), std::move(handlers));
+    m_client->send(std::move(request), [observer](const http::ClientResponse &response) {
+        observer.ended(parseOutcome(response));
+    });
     return std::make_shared<NoCancellation>();
 }
 
