--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -91,6 +91,9 @@
                         [this](const dispatch::Placement &placement, base::Milliseconds age) {
                             recordLeavingRunner(placement, age);
                         },
+                        [this](const dispatch::Placement &placement, const dispatch::RateStatement &statement) {
+                            recordRate(placement, statement);
+                        },
                         [this](const wire::Address &address, std::function<void(bool)> onResult) {
                             m_livenessCheck.check(address, std::move(onResult));
                         },
@@ -232,6 +235,19 @@
                  {"age", age.count()}});
 }
 
+void EntryNode::recordRate(const dispatch::Placement &placement, const dispatch::RateStatement &statement)
+{
+    if (!m_balancer.rateStated(placement.id, statement)) {
+        return;
+    }
+    m_metrics.runnerLimitChanged();
+    m_log.write(logging::events::runnerLimited,
+                {{"runner", placement.id.value()},
+                 {"started", statement.startedAt},
+                 {"limit", statement.limit ? std::to_string(statement.limit->value()) : "none"},
+                 {"source", "answer"}});
+}
+
 void EntryNode::watchGroup()
 {
     platform::ItemHandlers handlers;
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -79,6 +79,13 @@
      * @param age maximum age of that knowledge, in milliseconds
      */
     void recordLeavingRunner(const dispatch::Placement &placement, base::Milliseconds age);
+    /**
+     * Records what a runner has said in an answer of the rate at which it takes requests.
+     *
+     * @param placement the runner of the attempt that was answered
+     * @param statement what it said
+     */
+    void recordRate(const dispatch::Placement &placement, const dispatch::RateStatement &statement);
     void applyRouting(const keyvalue::KeyValue &item);
     void applyRunner(const keyvalue::KeyValue &item);
     void applyGroup(const keyvalue::KeyValue &item);
--- a/src/libbriarhinge/dispatch/loadbalancer.cpp
+++ b/src/libbriarhinge/dispatch/loadbalancer.cpp
@@ -38,6 +38,7 @@
     if (isNew) {
         runner.registration = registration;
         m_leaving.recordRegistration(registration.id, registration.startedAt);
+        m_rateLimits.recordRegistration(registration.id, registration.startedAt);
         return true;
     }
     const bool isOlderStart = registration.startedAt < runner.registration.startedAt;
@@ -47,6 +48,7 @@
         return false;
     }
     m_leaving.recordRegistration(registration.id, registration.startedAt);
+    m_rateLimits.recordRegistration(registration.id, registration.startedAt);
     if (registration.startedAt > runner.registration.startedAt) {
         runner.promptCache.clear();
         runner.health = {};
@@ -65,6 +67,7 @@
 bool LoadBalancer::removeRunner(const RunnerId &id)
 {
     m_leaving.recordRemoval(id);
+    m_rateLimits.recordRemoval(id);
     return m_runners.erase(id) > 0;
 }
 
@@ -234,6 +237,11 @@
     return m_leaving.add(id, startedAt, m_runners.contains(id));
 }
 
+bool LoadBalancer::rateStated(const RunnerId &id, const RateStatement &statement)
+{
+    return m_rateLimits.record(id, statement);
+}
+
 bool LoadBalancer::isLeaving(const RunnerId &id) const
 {
     const auto found = m_runners.find(id);
--- a/src/libbriarhinge/dispatch/loadbalancer.h
+++ b/src/libbriarhinge/dispatch/loadbalancer.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/leavingrunners.h"
 #include "dispatch/promptcacheestimate.h"
+#include "dispatch/ratelimits.h"
 #include "dispatch/runner.h"
 #include "dispatch/runnerperformance.h"
 #include "dispatch/typicaldurations.h"
@@ -214,6 +215,15 @@
      */
     bool runnerLeaves(const RunnerId &id, std::uint64_t startedAt);
 
+    /**
+     * Records what a runner has said of the rate at which it takes requests.
+     *
+     * @param id the runner
+     * @param statement what it said
+     * @return whether its limit is another one since
+     */
+    bool rateStated(const RunnerId &id, const RateStatement &statement);
+
     /** @param id a runner @return whether it drains, has said that it leaves, or is not registered */
     bool isLeaving(const RunnerId &id) const;
 
@@ -268,6 +278,7 @@
     const PlacementWeights m_weights;
     std::map<RunnerId, Runner> m_runners;
     LeavingRunners m_leaving;
+    RateLimits m_rateLimits;
     TypicalDurations m_typicalDurations;
     std::size_t m_rotation = 0;
 };
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -68,6 +68,8 @@
     std::function<void(const LostAttempt &)> connectionLost;
     /** Called with each attempt in whose answer the runner says that it leaves, and the time since it was sent. */
     std::function<void(const dispatch::Placement &, base::Milliseconds)> runnerLeaves;
+    /** Called with what each answer says of the rate at which its runner takes requests. */
+    std::function<void(const dispatch::Placement &, const dispatch::RateStatement &)> rateStated;
     /** Finds out whether the runner at an address lives, after it has closed a connection; see LivenessCheck. */
     std::function<void(const wire::Address &, std::function<void(bool)>)> checkLiveness;
     /** Returns the routing in force; null while none is known. */
@@ -451,6 +453,14 @@
             // Also in a late answer to another request: it comes from the same process.
             m_shared.runnerLeaves(m_placement, std::chrono::duration_cast<base::Milliseconds>(now() - m_sentAt));
         }
+        const bool isLate =
+            response.request.value().empty() ? m_connection->isReused() : response.request != m_request.id;
+        if (response.statedRate) {
+            // A late answer to an earlier request was made at an unknown time.
+            m_shared.rateStated(
+                m_placement,
+                {m_placement.startedAt, response.statedRate->limit, isLate ? Time::min() : m_sentAt, now()});
+        }
         if (!response.request.value().empty() && response.request != m_request.id) {
             return http::HeadAction::Skip;
         }
--- a/src/libbriarhinge/forwarding/messages.h
+++ b/src/libbriarhinge/forwarding/messages.h
@@ -69,6 +69,16 @@
     std::uint32_t slots = 0;
 };
 
+/** A number of requests a second. */
+using RequestRate = base::StrongType<struct RequestRateTag, double>;
+
+/** What a response says of the rate at which its runner takes requests. */
+struct StatedRate
+{
+    /** Requests that it takes from all entries together; empty when it takes any number. */
+    std::optional<RequestRate> limit;
+};
+
 /** Decoded head of a runner's response. */
 struct RunnerResponse
 {
@@ -85,6 +95,8 @@
     /** Request that is answered; empty when the runner did not state it. */
     RequestId request;
     std::optional<ReportedLoad> load;
+    /** Empty when the response says nothing that holds for the runner that was asked. */
+    std::optional<StatedRate> statedRate;
     /** How long the runner keeps an idle connection open; empty when it did not state it. */
     std::optional<base::Milliseconds> keepAliveTimeout;
     /** Header fields that are forwarded to the caller unmodified. */
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -84,6 +84,7 @@
 inline constexpr EventKind crashRecorded{645, "crash-recorded", Level::Warning};
 inline constexpr EventKind digestQuarantined{646, "digest-quarantined", Level::Error};
 inline constexpr EventKind runnerLeaving{647, "runner-leaving", Level::Info};
+inline constexpr EventKind runnerLimited{648, "runner-limited", Level::Warning};
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
 // clang-format off
@@ -146,6 +147,7 @@
     crashRecorded,
     digestQuarantined,
     runnerLeaving,
+    runnerLimited,
     invariantViolated,
 };
 // clang-format on
--- a/src/libbriarhinge/metrics/exchangemetrics.cpp
+++ b/src/libbriarhinge/metrics/exchangemetrics.cpp
@@ -39,6 +39,11 @@
                                               .Help("Runners that said in an answer that they leave")
                                               .Register(registry)
                                               .Add({});
+    prometheus::Counter &limitChanges = prometheus::BuildCounter()
+                                            .Name("briarhinge_runner_limit_changes_total")
+                                            .Help("Changes of the limits that runners name in their answers")
+                                            .Register(registry)
+                                            .Add({});
     prometheus::Family<prometheus::Counter> &checks = prometheus::BuildCounter()
                                                           .Name("briarhinge_runner_checks_total")
                                                           .Help("Checks of runners after lost connections")
@@ -94,6 +99,11 @@
     d->leavingRunners.Increment();
 }
 
+void ExchangeMetrics::runnerLimitChanged()
+{
+    d->limitChanges.Increment();
+}
+
 std::string ExchangeMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(d->registry.Collect());
--- a/src/libbriarhinge/metrics/exchangemetrics.h
+++ b/src/libbriarhinge/metrics/exchangemetrics.h
@@ -43,6 +43,9 @@
     /** Counts a runner that said in an answer that it leaves. */
     void runnerLeft();
 
+    /** Counts a change of the limit that a runner names in its answers. */
+    void runnerLimitChanged();
+
     /** @return the metrics in the Prometheus text format */
     std::string text() const;
 
