--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -60,6 +60,14 @@
     , m_turns(context, m_peers, turns::QuorumRule{settings.toleratedDiskLosses}, settings.zone, log)
     , m_suspects(placement::SuspectLimits{})
     , m_crashSharing(context, m_peers, m_store, settings.name, m_suspects, log)
+    , m_rateSharing(context, m_peers,
+                    [this](const forwarding::KnownRate &known) {
+                        recordRate(known, "entry");
+                    })
+    , m_permits(context, m_turns, m_balancer,
+                [this](const forwarding::KnownRate &known) {
+                    recordRate(known, "turn-store");
+                })
     , m_runnerProbe(context)
     , m_crashDetector(m_runnerProbe, m_balancer, m_suspects, log, m_metrics,
                       [this](const placement::CrashReport &report) {
@@ -73,13 +81,19 @@
               return m_turns.isMember(address);
           },
           [this](const wire::MessageUnion &message) {
-              return m_crashSharing.handleMessage(message);
+              auto answer = m_crashSharing.handleMessage(message);
+              return answer ? answer : m_rateSharing.handleMessage(message);
           },
           log)
     , m_exchangeContext{context,
                         m_balancer,
                         m_admission,
                         m_connectionPool,
+                        m_permits,
+                        m_returns,
+                        [this] {
+                            return m_rateSharing.entryCount() + 1;
+                        },
                         m_turns,
                         m_exchangeLog,
                         m_retryDelay,
@@ -92,7 +106,7 @@
                             recordLeavingRunner(placement, age);
                         },
                         [this](const dispatch::Placement &placement, const dispatch::RateStatement &statement) {
-                            recordRate(placement, statement);
+                            recordStatedRate(placement, statement);
                         },
                         [this](const wire::Address &address, std::function<void(bool)> onResult) {
                             m_livenessCheck.check(address, std::move(onResult));
@@ -235,17 +249,32 @@
                  {"age", age.count()}});
 }
 
-void EntryNode::recordRate(const dispatch::Placement &placement, const dispatch::RateStatement &statement)
+void EntryNode::recordStatedRate(const dispatch::Placement &placement, const dispatch::RateStatement &statement)
 {
-    if (!m_balancer.rateStated(placement.id, statement)) {
+    if (!statement.limit && m_balancer.rateStatement(placement.id) == nullptr) {
         return;
     }
+    const forwarding::KnownRate known{placement.id, statement};
+    if (recordRate(known, "answer")) {
+        m_rateSharing.publish(known);
+    }
+}
+
+bool EntryNode::recordRate(const forwarding::KnownRate &known, std::string_view source)
+{
+    if (!m_balancer.rateStated(known.runner, known.statement)) {
+        return false;
+    }
     m_metrics.runnerLimitChanged();
+    const auto &limit = known.statement.limit;
+    const auto age = std::chrono::steady_clock::now() - known.statement.latest;
     m_log.write(logging::events::runnerLimited,
-                {{"runner", placement.id.value()},
-                 {"started", statement.startedAt},
-                 {"limit", statement.limit ? std::to_string(statement.limit->value()) : "none"},
-                 {"source", "answer"}});
+                {{"runner", known.runner.value()},
+                 {"started", known.statement.startedAt},
+                 {"limit", limit ? std::to_string(limit->value()) : std::string("none")},
+                 {"source", std::string(source)},
+                 {"age", std::chrono::duration_cast<base::Milliseconds>(age).count()}});
+    return true;
 }
 
 void EntryNode::watchGroup()
@@ -304,6 +333,7 @@
         std::rotate(relays.begin(), relays.begin() + static_cast<std::ptrdiff_t>(first), relays.end());
     }
     m_crashSharing.setEntries(relays);
+    m_rateSharing.setEntries(relays);
     m_peers.setRelays(std::move(relays));
 }
 
@@ -327,6 +357,11 @@
 {
     if (const auto group = turns::parseStoreGroup(item.value)) {
         m_turns.setGroup(*group);
+        std::vector<dispatch::KeeperId> keepers;
+        for (const turns::DiskId &disk : m_turns.disks()) {
+            keepers.emplace_back(disk.value());
+        }
+        m_balancer.permitSchedule().setKeepers(std::move(keepers));
     } else {
         m_log.write(logging::events::badEntry, {{"key", item.key}});
     }
@@ -461,6 +496,7 @@
     m_checkTimer.cancel();
     m_relayServer.stop();
     m_crashSharing.stop();
+    m_rateSharing.stop();
     m_removalTimers.clear();
     m_watch.stop();
     for (const auto *listener : {&m_callerListener, &m_readinessListener, &m_metricsListener}) {
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -9,6 +9,8 @@
 #include "forwarding/exchange.h"
 #include "forwarding/exchangelog.h"
 #include "forwarding/livenesscheck.h"
+#include "forwarding/permitclient.h"
+#include "forwarding/ratesharing.h"
 #include "forwarding/runnerconnectionpool.h"
 #include "forwarding/runnerprobe.h"
 #include "http/listener.h"
@@ -85,7 +87,15 @@
      * @param placement the runner of the attempt that was answered
      * @param statement what it said
      */
-    void recordRate(const dispatch::Placement &placement, const dispatch::RateStatement &statement);
+    void recordStatedRate(const dispatch::Placement &placement, const dispatch::RateStatement &statement);
+    /**
+     * Records what is known of the rate at which a runner takes requests.
+     *
+     * @param known the runner and its rate
+     * @param source where that is known from, for the log
+     * @return whether its limit is another one since
+     */
+    bool recordRate(const forwarding::KnownRate &known, std::string_view source);
     void applyRouting(const keyvalue::KeyValue &item);
     void applyRunner(const keyvalue::KeyValue &item);
     void applyGroup(const keyvalue::KeyValue &item);
@@ -114,6 +124,9 @@
     turns::TurnClient m_turns;
     placement::SuspectTable m_suspects;
     forwarding::CrashSharing<platform::StoreClient> m_crashSharing;
+    forwarding::RateSharing m_rateSharing;
+    forwarding::PermitClient m_permits;
+    dispatch::ReturnSchedule m_returns;
     forwarding::RunnerProbe m_runnerProbe;
     forwarding::CrashDetector<forwarding::RunnerProbe> m_crashDetector;
     forwarding::LivenessCheck<forwarding::RunnerProbe> m_livenessCheck;
--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -3,6 +3,7 @@
 #include "platform/documents.h"
 #include "wire/framecodec.h"
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 #include <random>
@@ -42,6 +43,9 @@
     , m_retirementReport(m_platformStore, settings.name, log)
     , m_peers(context)
     , m_journal(settings.dataFolder)
+    , m_permitServer([this] {
+        return permitKeepers();
+    })
     , m_saveTimer(context)
 {
 }
@@ -80,13 +84,17 @@
         m_log.write(logging::events::diskFailing, {{"reason", error->reason}});
     }
     loadDeployment();
-    m_server = std::make_unique<turns::TurnServer>(m_context, *m_store, m_journal, m_log, [this] {
+    const auto deployment = [this] {
         std::vector<keyvalue::KeyValue> items;
         for (const auto &[key, item] : m_deployment) {
             items.push_back(item);
         }
         return items;
-    });
+    };
+    m_server = std::make_unique<turns::TurnServer>(m_context, *m_store, m_journal, m_log, deployment,
+                                                   [this](const wire::MessageUnion &message) {
+                                                       return m_permitServer.handleMessage(message);
+                                                   });
     const wire::Address address{m_settings.ip, m_settings.firstInternalPort};
     const auto listening = m_server->listen(address);
     if (const auto *error = std::get_if<wire::ListenError>(&listening)) {
@@ -110,6 +118,15 @@
     return {};
 }
 
+std::size_t StoreNode::permitKeepers() const
+{
+    const auto members = m_store->group().members();
+    const bool isMember = std::any_of(members.begin(), members.end(), [this](const turns::StoreMember &member) {
+        return member.disk == m_store->disk();
+    });
+    return isMember ? members.size() : 0;
+}
+
 void StoreNode::loadDeployment()
 {
     std::ifstream file(m_settings.dataFolder + '/' + std::string(deploymentFile), std::ios::binary);
--- a/src/briarhingenode/storenode.h
+++ b/src/briarhingenode/storenode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/permitserver.h"
 #include "platform/nodesettings.h"
 #include "platform/storeclient.h"
 #include "platform/storewatch.h"
@@ -57,6 +58,8 @@
 
     std::variant<turns::DiskId, turns::DiskError> openDisk() const;
     void watchGroup();
+    /** @return number of turn stores that share the limits of runners; 0 if this one is not among them */
+    std::size_t permitKeepers() const;
     void loadDeployment();
     void updateDeployment(const keyvalue::KeyValue &item);
     void scheduleSave();
@@ -72,6 +75,7 @@
     turns::StorePeers m_peers;
     turns::Journal m_journal;
     std::unique_ptr<turns::TurnStore> m_store;
+    forwarding::PermitServer m_permitServer;
     std::unique_ptr<turns::TurnServer> m_server;
     std::unique_ptr<Manager> m_groupManager;
     /** The routing, the runners and the entries by key, for entries that start without the platform's store. */
--- a/src/libbriarhinge/dispatch/loadbalancer.cpp
+++ b/src/libbriarhinge/dispatch/loadbalancer.cpp
@@ -68,6 +68,7 @@
 {
     m_leaving.recordRemoval(id);
     m_rateLimits.recordRemoval(id);
+    m_permitSchedule.forget(id);
     return m_runners.erase(id) > 0;
 }
 
@@ -119,7 +120,7 @@
 {
     const Runner *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    bool hasFullRunners = false;
+    NoCapacity noCapacity;
     std::vector<const Runner *> avoided;
     ++m_rotation;
     std::size_t index = 0;
@@ -130,32 +131,45 @@
             continue;
         }
         if (runner.fullUntil && now < *runner.fullUntil) {
-            hasFullRunners = true;
+            noCapacity.hasFullRunners = true;
             continue;
         }
+        const bool isLimited = m_rateLimits.limit(id).has_value();
+        double permitDelayMs = 0;
+        if (isLimited) {
+            const Time next = m_permitSchedule.nextPermit(id, now);
+            noCapacity.nextPermit = std::min(next, noCapacity.nextPermit.value_or(Time::max()));
+            if (next - now > request.permitWait) {
+                continue;
+            }
+            permitDelayMs = std::chrono::duration<double, std::milli>(next - now).count();
+        }
         if (runner.health.isAvoided(now, runner.outstanding)) {
             avoided.push_back(&runner);
             continue;
         }
         // The tie-break rotates between runners of equal cost, so that entries do not all select the first one.
         const double tieBreak = static_cast<double>((index++ * 7 + m_rotation) % 16) / 16;
-        const double cost =
-            (request.isSuspect ? estimatedLoad(runner, now) : placementCost(runner, request, now)) + tieBreak;
+        double cost = (request.isSuspect ? estimatedLoad(runner, now) : placementCost(runner, request, now)) + tieBreak;
+        if (isLimited) {
+            cost += m_weights.limitedRunnerMs + permitDelayMs;
+        }
         if (cost < bestCost) {
             bestCost = cost;
             best = &runner;
         }
     }
-    if (best == nullptr && !avoided.empty() && !hasFullRunners) {
+    if (best == nullptr && !avoided.empty() && !noCapacity.hasFullRunners) {
         best = *std::min_element(avoided.begin(), avoided.end(), [](const Runner *left, const Runner *right) {
             return left->health.backoffEnd() < right->health.backoffEnd();
         });
     }
     if (best == nullptr) {
-        return NoCapacity{hasFullRunners};
+        return noCapacity;
     }
-    return Placement{best->registration.id, best->registration.address, estimatedLoad(*best, now),
-                     best->promptCache.cachedTokens(request.promptBlocks), best->registration.startedAt};
+    return Placement{best->registration.id,        best->registration.address,
+                     estimatedLoad(*best, now),    best->promptCache.cachedTokens(request.promptBlocks),
+                     best->registration.startedAt, m_rateLimits.limit(best->registration.id).has_value()};
 }
 
 void LoadBalancer::requestSent(const RunnerId &id, const PlacementRequest &request)
@@ -239,7 +253,33 @@
 
 bool LoadBalancer::rateStated(const RunnerId &id, const RateStatement &statement)
 {
-    return m_rateLimits.record(id, statement);
+    const bool isChanged = m_rateLimits.record(id, statement);
+    if (isChanged && !m_rateLimits.limit(id)) {
+        m_permitSchedule.forget(id);
+    }
+    return isChanged;
+}
+
+const RateStatement *LoadBalancer::rateStatement(const RunnerId &id) const
+{
+    return m_rateLimits.statement(id);
+}
+
+PermitSchedule &LoadBalancer::permitSchedule()
+{
+    return m_permitSchedule;
+}
+
+forwarding::RequestRate LoadBalancer::totalLimit(const forwarding::ServiceName &service) const
+{
+    double total = 0;
+    for (const auto &[id, statement] : m_rateLimits.statements()) {
+        const RegisteredRunner *runner = registration(id);
+        if (runner != nullptr && runner->service == service && statement.limit) {
+            total += statement.limit->value();
+        }
+    }
+    return forwarding::RequestRate(total);
 }
 
 bool LoadBalancer::isLeaving(const RunnerId &id) const
--- a/src/libbriarhinge/dispatch/loadbalancer.h
+++ b/src/libbriarhinge/dispatch/loadbalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/leavingrunners.h"
+#include "dispatch/permitschedule.h"
 #include "dispatch/promptcacheestimate.h"
 #include "dispatch/ratelimits.h"
 #include "dispatch/runner.h"
@@ -34,6 +35,8 @@
     std::set<RunnerId> excluded;
     /** Whether a runner has crashed under the request; it then goes where a further crash breaks off the least. */
     bool isSuspect = false;
+    /** Longest time for which the request can wait for a permit of a runner with a limit. */
+    base::Milliseconds permitWait{0};
 };
 
 /** The runner selected for a request. */
@@ -47,6 +50,8 @@
     base::Tokens cachedTokens;
     /** Start of the runner's incarnation in Unix milliseconds, 0 when unknown. */
     std::uint64_t startedAt = 0;
+    /** Whether the runner has named a limit, so that the request must not be sent without a permit. */
+    bool needsPermit = false;
 };
 
 /** Returned when no runner can be selected. */
@@ -54,6 +59,8 @@
 {
     /** Whether matching runners exist but recently refused requests because they were full. */
     bool hasFullRunners = false;
+    /** Earliest time at which there may be a permit for a matching runner; empty if none has a limit. */
+    std::optional<placement::SteadyTime> nextPermit = std::nullopt;
 };
 
 /**
@@ -74,6 +81,8 @@
     double plainRequestDurationMs = 90;
     /** Cost of a runner in another availability zone: the network round trip and the price of the traffic. */
     double crossZoneMs = 4;
+    /** Cost of a request to a runner that has named a limit: it is short of something, whatever its load. */
+    double limitedRunnerMs = 30;
     /** Slowness that single requests without a model may show by chance: their durations vary as much as their mean. */
     double toleratedSlowness = 1.5;
     /** The same for streams: a full engine slows all of its streams down by a factor of up to 2 and preempts some. */
@@ -224,6 +233,18 @@
      */
     bool rateStated(const RunnerId &id, const RateStatement &statement);
 
+    /** @param id a runner @return what it has said of its rate; null if it never named a limit */
+    const RateStatement *rateStatement(const RunnerId &id) const;
+
+    /** @return what is known of the permits of runners with a limit */
+    PermitSchedule &permitSchedule();
+
+    /**
+     * @param service a service
+     * @return requests a second that its runners with a limit take from all entries together
+     */
+    forwarding::RequestRate totalLimit(const forwarding::ServiceName &service) const;
+
     /** @param id a runner @return whether it drains, has said that it leaves, or is not registered */
     bool isLeaving(const RunnerId &id) const;
 
@@ -279,6 +300,7 @@
     std::map<RunnerId, Runner> m_runners;
     LeavingRunners m_leaving;
     RateLimits m_rateLimits;
+    PermitSchedule m_permitSchedule;
     TypicalDurations m_typicalDurations;
     std::size_t m_rotation = 0;
 };
--- /dev/null
+++ b/src/libbriarhinge/dispatch/permitkeeper.cpp
@@ -0,0 +1,76 @@
+#include "dispatch/permitkeeper.h"
+
+#include <algorithm>
+
+namespace briarhinge::dispatch
+{
+
+namespace
+{
+
+/** Requests a second that a runner with a limit of 0 gets: its answers are all that tells the end of the limit. */
+constexpr double minRate = 0.25;
+/** An entry asks a keeper without a share again after this time. */
+constexpr base::Milliseconds noShareDelay{250};
+
+std::chrono::steady_clock::duration permitInterval(forwarding::RequestRate limit, std::size_t keepers)
+{
+    const std::chrono::duration<double> interval(static_cast<double>(keepers) / std::max(limit.value(), minRate));
+    return std::chrono::duration_cast<std::chrono::steady_clock::duration>(interval);
+}
+
+}
+
+PermitKeeper::PermitKeeper(std::size_t maxRunners)
+    : m_maxRunners(maxRunners)
+    , m_rates(maxRunners)
+{
+}
+
+PermitKeeper::Decision PermitKeeper::decide(const PermitRequest &request, std::size_t keepers, Time now)
+{
+    m_rates.record(request.runner, request.rate);
+    const RateStatement *rate = m_rates.statement(request.runner);
+    if (rate == nullptr || !rate->limit) {
+        m_buckets.erase(request.runner);
+        return PermitGranted{};
+    }
+    if (keepers == 0) {
+        return PermitDenied{noShareDelay};
+    }
+    Bucket &bucket = updateBucket(request.runner, *rate, keepers, now);
+    const Time slot = std::max(bucket.next, now);
+    if (slot - now > request.maxWait) {
+        return PermitDenied{slot - now};
+    }
+    bucket.next = slot + bucket.interval;
+    return PermitGranted{slot - now};
+}
+
+PermitKeeper::Bucket &PermitKeeper::updateBucket(const RunnerId &id, const RateStatement &rate, std::size_t keepers,
+                                                 Time now)
+{
+    const auto interval = permitInterval(*rate.limit, keepers);
+    const auto [found, isNew] = m_buckets.try_emplace(id);
+    Bucket &bucket = found->second;
+    if (isNew || bucket.startedAt != rate.startedAt) {
+        bucket = {rate.startedAt, interval, now + interval};
+        if (m_buckets.size() > m_maxRunners) {
+            std::erase_if(m_buckets, [this, &id](const auto &other) {
+                return other.first != id && m_rates.statement(other.first) == nullptr;
+            });
+        }
+    } else if (bucket.interval != interval) {
+        // After a raise, permits that were to come at the lower rate come sooner.
+        bucket.interval = interval;
+        bucket.next = std::min(bucket.next, now + interval);
+    }
+    return bucket;
+}
+
+const RateStatement *PermitKeeper::statement(const RunnerId &id) const
+{
+    return m_rates.statement(id);
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/dispatch/permitkeeper.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "dispatch/ratelimits.h"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <variant>
+
+namespace briarhinge::dispatch
+{
+
+/** Asks for a permit to send one request to a runner. */
+struct PermitRequest
+{
+    RunnerId runner;
+    /** What the asking entry knows of the runner. */
+    RateStatement rate;
+    /** Longest time for which the request can wait. */
+    base::Milliseconds maxWait{0};
+};
+
+/** One request may be sent, after a delay. */
+struct PermitGranted
+{
+    std::chrono::steady_clock::duration delay{};
+};
+
+/** No permit is free within the time for which the request can wait. */
+struct PermitDenied
+{
+    /** Time until the next one is free. */
+    std::chrono::steady_clock::duration delay{};
+};
+
+/**
+ * Grants permits for one share of the limits of all runners. Each of several keepers has an equal share of each limit and
+ * grants at that rate by itself, so that all together never exceed the limit, whether they can reach each other or not.
+ *
+ * Permits are granted one by one, in the order of the requests, at equal intervals. A keeper that starts, or hears of a
+ * limit for the first time, has none at first: what was granted before is unknown to it.
+ *
+ * Reads no clock itself. Not thread-safe.
+ */
+class PermitKeeper
+{
+public:
+    using Time = RateStatement::Time;
+    using Decision = std::variant<PermitGranted, PermitDenied>;
+
+    /** @param maxRunners maximum number of runners that are remembered; the ones heard of last are kept */
+    explicit PermitKeeper(std::size_t maxRunners = 4096);
+
+    /**
+     * Decides whether a request may be sent.
+     *
+     * @param request the request
+     * @param keepers number of keepers that share each limit; 0 if this one has no share
+     * @param now current time
+     * @return the decision
+     */
+    Decision decide(const PermitRequest &request, std::size_t keepers, Time now);
+
+    /** @param id a runner @return what is known of it; null if it never named a limit */
+    const RateStatement *statement(const RunnerId &id) const;
+
+private:
+    struct Bucket
+    {
+        /** Start of the incarnation. */
+        std::uint64_t startedAt = 0;
+        std::chrono::steady_clock::duration interval{};
+        /** Time at which the next permit is free. */
+        Time next;
+    };
+
+    Bucket &updateBucket(const RunnerId &id, const RateStatement &rate, std::size_t keepers, Time now);
+
+    const std::size_t m_maxRunners;
+    RateLimits m_rates;
+    std::map<RunnerId, Bucket> m_buckets;
+};
+
+}
--- /dev/null
+++ b/src/libbriarhinge/dispatch/permitwait.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/units.h"
+#include "forwarding/routing.h"
+
+namespace briarhinge::dispatch
+{
+
+/** How far a program has come that a request belongs to. */
+enum class ProgramStage {
+    /** The request begins a program. */
+    Begins,
+    UnderWay,
+};
+
+/**
+ * Computes how long a request may wait for a permit when all runners are at their limits. Waiting helps as long as the
+ * answer is still of its full value; a caller that is refused comes back no sooner. Since permits are granted in the order
+ * of the requests, those that may wait longer go first when permits are short: programs under way before new ones, whose
+ * work would not be lost, and urgent routes before others.
+ *
+ * @param route route of the request
+ * @param stage how far its program has come
+ * @param timeLeft time until the deadline of the request
+ * @return the longest wait
+ */
+base::Milliseconds permitWait(const forwarding::Route &route, ProgramStage stage, base::Milliseconds timeLeft);
+
+}
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -1,14 +1,17 @@
 #pragma once
 
 #include "dispatch/loadbalancer.h"
+#include "dispatch/permitwait.h"
 #include "dispatch/programadmission.h"
 #include "dispatch/retrydelay.h"
+#include "dispatch/returnschedule.h"
 #include "dispatch/urgency.h"
 #include "forwarding/buffermemory.h"
 #include "forwarding/crashdetector.h"
 #include "forwarding/eventstream.h"
 #include "forwarding/exchangelog.h"
 #include "forwarding/messages.h"
+#include "forwarding/permitclient.h"
 #include "forwarding/routing.h"
 #include "forwarding/runnerconnectionpool.h"
 #include "http/serverconnection.h"
@@ -56,6 +59,11 @@
     dispatch::LoadBalancer &balancer;
     const dispatch::ProgramAdmission &admission;
     RunnerConnectionPool &pool;
+    PermitClient &permits;
+    /** Tells callers that runners with a limit have no place for when to come back. */
+    dispatch::ReturnSchedule &returns;
+    /** Returns the number of entries, including this one. */
+    std::function<std::size_t()> entryCount;
     turns::TurnClient &turns;
     ExchangeLog &log;
     /** Computes the retry delay from the duration of faults of this entry's own dependencies. */
@@ -186,6 +194,8 @@
     static constexpr base::Milliseconds trialPollInterval{5};
     /** Requests that many callers send alike must not wait long for a trial that hangs. */
     static constexpr base::Milliseconds maxTrialWait{250};
+    /** More are denied only while many requests compete for few permits. */
+    static constexpr int maxPermitRequests = 6;
     static constexpr std::size_t maxAnswerBytes = std::size_t{8} * 1024 * 1024;
 
     bool isStoredTurn() const
@@ -371,12 +381,61 @@
         const auto selection = m_shared.balancer.selectRunner(m_placementRequest, now());
         const auto *placement = std::get_if<dispatch::Placement>(&selection);
         if (placement == nullptr) {
-            const bool hasFullRunners = std::get<dispatch::NoCapacity>(selection).hasFullRunners;
-            giveUp(hasFullRunners ? "all runners are full" : "no runner is left",
-                   hasFullRunners ? fullRetryDelay : faultRetryDelay);
+            handleNoCapacity(std::get<dispatch::NoCapacity>(selection));
             return;
         }
         m_placement = *placement;
+        if (m_placement.needsPermit) {
+            acquirePermit();
+        } else {
+            connect();
+        }
+    }
+
+    /** Waits for a permit of a runner with a limit if that helps; otherwise gives up. */
+    void handleNoCapacity(const dispatch::NoCapacity &noCapacity)
+    {
+        if (!noCapacity.nextPermit) {
+            giveUp(noCapacity.hasFullRunners ? "all runners are full" : "no runner is left",
+                   noCapacity.hasFullRunners ? fullRetryDelay : faultRetryDelay);
+            return;
+        }
+        const auto stage = isFirstTurn() ? dispatch::ProgramStage::Begins : dispatch::ProgramStage::UnderWay;
+        const base::Milliseconds wait = dispatch::permitWait(*m_route, stage, remainingTime());
+        const bool hasWaited = m_placementRequest.permitWait.count() > 0;
+        if (!hasWaited && m_permitRequests < maxPermitRequests && *noCapacity.nextPermit <= now() + wait) {
+            m_placementRequest.permitWait = wait;
+            placeRequest();
+            return;
+        }
+        const ServiceName &service = m_placementRequest.service;
+        const RequestRate share(m_shared.balancer.totalLimit(service).value()
+                                / static_cast<double>(m_shared.entryCount()));
+        giveUp("all runners are at their limits",
+               m_shared.returns.next(service, *noCapacity.nextPermit, share, remainingTime(), now()));
+    }
+
+    void acquirePermit()
+    {
+        if (m_permitRequests++ == maxPermitRequests) {
+            handleNoCapacity({false, now() + m_placementRequest.permitWait});
+            return;
+        }
+        m_shared.permits.acquire(m_placement.id, m_placementRequest.permitWait,
+                                 [self = this->shared_from_this()](bool isGranted) {
+                                     if (self->m_isFinished) {
+                                         return;
+                                     }
+                                     if (isGranted && !self->m_shared.balancer.isLeaving(self->m_placement.id)) {
+                                         self->connect();
+                                     } else {
+                                         self->placeRequest();
+                                     }
+                                 });
+    }
+
+    void connect()
+    {
         m_shared.balancer.requestSent(m_placement.id, m_placementRequest);
         m_isPlaced = true;
         m_shared.pool.acquire(m_placement.id, m_placement.address, [self = this->shared_from_this()](auto result) {
@@ -457,9 +516,8 @@
             response.request.value().empty() ? m_connection->isReused() : response.request != m_request.id;
         if (response.statedRate) {
             // A late answer to an earlier request was made at an unknown time.
-            m_shared.rateStated(
-                m_placement,
-                {m_placement.startedAt, response.statedRate->limit, isLate ? Time::min() : m_sentAt, now()});
+            m_shared.rateStated(m_placement,
+                                {m_placement.startedAt, response.statedRate->limit, isLate ? Time() : m_sentAt, now()});
         }
         if (!response.request.value().empty() && response.request != m_request.id) {
             return http::HeadAction::Skip;
@@ -918,6 +976,7 @@
     ExchangeRecord m_record;
     int m_attempts = 0;
     int m_connectFailures = 0;
+    int m_permitRequests = 0;
     bool m_isPlaced = false;
     /** Whether the request has the trial of its content. */
     bool m_isOnTrial = false;
--- a/src/libbriarhinge/turns/turnclient.cpp
+++ b/src/libbriarhinge/turns/turnclient.cpp
@@ -65,6 +65,24 @@
     });
 }
 
+std::optional<StoreMember> TurnClient::member(const DiskId &disk) const
+{
+    const auto members = m_group.members();
+    const auto found = std::find_if(members.begin(), members.end(), [&disk](const StoreMember &member) {
+        return member.disk == disk;
+    });
+    return found == members.end() ? std::nullopt : std::optional(*found);
+}
+
+std::vector<DiskId> TurnClient::disks() const
+{
+    std::vector<DiskId> disks;
+    for (const StoreMember &member : m_group.members()) {
+        disks.push_back(member.disk);
+    }
+    return disks;
+}
+
 bool TurnClient::isIsolated() const
 {
     RespondingDisks responding;
--- a/src/libbriarhinge/turns/turnclient.h
+++ b/src/libbriarhinge/turns/turnclient.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -107,6 +108,22 @@
     /** @return whether a member of the group listens at @p address */
     bool isMember(const wire::Address &address) const;
 
+    /** @param disk a disk @return the member of the group that has it, if there is one */
+    std::optional<StoreMember> member(const DiskId &disk) const;
+
+    /** @return the disks of all members of the group */
+    std::vector<DiskId> disks() const;
+
+    /**
+     * Sends a request to a member. If this process can't reach a quorum and the member does not respond, the request goes
+     * through a relay, and also directly until a relay has delivered a response.
+     *
+     * @param member the member
+     * @param message the request
+     * @param onReply receives the response or an error
+     */
+    void sendToStore(const StoreMember &member, wire::MessageUnion message, StorePeers::ReplyHandler onReply);
+
     /** Sends a probe to each member that did not respond to its last request. */
     void probe();
 
@@ -133,11 +150,6 @@
 
     using ReplyHandler = StorePeers::ReplyHandler;
 
-    /**
-     * Sends a request to a member. If this process can't reach a quorum and the member does not respond, the request
-     * goes through a relay, and also directly until a relay has delivered a response.
-     */
-    void sendToStore(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply);
     void sendDirectly(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply);
     void sendBothWays(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply);
     void sendByRelay(const StoreMember &member, wire::MessageUnion message, ReplyHandler onReply);
--- a/src/libbriarhinge/turns/turnserver.cpp
+++ b/src/libbriarhinge/turns/turnserver.cpp
@@ -29,12 +29,13 @@
 }
 
 TurnServer::TurnServer(boost::asio::io_context &context, TurnStore &store, Journal &journal, logging::EventLog &log,
-                       std::function<std::vector<keyvalue::KeyValue>()> deployment)
+                       std::function<std::vector<keyvalue::KeyValue>()> deployment, RequestHandler onRequest)
     : m_context(context)
     , m_store(store)
     , m_journal(journal)
     , m_log(log)
     , m_deployment(std::move(deployment))
+    , m_onRequest(std::move(onRequest))
     , m_compactionTimer(context)
     , m_diskThread(1)
 {
@@ -81,6 +82,10 @@
         answer->message.Set(m_store.storeRecords(*state, now));
     } else if (frame.message.AsFetchDeployment() != nullptr) {
         answer->message.Set(deploymentState());
+    } else if (auto other = m_onRequest(frame.message)) {
+        answer->message = std::move(*other);
+        session->send(*answer);
+        return;
     } else {
         session->close("a message that turn stores don't know");
         return;
--- a/src/libbriarhinge/turns/turnserver.h
+++ b/src/libbriarhinge/turns/turnserver.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -24,15 +25,19 @@
 class TurnServer
 {
 public:
+    /** Answers a request that concerns neither turns nor budgets; returns nothing if it is not of a known kind. */
+    using RequestHandler = std::function<std::optional<wire::MessageUnion>(const wire::MessageUnion &)>;
+
     /**
      * @param context runs the connections, on one thread
      * @param store state of the turn store
      * @param journal persists the state
      * @param log receives disk failures and recoveries
      * @param deployment returns the key-value service items that this process knows
+     * @param onRequest answers other requests; its answers do not wait for the journal
      */
     TurnServer(boost::asio::io_context &context, TurnStore &store, Journal &journal, logging::EventLog &log,
-               std::function<std::vector<keyvalue::KeyValue>()> deployment);
+               std::function<std::vector<keyvalue::KeyValue>()> deployment, RequestHandler onRequest);
 
     /**
      * Starts to accept connections; may be called for several addresses.
@@ -72,6 +77,7 @@
     Journal &m_journal;
     logging::EventLog &m_log;
     const std::function<std::vector<keyvalue::KeyValue>()> m_deployment;
+    const RequestHandler m_onRequest;
     std::vector<std::unique_ptr<wire::FrameServer>> m_servers;
     boost::asio::steady_timer m_compactionTimer;
     boost::asio::thread_pool m_diskThread;
--- a/tests/test_groupmanager.cpp
+++ b/tests/test_groupmanager.cpp
@@ -57,9 +57,14 @@
     RunningStore(boost::asio::io_context &context, logging::EventLog &log, const std::string &name)
         : journal(folder.path())
         , store(DiskId(name), journal, retention)
-        , server(context, store, journal, log, [] {
-            return std::vector<keyvalue::KeyValue>();
-        })
+        , server(
+              context, store, journal, log,
+              [] {
+                  return std::vector<keyvalue::KeyValue>();
+              },
+              [](const wire::MessageUnion &) {
+                  return std::optional<wire::MessageUnion>();
+              })
     {
         journal.open([](std::span<const std::uint8_t>) {});
         const auto port = std::get<std::uint16_t>(server.listen({"127.0.0.1", 0}));
--- a/tests/test_turnstore.cpp
+++ b/tests/test_turnstore.cpp
@@ -17,6 +17,16 @@
 namespace
 {
 
+std::vector<keyvalue::KeyValue> noDeployment()
+{
+    return {};
+}
+
+std::optional<wire::MessageUnion> noOtherRequests(const wire::MessageUnion &)
+{
+    return std::nullopt;
+}
+
 const TurnStore::Time start{};
 constexpr base::Milliseconds retention{60'000};
 
@@ -217,9 +227,7 @@
     started.store.adopt(makeGroup(3));
     boost::asio::io_context context;
     logging::EventLog log("test");
-    TurnServer server(context, started.store, started.journal, log, [] {
-        return std::vector<keyvalue::KeyValue>();
-    });
+    TurnServer server(context, started.store, started.journal, log, noDeployment, noOtherRequests);
     const auto port = server.listen({"127.0.0.1", 0});
     const wire::Address address{"127.0.0.1", std::get<std::uint16_t>(port)};
     constexpr int entries = 20;
@@ -280,9 +288,7 @@
     StartedStore started(folder.path());
     boost::asio::io_context context;
     logging::EventLog log("test");
-    TurnServer server(context, started.store, started.journal, log, [] {
-        return std::vector<keyvalue::KeyValue>();
-    });
+    TurnServer server(context, started.store, started.journal, log, noDeployment, noOtherRequests);
     std::promise<void> diskIsFree;
     server.postToDiskThread([&diskIsFree] {
         diskIsFree.get_future().wait();
