Dispatch: Runners at their limits are no room for new programs

The mean load that decides whether a new program may start counted the free slots of runners whose permits are used up.

--- a/src/libbriarhinge/dispatch/loadbalancer.cpp
+++ b/src/libbriarhinge/dispatch/loadbalancer.cpp
@@ -297,16 +297,22 @@
 {
     double sum = 0;
     int reports = 0;
+    int available = 0;
     for (const auto &[id, runner] : m_runners) {
         const bool isRecent = runner.loadReportedAt && now - *runner.loadReportedAt < maxServiceReportAge;
         if (runner.registration.service != service || !isRecent) {
             continue;
         }
+        ++reports;
+        if (m_rateLimits.limit(id) && m_permitSchedule.nextPermit(id, now) > now) {
+            // Its free slots can't be used.
+            continue;
+        }
         const double others = std::max(0.0, static_cast<double>(runner.reportedLoad) - runner.outstandingAtReport);
         sum += (others + runner.outstanding) / std::max(1U, runner.registration.slots);
-        ++reports;
+        ++available;
     }
-    return reports < minServiceReports ? std::nullopt : std::optional(sum / reports);
+    return reports < minServiceReports || available == 0 ? std::nullopt : std::optional(sum / available);
 }
 
 std::size_t LoadBalancer::size() const
--- a/src/libbriarhinge/dispatch/loadbalancer.h
+++ b/src/libbriarhinge/dispatch/loadbalancer.h
@@ -251,8 +251,8 @@
     /**
      * @param service a service
      * @param now current time
-     * @return mean number of running and queued requests per slot of its runners, from recent reports; nothing if too
-     *         few runners have reported
+     * @return mean number of running and queued requests per slot of its runners, those at their limits aside, from recent
+     *         reports; nothing if too few runners have reported or all are at their limits
      */
     std::optional<double> loadPerSlot(const forwarding::ServiceName &service, Time now) const;
 
