--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -61,11 +61,11 @@
     , m_suspects(placement::SuspectLimits{})
     , m_crashSharing(context, m_peers, m_store, settings.name, m_suspects, log)
     , m_rateSharing(context, m_peers,
-                    [this](const forwarding::KnownRate &known) {
+                    [this](const dispatch::KnownRate &known) {
                         recordRate(known, "entry");
                     })
     , m_permits(context, m_turns, m_balancer,
-                [this](const forwarding::KnownRate &known) {
+                [this](const dispatch::KnownRate &known) {
                     recordRate(known, "turn-store");
                 })
     , m_runnerProbe(context)
@@ -254,13 +254,13 @@
     if (!statement.limit && m_balancer.rateStatement(placement.id) == nullptr) {
         return;
     }
-    const forwarding::KnownRate known{placement.id, statement};
+    const dispatch::KnownRate known{placement.id, statement};
     if (recordRate(known, "answer")) {
         m_rateSharing.publish(known);
     }
 }
 
-bool EntryNode::recordRate(const forwarding::KnownRate &known, std::string_view source)
+bool EntryNode::recordRate(const dispatch::KnownRate &known, std::string_view source)
 {
     if (!m_balancer.rateStated(known.runner, known.statement)) {
         return false;
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -95,7 +95,7 @@
      * @param source where that is known from, for the log
      * @return whether its limit is another one since
      */
-    bool recordRate(const forwarding::KnownRate &known, std::string_view source);
+    bool recordRate(const dispatch::KnownRate &known, std::string_view source);
     void applyRouting(const keyvalue::KeyValue &item);
     void applyRunner(const keyvalue::KeyValue &item);
     void applyGroup(const keyvalue::KeyValue &item);
--- a/src/libbriarhinge/dispatch/loadbalancer.cpp
+++ b/src/libbriarhinge/dispatch/loadbalancer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace briarhinge::dispatch
 {
@@ -19,6 +20,8 @@
 constexpr base::Milliseconds fullBackoff{60};
 /** More runners than leave while the platform's store is away and lists them as sound. */
 constexpr std::size_t maxGoneLeavingRunners = 1024;
+/** Runners for which one permit request asks; more seldom help, and each costs some 100 bytes. */
+constexpr std::size_t maxPermitCandidates = 8;
 /** Assumed cache size of an engine that declares none. */
 const base::Tokens defaultCacheTokens{50'000};
 
@@ -72,17 +75,30 @@
     return m_runners.erase(id) > 0;
 }
 
-double LoadBalancer::estimatedLoad(const Runner &runner, Time now)
+double LoadBalancer::estimatedLoad(const Runner &runner, double usualLoad, Time now)
 {
     const double own = runner.outstanding;
+    const double usual = usualLoad * runner.registration.slots;
     if (!runner.loadReportedAt) {
-        return own;
+        return own + usual;
     }
     const auto age =
         std::chrono::duration<double>(now - *runner.loadReportedAt) / std::chrono::duration<double>(maxLoadReportAge);
     const double weight = std::clamp(1.0 - age, 0.0, 1.0);
     const double others = std::max(0.0, static_cast<double>(runner.reportedLoad) - runner.outstandingAtReport);
-    return own + others * weight;
+    return own + others * weight + usual * (1 - weight);
+}
+
+double LoadBalancer::usualLoad(const forwarding::ServiceName &service, Time now) const
+{
+    // Without limits all runners are alike. With them, those without are full, and one of many entries hears of each of
+    // them too seldom to tell it from an idle one.
+    const bool hasLimits = std::any_of(m_rateLimits.statements().begin(), m_rateLimits.statements().end(),
+                                       [this, &service](const auto &entry) {
+                                           const RegisteredRunner *runner = registration(entry.first);
+                                           return entry.second.limit && runner != nullptr && runner->service == service;
+                                       });
+    return hasLimits ? loadPerSlot(service, now).value_or(0) : 0;
 }
 
 double LoadBalancer::penalty(const Runner &runner, const PlacementRequest &request, Time now) const
@@ -94,9 +110,8 @@
     return slownessPenalty + m_weights.failureMs * runner.performance.failureRate(now);
 }
 
-double LoadBalancer::placementCost(const Runner &runner, const PlacementRequest &request, Time now) const
+double LoadBalancer::placementCost(const Runner &runner, const PlacementRequest &request, double load, Time now) const
 {
-    const double load = estimatedLoad(runner, now);
     const double slots = std::max(1U, runner.registration.slots);
     const double waiting = std::max(0.0, load + 1 - slots);
     double cost = penalty(runner, request, now) + (runner.registration.zone == m_zone ? 0 : m_weights.crossZoneMs);
@@ -121,7 +136,10 @@
     const Runner *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     NoCapacity noCapacity;
+    const double usual = usualLoad(request.service, now);
     std::vector<const Runner *> avoided;
+    std::vector<std::pair<double, RunnerId>> limited;
+    double bestUnlimitedCost = std::numeric_limits<double>::max();
     ++m_rotation;
     std::size_t index = 0;
     for (const auto &[id, runner] : m_runners) {
@@ -150,9 +168,13 @@
         }
         // The tie-break rotates between runners of equal cost, so that entries do not all select the first one.
         const double tieBreak = static_cast<double>((index++ * 7 + m_rotation) % 16) / 16;
-        double cost = (request.isSuspect ? estimatedLoad(runner, now) : placementCost(runner, request, now)) + tieBreak;
+        const double load = estimatedLoad(runner, isLimited ? 0 : usual, now);
+        double cost = (request.isSuspect ? load : placementCost(runner, request, load, now)) + tieBreak;
         if (isLimited) {
             cost += m_weights.limitedRunnerMs + permitDelayMs;
+            limited.emplace_back(cost, id);
+        } else {
+            bestUnlimitedCost = std::min(bestUnlimitedCost, cost);
         }
         if (cost < bestCost) {
             bestCost = cost;
@@ -167,9 +189,38 @@
     if (best == nullptr) {
         return noCapacity;
     }
-    return Placement{best->registration.id,        best->registration.address,
-                     estimatedLoad(*best, now),    best->promptCache.cachedTokens(request.promptBlocks),
-                     best->registration.startedAt, m_rateLimits.limit(best->registration.id).has_value()};
+    Placement placement = makePlacement(*best, request, usual, now);
+    if (m_rateLimits.limit(best->registration.id)) {
+        std::sort(limited.begin(), limited.end());
+        for (const auto &[cost, id] : limited) {
+            if (cost > bestUnlimitedCost || placement.permitCandidates.size() == maxPermitCandidates) {
+                break;
+            }
+            placement.permitCandidates.push_back(id);
+        }
+        if (placement.permitCandidates.empty()) {
+            // All others are avoided.
+            placement.permitCandidates.push_back(placement.id);
+        }
+    }
+    return placement;
+}
+
+Placement LoadBalancer::makePlacement(const Runner &runner, const PlacementRequest &request, double usualLoad,
+                                      Time now) const
+{
+    const double usual = m_rateLimits.limit(runner.registration.id) ? 0 : usualLoad;
+    return {runner.registration.id, runner.registration.address, estimatedLoad(runner, usual, now),
+            runner.promptCache.cachedTokens(request.promptBlocks), runner.registration.startedAt};
+}
+
+std::optional<Placement> LoadBalancer::placementOn(const RunnerId &id, const PlacementRequest &request, Time now) const
+{
+    const auto found = m_runners.find(id);
+    if (found == m_runners.end() || isLeaving(found->second)) {
+        return std::nullopt;
+    }
+    return makePlacement(found->second, request, 0, now);
 }
 
 void LoadBalancer::requestSent(const RunnerId &id, const PlacementRequest &request)
@@ -240,7 +291,7 @@
 {
     // Only runners with free slots count as slow: on a full runner, a request may wait long in the queue.
     updateRunner(id, [slowness = m_typicalDurations.ratioToMean(route, waited), now](Runner &runner) {
-        if (slowness > 1 && estimatedLoad(runner, now) < runner.registration.slots) {
+        if (slowness > 1 && estimatedLoad(runner, 0, now) < runner.registration.slots) {
             runner.performance.recordResponse(slowness, now);
         }
     });
--- a/src/libbriarhinge/dispatch/loadbalancer.h
+++ b/src/libbriarhinge/dispatch/loadbalancer.h
@@ -35,7 +35,7 @@
     std::set<RunnerId> excluded;
     /** Whether a runner has crashed under the request; it then goes where a further crash breaks off the least. */
     bool isSuspect = false;
-    /** Longest time for which the request can wait for a permit of a runner with a limit. */
+    /** Longest time for which the request can wait for a permit of a runner with a limit; negative for not asking. */
     base::Milliseconds permitWait{0};
 };
 
@@ -50,8 +50,11 @@
     base::Tokens cachedTokens;
     /** Start of the runner's incarnation in Unix milliseconds, 0 when unknown. */
     std::uint64_t startedAt = 0;
-    /** Whether the runner has named a limit, so that the request must not be sent without a permit. */
-    bool needsPermit = false;
+    /**
+     * If the runner has named a limit: runners with limits, the best first, that would do as well as any runner without.
+     * The request must not be sent without a permit for one of them.
+     */
+    std::vector<RunnerId> permitCandidates = {};
 };
 
 /** Returned when no runner can be selected. */
@@ -138,6 +141,14 @@
      */
     std::variant<Placement, NoCapacity> selectRunner(const PlacementRequest &request, Time now);
 
+    /**
+     * @param id a runner that a permit was granted for
+     * @param request the request to place
+     * @param now current time
+     * @return the placement on this runner; nothing if it is gone or leaves
+     */
+    std::optional<Placement> placementOn(const RunnerId &id, const PlacementRequest &request, Time now) const;
+
     /**
      * Records that a request is being sent to a runner.
      *
@@ -291,9 +302,18 @@
     }
 
     bool isLeaving(const Runner &runner) const;
-    static double estimatedLoad(const Runner &runner, Time now);
+    Placement makePlacement(const Runner &runner, const PlacementRequest &request, double usualLoad, Time now) const;
+    /**
+     * @param runner a runner
+     * @param usualLoad load per slot that it is assumed to have as far as it has not reported its load lately
+     * @param now current time
+     * @return estimated number of running and queued requests
+     */
+    static double estimatedLoad(const Runner &runner, double usualLoad, Time now);
+    /** @return load per slot of runners of the service that have not reported it; 0 unless some of them have limits */
+    double usualLoad(const forwarding::ServiceName &service, Time now) const;
     double penalty(const Runner &runner, const PlacementRequest &request, Time now) const;
-    double placementCost(const Runner &runner, const PlacementRequest &request, Time now) const;
+    double placementCost(const Runner &runner, const PlacementRequest &request, double load, Time now) const;
 
     const base::ZoneName m_zone;
     const PlacementWeights m_weights;
--- a/src/libbriarhinge/dispatch/permitkeeper.cpp
+++ b/src/libbriarhinge/dispatch/permitkeeper.cpp
@@ -29,22 +29,41 @@
 
 PermitKeeper::Decision PermitKeeper::decide(const PermitRequest &request, std::size_t keepers, Time now)
 {
-    m_rates.record(request.runner, request.rate);
-    const RateStatement *rate = m_rates.statement(request.runner);
+    PermitDenied denied;
+    std::size_t first = 0;
+    for (const KnownRate &runner : request.runners) {
+        const auto runnerDelay = delay(runner, keepers, now);
+        if (!runnerDelay) {
+            return PermitGranted{runner.runner};
+        }
+        denied.delays.push_back(*runnerDelay);
+        if (denied.delays.back() < denied.delays[first]) {
+            first = denied.delays.size() - 1;
+        }
+    }
+    if (keepers == 0 || denied.delays.empty() || denied.delays[first] > request.maxWait) {
+        return denied;
+    }
+    const RunnerId &id = request.runners[first].runner;
+    Bucket &bucket = m_buckets.at(id);
+    bucket.next = now + denied.delays[first] + bucket.interval;
+    return PermitGranted{id, denied.delays[first]};
+}
+
+std::optional<std::chrono::steady_clock::duration> PermitKeeper::delay(const KnownRate &runner, std::size_t keepers,
+                                                                       Time now)
+{
+    m_rates.record(runner.runner, runner.statement);
+    const RateStatement *rate = m_rates.statement(runner.runner);
     if (rate == nullptr || !rate->limit) {
-        m_buckets.erase(request.runner);
-        return PermitGranted{};
+        m_buckets.erase(runner.runner);
+        return std::nullopt;
     }
     if (keepers == 0) {
-        return PermitDenied{noShareDelay};
-    }
-    Bucket &bucket = updateBucket(request.runner, *rate, keepers, now);
-    const Time slot = std::max(bucket.next, now);
-    if (slot - now > request.maxWait) {
-        return PermitDenied{slot - now};
+        return noShareDelay;
     }
-    bucket.next = slot + bucket.interval;
-    return PermitGranted{slot - now};
+    const Bucket &bucket = updateBucket(runner.runner, *rate, keepers, now);
+    return std::max(bucket.next, now) - now;
 }
 
 PermitKeeper::Bucket &PermitKeeper::updateBucket(const RunnerId &id, const RateStatement &rate, std::size_t keepers,
--- a/src/libbriarhinge/dispatch/permitkeeper.h
+++ b/src/libbriarhinge/dispatch/permitkeeper.h
@@ -6,31 +6,32 @@
 #include <cstddef>
 #include <map>
 #include <variant>
+#include <vector>
 
 namespace briarhinge::dispatch
 {
 
-/** Asks for a permit to send one request to a runner. */
+/** Asks for a permit to send one request to one of several runners. */
 struct PermitRequest
 {
-    RunnerId runner;
-    /** What the asking entry knows of the runner. */
-    RateStatement rate;
+    /** The runners, the best first, and what the asking entry knows of them. */
+    std::vector<KnownRate> runners;
     /** Longest time for which the request can wait. */
     base::Milliseconds maxWait{0};
 };
 
-/** One request may be sent, after a delay. */
+/** One request may be sent to a runner, after a delay. */
 struct PermitGranted
 {
+    RunnerId runner;
     std::chrono::steady_clock::duration delay{};
 };
 
 /** No permit is free within the time for which the request can wait. */
 struct PermitDenied
 {
-    /** Time until the next one is free. */
-    std::chrono::steady_clock::duration delay{};
+    /** Times until the next ones are free, for the runners in the order of the request. */
+    std::vector<std::chrono::steady_clock::duration> delays;
 };
 
 /**
@@ -52,7 +53,8 @@
     explicit PermitKeeper(std::size_t maxRunners = 4096);
 
     /**
-     * Decides whether a request may be sent.
+     * Decides whether a request may be sent, and to which runner: to the first one that has a permit free at once, or to
+     * the one that has a permit first.
      *
      * @param request the request
      * @param keepers number of keepers that share each limit; 0 if this one has no share
@@ -74,6 +76,8 @@
         Time next;
     };
 
+    /** @return time until the next permit for a runner is free; nothing if it has no limit */
+    std::optional<std::chrono::steady_clock::duration> delay(const KnownRate &runner, std::size_t keepers, Time now);
     Bucket &updateBucket(const RunnerId &id, const RateStatement &rate, std::size_t keepers, Time now);
 
     const std::size_t m_maxRunners;
--- a/src/libbriarhinge/dispatch/permitschedule.cpp
+++ b/src/libbriarhinge/dispatch/permitschedule.cpp
@@ -51,14 +51,18 @@
     return m_keepers.empty() ? now + noKeeperDelay : earliest;
 }
 
-std::optional<KeeperId> PermitSchedule::chooseKeeper(const RunnerId &runner, Time now, base::Milliseconds maxWait)
+std::optional<KeeperId> PermitSchedule::chooseKeeper(const std::vector<RunnerId> &runners, Time now,
+                                                     base::Milliseconds maxWait)
 {
     const KeeperId *chosen = nullptr;
     Time earliest = now + maxWait;
     ++m_rotation;
     for (std::size_t i = 0; i < m_keepers.size(); ++i) {
         const KeeperId &keeper = m_keepers[(m_rotation + i) % m_keepers.size()];
-        const Time next = nextPermit(runner, keeper, now);
+        Time next = Time::max();
+        for (const RunnerId &runner : runners) {
+            next = std::min(next, nextPermit(runner, keeper, now));
+        }
         if (next < earliest || (chosen == nullptr && next == earliest)) {
             earliest = next;
             chosen = &keeper;
--- a/src/libbriarhinge/dispatch/permitschedule.h
+++ b/src/libbriarhinge/dispatch/permitschedule.h
@@ -38,12 +38,12 @@
      * Chooses the keeper to ask for a permit: by turns, so that all shares are used, the next one that may have a permit
      * now; otherwise the one that has one first.
      *
-     * @param runner a runner with a limit
+     * @param runners runners with limits, any of which would do
      * @param now current time
      * @param maxWait longest time for which the request can wait
      * @return the keeper; nothing if none has a permit within that time
      */
-    std::optional<KeeperId> chooseKeeper(const RunnerId &runner, Time now, base::Milliseconds maxWait);
+    std::optional<KeeperId> chooseKeeper(const std::vector<RunnerId> &runners, Time now, base::Milliseconds maxWait);
 
     /**
      * Records when a keeper next has a permit.
--- a/src/libbriarhinge/dispatch/ratelimits.h
+++ b/src/libbriarhinge/dispatch/ratelimits.h
@@ -32,6 +32,13 @@
     }
 };
 
+/** A runner and what is known of the rate at which it takes requests. */
+struct KnownRate
+{
+    RunnerId runner;
+    RateStatement statement;
+};
+
 /**
  * The limits that runners name in their answers. Answers overtake each other: a higher limit, or none, replaces a lower
  * one only if the runner has certainly said so later; a lower one holds at once.
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -194,8 +194,9 @@
     static constexpr base::Milliseconds trialPollInterval{5};
     /** Requests that many callers send alike must not wait long for a trial that hangs. */
     static constexpr base::Milliseconds maxTrialWait{250};
-    /** More are denied only while many requests compete for few permits. */
-    static constexpr int maxPermitRequests = 6;
+    /** Permits denied after which only runners without limits are left: many requests compete for few permits. */
+    static constexpr int maxDeniedPermits = 4;
+    static constexpr base::Milliseconds noPermitWait{-1};
     static constexpr std::size_t maxAnswerBytes = std::size_t{8} * 1024 * 1024;
 
     bool isStoredTurn() const
@@ -385,10 +386,10 @@
             return;
         }
         m_placement = *placement;
-        if (m_placement.needsPermit) {
-            acquirePermit();
-        } else {
+        if (m_placement.permitCandidates.empty()) {
             connect();
+        } else {
+            acquirePermit();
         }
     }
 
@@ -402,8 +403,7 @@
         }
         const auto stage = isFirstTurn() ? dispatch::ProgramStage::Begins : dispatch::ProgramStage::UnderWay;
         const base::Milliseconds wait = dispatch::permitWait(*m_route, stage, remainingTime());
-        const bool hasWaited = m_placementRequest.permitWait.count() > 0;
-        if (!hasWaited && m_permitRequests < maxPermitRequests && *noCapacity.nextPermit <= now() + wait) {
+        if (m_placementRequest.permitWait.count() == 0 && *noCapacity.nextPermit <= now() + wait) {
             m_placementRequest.permitWait = wait;
             placeRequest();
             return;
@@ -417,23 +417,29 @@
 
     void acquirePermit()
     {
-        if (m_permitRequests++ == maxPermitRequests) {
-            handleNoCapacity({false, now() + m_placementRequest.permitWait});
-            return;
-        }
-        m_shared.permits.acquire(m_placement.id, m_placementRequest.permitWait,
-                                 [self = this->shared_from_this()](bool isGranted) {
-                                     if (self->m_isFinished) {
-                                         return;
-                                     }
-                                     if (isGranted && !self->m_shared.balancer.isLeaving(self->m_placement.id)) {
-                                         self->connect();
-                                     } else {
-                                         self->placeRequest();
+        m_shared.permits.acquire(m_placement.permitCandidates, m_placementRequest.permitWait,
+                                 [self = this->shared_from_this()](const std::optional<dispatch::RunnerId> &runner) {
+                                     if (!self->m_isFinished) {
+                                         self->handlePermit(runner);
                                      }
                                  });
     }
 
+    void handlePermit(const std::optional<dispatch::RunnerId> &runner)
+    {
+        const auto placement =
+            runner ? m_shared.balancer.placementOn(*runner, m_placementRequest, now()) : std::nullopt;
+        if (placement) {
+            m_placement = *placement;
+            connect();
+            return;
+        }
+        if (++m_deniedPermits == maxDeniedPermits) {
+            m_placementRequest.permitWait = noPermitWait;
+        }
+        placeRequest();
+    }
+
     void connect()
     {
         m_shared.balancer.requestSent(m_placement.id, m_placementRequest);
@@ -976,7 +982,7 @@
     ExchangeRecord m_record;
     int m_attempts = 0;
     int m_connectFailures = 0;
-    int m_permitRequests = 0;
+    int m_deniedPermits = 0;
     bool m_isPlaced = false;
     /** Whether the request has the trial of its content. */
     bool m_isOnTrial = false;
--- a/src/libbriarhinge/forwarding/permitclient.cpp
+++ b/src/libbriarhinge/forwarding/permitclient.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/permitclient.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 #include <variant>
@@ -26,22 +27,22 @@
 
 struct PermitClient::PendingPermit
 {
-    PendingPermit(boost::asio::io_context &context, dispatch::RunnerId asked, dispatch::KeeperId askedKeeper,
-                  PermitHandler handler)
-        : runner(std::move(asked))
+    PendingPermit(boost::asio::io_context &context, std::vector<dispatch::RunnerId> asked,
+                  dispatch::KeeperId askedKeeper, PermitHandler handler)
+        : runners(std::move(asked))
         , keeper(std::move(askedKeeper))
         , onResult(std::move(handler))
         , timer(context)
     {
     }
 
-    void finish(bool isGranted)
+    void finish(std::optional<dispatch::RunnerId> granted)
     {
         timer.cancel();
-        std::exchange(onResult, nullptr)(isGranted);
+        std::exchange(onResult, nullptr)(std::move(granted));
     }
 
-    dispatch::RunnerId runner;
+    std::vector<dispatch::RunnerId> runners;
     dispatch::KeeperId keeper;
     PermitHandler onResult;
     boost::asio::steady_timer timer;
@@ -56,31 +57,34 @@
 {
 }
 
-void PermitClient::acquire(const dispatch::RunnerId &runner, base::Milliseconds maxWait, PermitHandler onResult)
+void PermitClient::acquire(const std::vector<dispatch::RunnerId> &runners, base::Milliseconds maxWait,
+                           PermitHandler onResult)
 {
     const auto now = steadyNow();
-    const dispatch::RateStatement *rate = m_balancer.rateStatement(runner);
-    if (rate == nullptr || !rate->limit) {
-        onResult(true);
-        return;
+    wire::RequestPermitT request;
+    for (const dispatch::RunnerId &runner : runners) {
+        const dispatch::RateStatement *rate = m_balancer.rateStatement(runner);
+        if (rate == nullptr || !rate->limit) {
+            onResult(runner);
+            return;
+        }
+        request.rates.push_back(std::make_unique<wire::RunnerRateT>(toMessage({runner, *rate}, now)));
     }
-    const auto keeper = m_balancer.permitSchedule().chooseKeeper(runner, now, maxWait);
+    const auto keeper = m_balancer.permitSchedule().chooseKeeper(runners, now, maxWait);
     const auto store = keeper ? m_stores.member(turns::DiskId(keeper->value())) : std::nullopt;
     if (!store) {
-        onResult(false);
+        onResult(std::nullopt);
         return;
     }
-    const auto pending = std::make_shared<PendingPermit>(m_context, runner, *keeper, std::move(onResult));
-    wire::RequestPermitT request;
-    request.rate = std::make_unique<wire::RunnerRateT>(toMessage({runner, *rate}, now));
     request.max_wait_ms = static_cast<std::uint32_t>(maxWait.count());
     wire::MessageUnion message;
     message.Set(std::move(request));
+    const auto pending = std::make_shared<PendingPermit>(m_context, runners, *keeper, std::move(onResult));
     pending->timer.expires_after(replyTimeout);
     pending->timer.async_wait([this, pending](const error_code &error) {
         if (!error && pending->onResult) {
             m_balancer.permitSchedule().recordSilence(pending->keeper, steadyNow());
-            pending->finish(false);
+            pending->finish(std::nullopt);
         }
     });
     m_stores.sendToStore(*store, std::move(message), [this, pending](const wire::ChannelReply &reply) {
@@ -97,26 +101,29 @@
     const auto *decision = frame == nullptr ? nullptr : frame->message.AsPermitDecision();
     if (decision == nullptr) {
         m_balancer.permitSchedule().recordSilence(pending->keeper, now);
-        pending->finish(false);
+        pending->finish(std::nullopt);
         return;
     }
-    if (decision->rate) {
-        m_onRate(fromMessage(*decision->rate, now));
+    for (const auto &rate : decision->rates) {
+        m_onRate(fromMessage(*rate, now));
     }
-    const base::Milliseconds delay(decision->delay_ms);
-    if (!decision->is_granted) {
-        m_balancer.permitSchedule().recordNext(pending->runner, pending->keeper, now + delay);
-        pending->finish(false);
+    if (decision->granted.empty()) {
+        for (std::size_t i = 0; i < std::min(decision->next_ms.size(), pending->runners.size()); ++i) {
+            m_balancer.permitSchedule().recordNext(pending->runners[i], pending->keeper,
+                                                   now + base::Milliseconds(decision->next_ms[i]));
+        }
+        pending->finish(std::nullopt);
         return;
     }
-    if (delay.count() == 0) {
-        pending->finish(true);
+    const dispatch::RunnerId granted(decision->granted);
+    if (decision->delay_ms == 0) {
+        pending->finish(granted);
         return;
     }
-    pending->timer.expires_after(delay);
-    pending->timer.async_wait([pending](const error_code &error) {
+    pending->timer.expires_after(base::Milliseconds(decision->delay_ms));
+    pending->timer.async_wait([pending, granted](const error_code &error) {
         if (!error && pending->onResult) {
-            pending->finish(true);
+            pending->finish(granted);
         }
     });
 }
--- a/src/libbriarhinge/forwarding/permitclient.h
+++ b/src/libbriarhinge/forwarding/permitclient.h
@@ -6,6 +6,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -19,10 +21,10 @@
 class PermitClient
 {
 public:
-    /** Receives whether the request may be sent now; called exactly once. */
-    using PermitHandler = std::function<void(bool isGranted)>;
+    /** Receives the runner to which the request may be sent now; nothing if none is free. Called exactly once. */
+    using PermitHandler = std::function<void(std::optional<dispatch::RunnerId>)>;
     /** Receives what a turn store knows of a runner. */
-    using RateHandler = std::function<void(const KnownRate &)>;
+    using RateHandler = std::function<void(const dispatch::KnownRate &)>;
 
     /**
      * @param context runs the timers
@@ -37,11 +39,11 @@
      * Asks one turn store for a permit and waits until it may be used. What the turn store said is known to the balancer
      * when this is done.
      *
-     * @param runner the runner
+     * @param runners runners with limits, the best first; any of them would do
      * @param maxWait longest time for which the request can wait
      * @param onResult receives the result
      */
-    void acquire(const dispatch::RunnerId &runner, base::Milliseconds maxWait, PermitHandler onResult);
+    void acquire(const std::vector<dispatch::RunnerId> &runners, base::Milliseconds maxWait, PermitHandler onResult);
 
 private:
     struct PendingPermit;
--- a/src/libbriarhinge/forwarding/ratemessages.cpp
+++ b/src/libbriarhinge/forwarding/ratemessages.cpp
@@ -30,7 +30,7 @@
 
 }
 
-wire::RunnerRateT toMessage(const KnownRate &known, dispatch::RateStatement::Time now)
+wire::RunnerRateT toMessage(const dispatch::KnownRate &known, dispatch::RateStatement::Time now)
 {
     wire::RunnerRateT message;
     message.runner = known.runner.value();
@@ -42,9 +42,9 @@
     return message;
 }
 
-KnownRate fromMessage(const wire::RunnerRateT &message, dispatch::RateStatement::Time now)
+dispatch::KnownRate fromMessage(const wire::RunnerRateT &message, dispatch::RateStatement::Time now)
 {
-    KnownRate known{dispatch::RunnerId(message.runner), {}};
+    dispatch::KnownRate known{dispatch::RunnerId(message.runner), {}};
     known.statement.startedAt = message.started_at;
     if (message.is_limited) {
         known.statement.limit = RequestRate(std::isfinite(message.limit) ? std::max(0.0, message.limit) : 0);
--- a/src/libbriarhinge/forwarding/ratesharing.cpp
+++ b/src/libbriarhinge/forwarding/ratesharing.cpp
@@ -33,7 +33,7 @@
     return m_entries.size();
 }
 
-void RateSharing::publish(const KnownRate &known)
+void RateSharing::publish(const dispatch::KnownRate &known)
 {
     const bool isScheduled = !m_unsent.empty();
     m_unsent.insert_or_assign(known.runner, known.statement);
--- a/src/libbriarhinge/forwarding/ratesharing.h
+++ b/src/libbriarhinge/forwarding/ratesharing.h
@@ -24,7 +24,7 @@
 {
 public:
     /** Receives what another entry has heard. */
-    using RateHandler = std::function<void(const KnownRate &)>;
+    using RateHandler = std::function<void(const dispatch::KnownRate &)>;
 
     /**
      * @param context runs the timer
@@ -44,7 +44,7 @@
      *
      * @param known the runner and what it said
      */
-    void publish(const KnownRate &known);
+    void publish(const dispatch::KnownRate &known);
 
     /**
      * Handles a message of another entry.
