--- a/src/libbriarhinge/dispatch/loadbalancer.cpp
+++ b/src/libbriarhinge/dispatch/loadbalancer.cpp
@@ -16,6 +16,11 @@
 constexpr base::Milliseconds maxServiceReportAge{700};
 /** Fewer reports may come from the busiest runners by chance. */
 constexpr int minServiceReports = 5;
+/**
+ * The same while runners of the service have limits: each entry hears less of the others. Reports then count up to
+ * maxLoadReportAge.
+ */
+constexpr int minReportsWithLimits = 3;
 /** How long a runner that refused a request is considered full: a fraction of a request's duration. */
 constexpr base::Milliseconds fullBackoff{60};
 /** More runners than leave while the platform's store is away and lists them as sound. */
@@ -93,12 +98,7 @@
 {
     // Without limits all runners are alike. With them, those without are full, and one of many entries hears of each of
     // them too seldom to tell it from an idle one.
-    const bool hasLimits = std::any_of(m_rateLimits.statements().begin(), m_rateLimits.statements().end(),
-                                       [this, &service](const auto &entry) {
-                                           const RegisteredRunner *runner = registration(entry.first);
-                                           return entry.second.limit && runner != nullptr && runner->service == service;
-                                       });
-    return hasLimits ? loadPerSlot(service, now).value_or(0) : 0;
+    return hasLimits(service) ? loadPerSlot(service, now).value_or(0) : 0;
 }
 
 double LoadBalancer::penalty(const Runner &runner, const PlacementRequest &request, Time now) const
@@ -346,24 +346,32 @@
 
 std::optional<double> LoadBalancer::loadPerSlot(const forwarding::ServiceName &service, Time now) const
 {
+    const bool isLimited = hasLimits(service);
+    const base::Milliseconds maxAge = isLimited ? maxLoadReportAge : maxServiceReportAge;
     double sum = 0;
     int reports = 0;
-    int available = 0;
     for (const auto &[id, runner] : m_runners) {
-        const bool isRecent = runner.loadReportedAt && now - *runner.loadReportedAt < maxServiceReportAge;
-        if (runner.registration.service != service || !isRecent) {
-            continue;
-        }
-        ++reports;
-        if (m_rateLimits.limit(id) && m_permitSchedule.nextPermit(id, now) > now) {
-            // Its free slots can't be used.
+        const bool isRecent = runner.loadReportedAt && now - *runner.loadReportedAt < maxAge;
+        // The free slots of a runner at its limit can't be used.
+        const bool isAtLimit = isLimited && m_rateLimits.limit(id) && m_permitSchedule.nextPermit(id, now) > now;
+        if (runner.registration.service != service || !isRecent || isAtLimit) {
             continue;
         }
         const double others = std::max(0.0, static_cast<double>(runner.reportedLoad) - runner.outstandingAtReport);
         sum += (others + runner.outstanding) / std::max(1U, runner.registration.slots);
-        ++available;
+        ++reports;
     }
-    return reports < minServiceReports || available == 0 ? std::nullopt : std::optional(sum / available);
+    const int enough = isLimited ? minReportsWithLimits : minServiceReports;
+    return reports < enough ? std::nullopt : std::optional(sum / reports);
+}
+
+bool LoadBalancer::hasLimits(const forwarding::ServiceName &service) const
+{
+    const auto &statements = m_rateLimits.statements();
+    return std::any_of(statements.begin(), statements.end(), [this, &service](const auto &entry) {
+        const RegisteredRunner *runner = registration(entry.first);
+        return entry.second.limit && runner != nullptr && runner->service == service;
+    });
 }
 
 std::size_t LoadBalancer::size() const
--- a/src/libbriarhinge/dispatch/loadbalancer.h
+++ b/src/libbriarhinge/dispatch/loadbalancer.h
@@ -310,6 +310,8 @@
      * @return estimated number of running and queued requests
      */
     static double estimatedLoad(const Runner &runner, double usualLoad, Time now);
+    /** @return whether a runner of the service has named a limit */
+    bool hasLimits(const forwarding::ServiceName &service) const;
     /** @return load per slot of runners of the service that have not reported it; 0 unless some of them have limits */
     double usualLoad(const forwarding::ServiceName &service, Time now) const;
     double penalty(const Runner &runner, const PlacementRequest &request, Time now) const;
