--- a/src/libbriarhinge/dispatch/permitkeeper.cpp
+++ b/src/libbriarhinge/dispatch/permitkeeper.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/permitkeeper.h"
 
+#include "dispatch/permitwait.h"
+
 #include <algorithm>
 
 namespace briarhinge::dispatch
@@ -21,8 +23,9 @@
 
 }
 
-PermitKeeper::PermitKeeper(std::size_t maxRunners)
-    : m_maxRunners(maxRunners)
+PermitKeeper::PermitKeeper(Time startTime, std::size_t maxRunners)
+    : m_startTime(startTime)
+    , m_maxRunners(maxRunners)
     , m_rates(maxRunners)
 {
 }
@@ -41,7 +44,7 @@
             first = denied.delays.size() - 1;
         }
     }
-    if (keepers == 0 || denied.delays.empty() || denied.delays[first] > request.maxWait) {
+    if (keepers == 0 || denied.delays.empty() || denied.delays[first] > std::min(request.maxWait, longestPermitWait)) {
         return denied;
     }
     const RunnerId &id = request.runners[first].runner;
@@ -56,7 +59,9 @@
     m_rates.record(runner.runner, runner.statement);
     const RateStatement *rate = m_rates.statement(runner.runner);
     if (rate == nullptr || !rate->limit) {
-        m_buckets.erase(runner.runner);
+        if (const auto bucket = m_buckets.find(runner.runner); bucket != m_buckets.end()) {
+            bucket->second.hasEnded = true;
+        }
         return std::nullopt;
     }
     if (keepers == 0) {
@@ -72,8 +77,9 @@
     const auto interval = permitInterval(*rate.limit, keepers);
     const auto [found, isNew] = m_buckets.try_emplace(id);
     Bucket &bucket = found->second;
-    if (isNew || bucket.startedAt != rate.startedAt) {
-        bucket = {rate.startedAt, interval, now + interval};
+    if (isNew || bucket.hasEnded || bucket.startedAt != rate.startedAt) {
+        const Time previous = isNew ? m_startTime + longestPermitWait : bucket.next;
+        bucket = {rate.startedAt, false, interval, std::max(previous, now) + interval};
         if (m_buckets.size() > m_maxRunners) {
             std::erase_if(m_buckets, [this, &id](const auto &other) {
                 return other.first != id && m_rates.statement(other.first) == nullptr;
--- a/src/libbriarhinge/dispatch/permitkeeper.h
+++ b/src/libbriarhinge/dispatch/permitkeeper.h
@@ -39,7 +39,7 @@
  * grants at that rate by itself, so that all together never exceed the limit, whether they can reach each other or not.
  *
  * Permits are granted one by one, in the order of the requests, at equal intervals. A keeper that starts, or hears of a
- * limit for the first time, has none at first: what was granted before is unknown to it.
+ * limit for the first time, has none at first: what was sent before is unknown to it.
  *
  * Reads no clock itself. Not thread-safe.
  */
@@ -49,8 +49,11 @@
     using Time = RateStatement::Time;
     using Decision = std::variant<PermitGranted, PermitDenied>;
 
-    /** @param maxRunners maximum number of runners that are remembered; the ones heard of last are kept */
-    explicit PermitKeeper(std::size_t maxRunners = 4096);
+    /**
+     * @param startTime the current time; permits that an earlier incarnation granted may still be used shortly after
+     * @param maxRunners maximum number of runners that are remembered; the ones heard of last are kept
+     */
+    explicit PermitKeeper(Time startTime, std::size_t maxRunners = 4096);
 
     /**
      * Decides whether a request may be sent, and to which runner: to the first one that has a permit free at once, or to
@@ -71,6 +74,8 @@
     {
         /** Start of the incarnation. */
         std::uint64_t startedAt = 0;
+        /** Whether the limit has ended; another one may come. */
+        bool hasEnded = false;
         std::chrono::steady_clock::duration interval{};
         /** Time at which the next permit is free. */
         Time next;
@@ -80,6 +85,7 @@
     std::optional<std::chrono::steady_clock::duration> delay(const KnownRate &runner, std::size_t keepers, Time now);
     Bucket &updateBucket(const RunnerId &id, const RateStatement &rate, std::size_t keepers, Time now);
 
+    const Time m_startTime;
     const std::size_t m_maxRunners;
     RateLimits m_rates;
     std::map<RunnerId, Bucket> m_buckets;
--- a/src/libbriarhinge/dispatch/permitwait.cpp
+++ b/src/libbriarhinge/dispatch/permitwait.cpp
@@ -17,7 +17,8 @@
 
 base::Milliseconds permitWait(const forwarding::Route &route, ProgramStage stage, base::Milliseconds timeLeft)
 {
-    const base::Milliseconds longest = std::min(route.latencyTarget, timeLeft / maxShareOfTimeLeft);
+    const base::Milliseconds longest =
+        std::min({route.latencyTarget, timeLeft / maxShareOfTimeLeft, longestPermitWait});
     const int divisor =
         (stage == ProgramStage::Begins ? newProgramDivisor : 1) * (route.priority > 0 ? lowPriorityDivisor : 1);
     return std::max(longest / divisor, base::Milliseconds(0));
--- a/src/libbriarhinge/dispatch/permitwait.h
+++ b/src/libbriarhinge/dispatch/permitwait.h
@@ -6,6 +6,9 @@
 namespace briarhinge::dispatch
 {
 
+/** No permit is granted further ahead, so that those of a keeper that has ended are used up soon. */
+inline constexpr base::Milliseconds longestPermitWait{500};
+
 /** How far a program has come that a request belongs to. */
 enum class ProgramStage {
     /** The request begins a program. */
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -1,89 +1,22 @@
 #pragma once
 
-#include "dispatch/loadbalancer.h"
 #include "dispatch/permitwait.h"
-#include "dispatch/programadmission.h"
-#include "dispatch/retrydelay.h"
-#include "dispatch/returnschedule.h"
 #include "dispatch/urgency.h"
-#include "forwarding/buffermemory.h"
-#include "forwarding/crashdetector.h"
 #include "forwarding/eventstream.h"
-#include "forwarding/exchangelog.h"
-#include "forwarding/messages.h"
-#include "forwarding/permitclient.h"
-#include "forwarding/routing.h"
-#include "forwarding/runnerconnectionpool.h"
-#include "http/serverconnection.h"
-#include "placement/suspecttable.h"
-#include "turns/turnclient.h"
+#include "forwarding/exchangecontext.h"
 
 #include <chrono>
-#include <concepts>
 #include <functional>
 #include <limits>
 #include <memory>
 #include <string>
 #include <variant>
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace briarhinge::forwarding
 {
 
-/** Encodes and decodes requests and responses. */
-template <class T>
-concept RequestFormat = requires(http::IncomingRequest incoming, const CallerRequest &request,
-                                 const std::string &prompt, const dispatch::RunnerId &runner,
-                                 base::Milliseconds remainingTime, Urgency urgency, const http::ResponseHead &head)
-{
-    {
-        T::decode(std::move(incoming))
-        } -> std::same_as<std::variant<CallerRequest, BadRequest>>;
-    {
-        T::encode(request, prompt, runner, remainingTime, urgency)
-        } -> std::same_as<std::string>;
-    {
-        T::decodeResponse(head)
-        } -> std::same_as<RunnerResponse>;
-    {
-        T::refusal(remainingTime)
-        } -> std::same_as<http::Headers>;
-};
-
-/** State shared by all exchanges of an entry. */
-struct ExchangeContext
-{
-    boost::asio::io_context &context;
-    dispatch::LoadBalancer &balancer;
-    const dispatch::ProgramAdmission &admission;
-    RunnerConnectionPool &pool;
-    PermitClient &permits;
-    /** Tells callers that runners with a limit have no place for when to come back. */
-    dispatch::ReturnSchedule &returns;
-    /** Returns the number of entries, including this one. */
-    std::function<std::size_t()> entryCount;
-    turns::TurnClient &turns;
-    ExchangeLog &log;
-    /** Computes the retry delay from the duration of faults of this entry's own dependencies. */
-    dispatch::RetryDelay &retryDelay;
-    /** Requests under which runners have crashed. */
-    placement::SuspectTable &suspects;
-    /** Memory for the answers that are being received. */
-    BufferMemory &memory;
-    /** Called with each attempt whose connection was lost. */
-    std::function<void(const LostAttempt &)> connectionLost;
-    /** Called with each attempt in whose answer the runner says that it leaves, and the time since it was sent. */
-    std::function<void(const dispatch::Placement &, base::Milliseconds)> runnerLeaves;
-    /** Called with what each answer says of the rate at which its runner takes requests. */
-    std::function<void(const dispatch::Placement &, const dispatch::RateStatement &)> rateStated;
-    /** Finds out whether the runner at an address lives, after it has closed a connection; see LivenessCheck. */
-    std::function<void(const wire::Address &, std::function<void(bool)>)> checkLiveness;
-    /** Returns the routing in force; null while none is known. */
-    std::function<std::shared_ptr<const Routing>()> routing;
-};
-
 /**
  * Handles one request of a caller, from its last byte to the end of the response.
  *
--- a/src/libbriarhinge/forwarding/permitserver.cpp
+++ b/src/libbriarhinge/forwarding/permitserver.cpp
@@ -27,6 +27,7 @@
 
 PermitServer::PermitServer(std::function<std::size_t()> keepers)
     : m_keepers(std::move(keepers))
+    , m_keeper(std::chrono::steady_clock::now())
 {
 }
 
