Runner: Calls start no faster than the limit that their upstream names

The same class on our own interface: what an upstream says of itself in its responses was passed over. Response field Call-Rate-Limit, event 543. One reader of such a field for both paths (forwarding::statedRate()).

--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -57,6 +57,7 @@
 inline constexpr EventKind callStalled{540, "call-stalled", Level::Warning};
 inline constexpr EventKind callSuspected{541, "call-suspected", Level::Warning};
 inline constexpr EventKind callLimited{542, "call-limited", Level::Info};
+inline constexpr EventKind upstreamLimited{543, "upstream-limited", Level::Warning};
 inline constexpr EventKind configurationInForce{700, "configuration-in-force", Level::Info};
 inline constexpr EventKind configurationRefused{701, "configuration-refused", Level::Error};
 inline constexpr EventKind configurationGap{702, "configuration-gap", Level::Warning};
@@ -120,6 +121,7 @@
     callStalled,
     callSuspected,
     callLimited,
+    upstreamLimited,
     configurationInForce,
     configurationRefused,
     configurationGap,
--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -1,8 +1,10 @@
 #include "runner/engineupstream.h"
 
+#include "forwarding/requestrate.h"
 #include "http/client.h"
 #include "runner/linesplitter.h"
 #include "runner/sseparser.h"
+#include "runner/startrate.h"
 
 #include <optional>
 
@@ -63,6 +65,9 @@
     void start(const http::ResponseHead &head)
     {
         m_status = head.status;
+        if (const auto stated = forwarding::statedRate(head.headers, callRateLimitField)) {
+            m_observer.rateStated(*stated);
+        }
     }
 
     /**
--- a/src/libbriarhinge/runner/runnerservice.h
+++ b/src/libbriarhinge/runner/runnerservice.h
@@ -12,6 +12,7 @@
 #include "runner/job.h"
 #include "runner/prefixindex.h"
 #include "runner/runnerpolicy.h"
+#include "runner/startrate.h"
 #include "runner/upstream.h"
 #include "wire/convert.h"
 #include "wire/framesession.h"
@@ -56,6 +57,7 @@
         , m_register(policy.retention)
         , m_crashes(policy.retention)
         , m_limit(policy.concurrency)
+        , m_startRate(clock.now())
         , m_holds(policy.holds)
         , m_prefixes(policy.engineCacheTokens)
     {
@@ -327,10 +329,13 @@
         const QueueRank rank{call.priority, core::parentProgramId(call.program).has_value(), call.attained,
                              m_prefixes.cachedTokens(job->blocks)};
         m_queue.push(rank, job, now);
-        const base::Milliseconds wait = m_drainRate.expectedWait(m_queue.size(), m_limit.limit());
-        if (wait <= m_policy.maxQueueWait || m_running.size() < m_limit.limit()) {
+        const base::Milliseconds drainWait = m_drainRate.expectedWait(m_queue.size(), m_limit.limit());
+        const base::Milliseconds startWait = m_startRate.expectedWait(m_queue.size());
+        const bool isOverloaded = drainWait > m_policy.maxQueueWait && m_running.size() >= m_limit.limit();
+        if (!isOverloaded && startWait <= m_policy.maxQueueWait) {
             return;
         }
+        const base::Milliseconds wait = std::max(isOverloaded ? drainWait : base::Milliseconds(0), startWait);
         const JobPointer refused = *m_queue.popLast();
         m_log.write(logging::events::callShed,
                     {{"program", refused->call.call.program.value()},
@@ -344,7 +349,7 @@
     void startQueued(UpstreamActions &actions)
     {
         const base::Timestamp now = m_clock.now();
-        while (canStartNext(now)) {
+        while (canStartNext(now) && m_startRate.takePermit(now)) {
             JobPointer job = *m_queue.pop(now);
             job->state = JobState::Running;
             job->startedAt = now;
@@ -404,12 +409,25 @@
         }
     }
 
+    void handleStatedRate(const JobPointer &job, const forwarding::StatedRate &stated)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_startRate.record(stated, job->startedAt, m_clock.now())) {
+            const auto limit = m_startRate.limit();
+            m_log.write(logging::events::upstreamLimited,
+                        {{"limit", limit ? std::to_string(limit->value()) : std::string("none")}});
+        }
+    }
+
     void start(const JobPointer &job)
     {
         UpstreamObserver observer;
         observer.chunk = [this, job](std::uint64_t offset, const std::string &text) {
             handleChunk(job, offset, text);
         };
+        observer.rateStated = [this, job](const forwarding::StatedRate &stated) {
+            handleStatedRate(job, stated);
+        };
         observer.ended = [this, job](const core::Outcome &outcome) {
             handleUpstreamEnded(job, outcome);
         };
@@ -742,6 +760,7 @@
     /** Whether the upstream has crashed and answered nothing since. */
     bool m_hasCrashedSinceProgress = false;
     ConcurrencyLimit m_limit;
+    StartRate m_startRate;
     DrainRate m_drainRate;
     EnginePace m_pace;
     HoldTable m_holds;
--- a/src/libbriarhinge/runner/toolupstream.cpp
+++ b/src/libbriarhinge/runner/toolupstream.cpp
@@ -1,7 +1,9 @@
 #include "runner/toolupstream.h"
 
+#include "forwarding/requestrate.h"
 #include "http/client.h"
 #include "http/percentencoding.h"
+#include "runner/startrate.h"
 
 #include <nlohmann/json.hpp>
 
@@ -69,6 +71,10 @@
     request.contentType = "application/json";
     request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
     m_client->send(std::move(request), [observer](const http::ClientResponse &response) {
+        const auto stated = forwarding::statedRate(response.head.headers, callRateLimitField);
+        if (response.end.response.hasHead && stated) {
+            observer.rateStated(*stated);
+        }
         observer.ended(parseOutcome(response));
     });
     return std::make_shared<NoCancellation>();
--- a/tests/test_ownanswerends.cpp
+++ b/tests/test_ownanswerends.cpp
@@ -80,6 +80,7 @@
     std::promise<core::Outcome> ended;
     runner::UpstreamObserver observer;
     observer.chunk = [](std::size_t, const std::string &) {};
+    observer.rateStated = [](const forwarding::StatedRate &) {};
     observer.ended = [&ended](const core::Outcome &outcome) {
         ended.set_value(outcome);
     };
@@ -250,3 +251,29 @@
     const AnswerThread server(ScriptedAnswer{pieces, AnswerEnding::Close, std::chrono::milliseconds(150)});
     CHECK(std::holds_alternative<core::Completed>(execute<runner::EngineUpstream>(server, base::Milliseconds(500))));
 }
+
+// Guards against a limit on calls that an upstream of our own interface names and nobody reads.
+TEST(OwnAnswerEnds, theLimitThatAnUpstreamNamesIsRead)
+{
+    const std::string fields = "HTTP/1.1 200 OK\r\nCall-Rate-Limit: 2.5\r\nContent-Length: ";
+    const auto statedBy = [](auto &upstream) {
+        std::promise<std::optional<forwarding::RequestRate>> limit;
+        runner::UpstreamObserver observer;
+        std::optional<forwarding::RequestRate> stated;
+        observer.chunk = [](std::uint64_t, const std::string &) {};
+        observer.rateStated = [&stated](const forwarding::StatedRate &rate) {
+            stated = rate.limit;
+        };
+        observer.ended = [&](const core::Outcome &) {
+            limit.set_value(stated);
+        };
+        const auto cancellation = upstream.execute({}, observer);
+        return limit.get_future().get();
+    };
+    const AnswerThread tool({{fields + std::to_string(toolAnswer.size()) + "\r\n\r\n" + toolAnswer}});
+    runner::ToolUpstream toolUpstream(tool.url(), base::Milliseconds(5000));
+    CHECK(statedBy(toolUpstream) == forwarding::RequestRate(2.5));
+    const AnswerThread engine({{fields + std::to_string(engineAnswer.size()) + "\r\n\r\n" + engineAnswer}});
+    runner::EngineUpstream engineUpstream(engine.url(), base::Milliseconds(5000));
+    CHECK(statedBy(engineUpstream) == forwarding::RequestRate(2.5));
+}
--- a/tests/test_runnerservice.cpp
+++ b/tests/test_runnerservice.cpp
@@ -507,3 +507,52 @@
     send(session, 3, probe);
     CHECK_EQUAL(0U, session->load.cached_tokens);
 }
+
+// Guards against calls that are started as before although the upstream has named a limit, and against a limit that stays
+// after it has ended.
+TEST(RunnerService, callsStartNoFasterThanTheUpstreamTakesThem)
+{
+    RunnerPolicy wide = policy();
+    wide.concurrency.maxCalls = 20;
+    wide.maxQueueWait = base::Milliseconds(60'000);
+    Service limited(upstream, clock, log, wide);
+    clock.pass(base::Milliseconds(1000));
+    std::uint64_t request = 0;
+    const auto sendCall = [&] {
+        ++request;
+        sendTo(limited, session, request, charge("p" + std::to_string(request)));
+    };
+    sendCall();
+    clock.pass(base::Milliseconds(20));
+    upstream.running.back().observer.rateStated({forwarding::RequestRate(2)});
+    complete(0);
+    for (int i = 0; i < 12; ++i) {
+        sendCall();
+    }
+    CHECK_EQUAL(1U, upstream.running.size());
+    for (int i = 0; i < 100; ++i) {
+        clock.pass(base::Milliseconds(40));
+        limited.tick();
+    }
+    // Two a second in four seconds, less what the ticks come late.
+    CHECK(upstream.running.size() <= 9 && upstream.running.size() >= 8);
+    upstream.running.back().observer.rateStated({});
+    limited.tick();
+    CHECK_EQUAL(13U, upstream.running.size());
+}
+
+// Guards against calls that wait in the queue although they can't be started in time.
+TEST(RunnerService, callsBeyondTheUpstreamsLimitAreRejectedWithTheTimeUntilThereIsRoom)
+{
+    clock.pass(base::Milliseconds(1000));
+    send(session, 1, charge("one"));
+    clock.pass(base::Milliseconds(20));
+    upstream.running.back().observer.rateStated({forwarding::RequestRate(2)});
+    complete(0);
+    send(session, 2, charge("two"));
+    send(session, 3, charge("three"));
+    send(session, 4, charge("four"));
+    checkOutcome(session, 4, wire::OutcomeKind::NotRun);
+    CHECK_EQUAL(1500U, session->retryAfter[4]);
+    CHECK(session->results[2].empty());
+}
