Dispatch: A limit that an earlier start of a runner named does not hold for the registered one

A late answer, or another entry that still knows the earlier start, could limit a runner that never named a limit until its next answer. Permits.whatAnEarlierStartSaidDoesNotHoldForALaterOne failed before.

--- a/src/libbriarhinge/dispatch/loadbalancer.cpp
+++ b/src/libbriarhinge/dispatch/loadbalancer.cpp
@@ -304,6 +304,10 @@
 
 bool LoadBalancer::rateStated(const RunnerId &id, const RateStatement &statement)
 {
+    const RegisteredRunner *runner = registration(id);
+    if (runner != nullptr && statement.startedAt < runner->startedAt) {
+        return false;
+    }
     const bool isChanged = m_rateLimits.record(id, statement);
     if (isChanged && !m_rateLimits.limit(id)) {
         m_permitSchedule.forget(id);
--- a/src/libbriarhinge/dispatch/loadbalancer.h
+++ b/src/libbriarhinge/dispatch/loadbalancer.h
@@ -236,7 +236,8 @@
     bool runnerLeaves(const RunnerId &id, std::uint64_t startedAt);
 
     /**
-     * Records what a runner has said of the rate at which it takes requests.
+     * Records what a runner has said of the rate at which it takes requests. What an incarnation before the registered one
+     * has said is ignored.
      *
      * @param id the runner
      * @param statement what it said
--- a/tests/test_permits.cpp
+++ b/tests/test_permits.cpp
@@ -493,6 +493,18 @@
     DOUBLES_EQUAL(2.0 / 3, *balancer.loadPerSlot(chat, start + 200ms), 0.01);
 }
 
+// Guards against a limit that an earlier incarnation named, in a late answer or heard of from another entry.
+TEST(Permits, whatAnEarlierStartSaidDoesNotHoldForALaterOne)
+{
+    dispatch::LoadBalancer balancer{base::ZoneName("z")};
+    balancer.registerRunner(registration("one", 5));
+    CHECK_FALSE(balancer.rateStated(one, {4, RequestRate(7), start, start}));
+    CHECK(balancer.rateStatement(one) == nullptr);
+    CHECK(balancer.rateStated(one, {5, RequestRate(7), start, start}));
+    // Another entry knows the next start already.
+    CHECK(balancer.rateStated(one, {6, RequestRate(3), start, start}));
+}
+
 TEST(Permits, withoutAPermitNoRunnerWithALimitIsSelected)
 {
     dispatch::LoadBalancer balancer{base::ZoneName("z")};
