--- a/tests/test_permits.cpp
+++ b/tests/test_permits.cpp
@@ -163,6 +163,7 @@
         ++entry.incarnation;
         entry.schedule = {};
         std::vector<KeeperId> ids;
+        ids.reserve(m_keepers.size());
         for (int i = 0; i < m_scenario.keepers; ++i) {
             ids.emplace_back(std::to_string(i));
         }
