Tests: Two test runs at once are never given the same port

free_port() binds a port for a moment and gives it away; another run whose numbers overlap was given it too before the first one's server listened, which then could not. Each run locks its ports until it ends.

--- a/tests/system/stack.py
+++ b/tests/system/stack.py
@@ -1,5 +1,6 @@
 """Starts the stand-ins and the daemons of one deployment on 127.0.0.1 and ends exactly these processes."""
 
+import fcntl
 import itertools
 import json
 import os
@@ -23,12 +24,25 @@
 FIRST_PORT = 10_000
 PORTS = 20_000
 _ports = itertools.count(os.getpid() * 101)
+# One byte of this file stands for each port; a test run locks those of its ports until it ends.
+_port_locks = os.open(os.path.join(tempfile.gettempdir(), "briarhinge-test-ports"), os.O_RDWR | os.O_CREAT, 0o666)
+
+
+def lock_port(port):
+    """Locks a port for this test run; returns whether no other one has it."""
+    try:
+        fcntl.lockf(_port_locks, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except (BlockingIOError, PermissionError):
+        return False
+    return True
 
 
 def free_port():
-    """Returns an unused port of 127.0.0.1."""
+    """Returns an unused port of 127.0.0.1 that no other test run is given."""
     while True:
         port = FIRST_PORT + next(_ports) % PORTS
+        if not lock_port(port):
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
