Dispatch: A limit that changes with each answer, or is one of too many, is not exceeded either

Read in the diff: after each raise the next permit was brought to one interval from now, although permits up to 500 ms ahead had been granted; with a limit that varies from answer to answer each change granted them once more. The keeper now remembers the latest permit, and the interval follows from the limit in force. Permits.aLimitThatChangesAllTheTimeIsNotExceeded failed before. Beside it: a runner that the keeper had no room to remember was taken for one without a limit, and got permits without end; it gets none (Permits.moreRunnersThanAreRememberedInOneRequest).

--- a/src/libbriarhinge/dispatch/permitkeeper.cpp
+++ b/src/libbriarhinge/dispatch/permitkeeper.cpp
@@ -12,8 +12,8 @@
 
 /** Requests a second that a runner with a limit of 0 gets: its answers are all that tells the end of the limit. */
 constexpr double minRate = 0.25;
-/** An entry asks a keeper without a share again after this time. */
-constexpr base::Milliseconds noShareDelay{250};
+/** An entry asks again after this time if the keeper has no share, or remembers too many other runners. */
+constexpr base::Milliseconds noPermitDelay{250};
 
 std::chrono::steady_clock::duration permitInterval(forwarding::RequestRate limit, std::size_t keepers)
 {
@@ -44,12 +44,15 @@
             first = denied.delays.size() - 1;
         }
     }
-    if (keepers == 0 || denied.delays.empty() || denied.delays[first] > std::min(request.maxWait, longestPermitWait)) {
+    if (denied.delays.empty() || denied.delays[first] > std::min(request.maxWait, longestPermitWait)) {
         return denied;
     }
     const RunnerId &id = request.runners[first].runner;
-    Bucket &bucket = m_buckets.at(id);
-    bucket.next = now + denied.delays[first] + bucket.interval;
+    const auto bucket = m_buckets.find(id);
+    if (keepers == 0 || bucket == m_buckets.end()) {
+        return denied;
+    }
+    bucket->second.last = now + denied.delays[first];
     return PermitGranted{id, denied.delays[first]};
 }
 
@@ -58,37 +61,32 @@
 {
     m_rates.record(runner.runner, runner.statement);
     const RateStatement *rate = m_rates.statement(runner.runner);
+    const bool isForgotten = rate == nullptr && runner.statement.limit;
+    if (keepers == 0 || isForgotten) {
+        return noPermitDelay;
+    }
     if (rate == nullptr || !rate->limit) {
         if (const auto bucket = m_buckets.find(runner.runner); bucket != m_buckets.end()) {
             bucket->second.hasEnded = true;
         }
         return std::nullopt;
     }
-    if (keepers == 0) {
-        return noShareDelay;
-    }
-    const Bucket &bucket = updateBucket(runner.runner, *rate, keepers, now);
-    return std::max(bucket.next, now) - now;
+    const Bucket &bucket = updateBucket(runner.runner, *rate, now);
+    return std::max(bucket.last + permitInterval(*rate->limit, keepers), now) - now;
 }
 
-PermitKeeper::Bucket &PermitKeeper::updateBucket(const RunnerId &id, const RateStatement &rate, std::size_t keepers,
-                                                 Time now)
+const PermitKeeper::Bucket &PermitKeeper::updateBucket(const RunnerId &id, const RateStatement &rate, Time now)
 {
-    const auto interval = permitInterval(*rate.limit, keepers);
     const auto [found, isNew] = m_buckets.try_emplace(id);
     Bucket &bucket = found->second;
     if (isNew || bucket.hasEnded || bucket.startedAt != rate.startedAt) {
-        const Time previous = isNew ? m_startTime + longestPermitWait : bucket.next;
-        bucket = {rate.startedAt, false, interval, std::max(previous, now) + interval};
+        const Time previous = isNew ? m_startTime + longestPermitWait : bucket.last;
+        bucket = {rate.startedAt, false, std::max(previous, now)};
         if (m_buckets.size() > m_maxRunners) {
             std::erase_if(m_buckets, [this, &id](const auto &other) {
                 return other.first != id && m_rates.statement(other.first) == nullptr;
             });
         }
-    } else if (bucket.interval != interval) {
-        // After a raise, permits that were to come at the lower rate come sooner.
-        bucket.interval = interval;
-        bucket.next = std::min(bucket.next, now + interval);
     }
     return bucket;
 }
--- a/src/libbriarhinge/dispatch/permitkeeper.h
+++ b/src/libbriarhinge/dispatch/permitkeeper.h
@@ -76,14 +76,13 @@
         std::uint64_t startedAt = 0;
         /** Whether the limit has ended; another one may come. */
         bool hasEnded = false;
-        std::chrono::steady_clock::duration interval{};
-        /** Time at which the next permit is free. */
-        Time next;
+        /** Time of the latest permit, also one granted ahead; the next one follows after an interval. */
+        Time last;
     };
 
     /** @return time until the next permit for a runner is free; nothing if it has no limit */
     std::optional<std::chrono::steady_clock::duration> delay(const KnownRate &runner, std::size_t keepers, Time now);
-    Bucket &updateBucket(const RunnerId &id, const RateStatement &rate, std::size_t keepers, Time now);
+    const Bucket &updateBucket(const RunnerId &id, const RateStatement &rate, Time now);
 
     const Time m_startTime;
     const std::size_t m_maxRunners;
--- a/tests/test_permits.cpp
+++ b/tests/test_permits.cpp
@@ -339,6 +339,44 @@
     CHECK(std::get<PermitDenied>(denied).delays.front() == 200ms);
 }
 
+// Guards against a limit that is exceeded while its value changes with each answer: permits granted ahead must still count.
+TEST(Permits, aLimitThatChangesAllTheTimeIsNotExceeded)
+{
+    PermitKeeper keeper(start - 1s);
+    std::vector<Time> sends;
+    for (int i = 0; i < 8000; ++i) {
+        const Time now = start + std::chrono::milliseconds(i);
+        const double limit = i % 2 == 0 ? 5 : 5.5;
+        const auto decision = keeper.decide({{limited(one, limit, now)}, 500ms}, 1, now);
+        if (const auto *granted = std::get_if<PermitGranted>(&decision)) {
+            sends.push_back(now + granted->delay);
+        }
+    }
+    CHECK(std::is_sorted(sends.begin(), sends.end()));
+    for (std::size_t first = 0; first < sends.size(); ++first) {
+        const auto last = std::lower_bound(sends.begin(), sends.end(), sends[first] + 4s);
+        CHECK(last - sends.begin() - static_cast<std::ptrdiff_t>(first) <= 4 * 5.5 + 1);
+    }
+}
+
+// Guards against a turn store that ends when more runners have limits than it remembers.
+TEST(Permits, moreRunnersThanAreRememberedInOneRequest)
+{
+    PermitKeeper keeper(start - 1s, 2);
+    dispatch::PermitRequest request;
+    for (int i = 0; i < 8; ++i) {
+        request.runners.push_back(limited(RunnerId("r" + std::to_string(i)), 10, start - std::chrono::seconds(i)));
+    }
+    request.maxWait = 500ms;
+    int granted = 0;
+    for (int i = 0; i < 100; ++i) {
+        granted += std::holds_alternative<PermitGranted>(keeper.decide(request, 1, start + i * 10ms)) ? 1 : 0;
+    }
+    // Of the two that are remembered, ten a second each, some ahead.
+    CHECK(granted > 0 && granted <= 2 * (10 + 5 + 1));
+    CHECK(keeper.statement(RunnerId("r7")) == nullptr);
+}
+
 TEST(Permits, theFirstRunnerWithAFreePermitIsTaken)
 {
     PermitKeeper keeper(start - 1s);
