Dispatch: A limit holds while a runner's registration is gone for a while

An entry forgot a runner's limit with its registration, which the platform's store may lose for some seconds while the runner lives; each entry then sent without permits until the next answer. The limit now holds until a later start is registered. Permits.aLimitHoldsOverARegistrationThatIsGoneForAWhile failed before.

--- a/src/libbriarhinge/dispatch/loadbalancer.cpp
+++ b/src/libbriarhinge/dispatch/loadbalancer.cpp
@@ -75,7 +75,6 @@
 bool LoadBalancer::removeRunner(const RunnerId &id)
 {
     m_leaving.recordRemoval(id);
-    m_rateLimits.recordRemoval(id);
     m_permitSchedule.forget(id);
     return m_runners.erase(id) > 0;
 }
--- a/src/libbriarhinge/dispatch/ratelimits.cpp
+++ b/src/libbriarhinge/dispatch/ratelimits.cpp
@@ -54,11 +54,6 @@
     }
 }
 
-void RateLimits::recordRemoval(const RunnerId &id)
-{
-    m_statements.erase(id);
-}
-
 std::optional<forwarding::RequestRate> RateLimits::limit(const RunnerId &id) const
 {
     const RateStatement *known = statement(id);
@@ -71,11 +66,6 @@
     return found == m_statements.end() ? nullptr : &found->second;
 }
 
-bool RateLimits::isEmpty() const
-{
-    return m_statements.empty();
-}
-
 const std::map<RunnerId, RateStatement> &RateLimits::statements() const
 {
     return m_statements;
--- a/src/libbriarhinge/dispatch/ratelimits.h
+++ b/src/libbriarhinge/dispatch/ratelimits.h
@@ -43,7 +43,8 @@
  * The limits that runners name in their answers. Answers overtake each other: a higher limit, or none, replaces a lower
  * one only if the runner has certainly said so later; a lower one holds at once.
  *
- * Remembers nothing of runners that never named a limit. Reads no clock itself. Not thread-safe.
+ * Remembers nothing of runners that never named a limit. What one has said holds until it is registered with a later start:
+ * its registration may be gone for a while. Reads no clock itself. Not thread-safe.
  */
 class RateLimits
 {
@@ -70,18 +71,12 @@
      */
     void recordRegistration(const RunnerId &id, std::uint64_t startedAt);
 
-    /** @param id a runner whose registration is gone; all that it said is forgotten */
-    void recordRemoval(const RunnerId &id);
-
     /** @param id a runner @return its limit; nothing if it takes any number of requests */
     std::optional<forwarding::RequestRate> limit(const RunnerId &id) const;
 
     /** @param id a runner @return the statement that holds for it; null if it never named a limit */
     const RateStatement *statement(const RunnerId &id) const;
 
-    /** @return whether no runner is known to have named a limit */
-    bool isEmpty() const;
-
     /** @return the statements that hold, by runner */
     const std::map<RunnerId, RateStatement> &statements() const;
 
--- a/tests/test_permits.cpp
+++ b/tests/test_permits.cpp
@@ -544,6 +544,23 @@
     CHECK(balancer.rateStated(one, {6, RequestRate(3), start, start}));
 }
 
+// Guards against a limit that is forgotten while the platform's store has lost the registration of a runner that lives.
+TEST(Permits, aLimitHoldsOverARegistrationThatIsGoneForAWhile)
+{
+    dispatch::LoadBalancer balancer{base::ZoneName("z")};
+    balancer.registerRunner(registration("one", 5));
+    balancer.rateStated(one, {5, RequestRate(7), start, start});
+    balancer.removeRunner(one);
+    balancer.registerRunner(registration("one", 5));
+    dispatch::PlacementRequest request;
+    request.service = chat;
+    request.permitWait = 1s;
+    LONGS_EQUAL(1, std::get<dispatch::Placement>(balancer.selectRunner(request, start)).permitCandidates.size());
+    balancer.removeRunner(one);
+    balancer.registerRunner(registration("one", 6));
+    CHECK(std::get<dispatch::Placement>(balancer.selectRunner(request, start)).permitCandidates.empty());
+}
+
 TEST(Permits, withoutAPermitNoRunnerWithALimitIsSelected)
 {
     dispatch::LoadBalancer balancer{base::ZoneName("z")};
