--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -126,7 +126,7 @@
     forwarding::CrashSharing<platform::StoreClient> m_crashSharing;
     forwarding::RateSharing m_rateSharing;
     forwarding::PermitClient m_permits;
-    dispatch::ReturnSchedule m_returns;
+    dispatch::ReturnSchedule<requests::ServiceName> m_returns;
     forwarding::RunnerProbe m_runnerProbe;
     forwarding::CrashDetector<forwarding::RunnerProbe> m_crashDetector;
     forwarding::LivenessCheck<forwarding::RunnerProbe> m_livenessCheck;
@@ -138,7 +138,7 @@
     /** The address registered for this entry's relay in the platform's store, and the version of that key. */
     std::string m_registeredAddress;
     keyvalue::KeyVersion m_registrationVersion;
-    std::shared_ptr<const forwarding::Routing> m_routing;
+    std::shared_ptr<const requests::Routing> m_routing;
     /** Timers of runners whose registration is gone, but may reappear before the timer expires. */
     std::map<dispatch::RunnerId, std::unique_ptr<boost::asio::steady_timer>> m_removalTimers;
     std::unique_ptr<http::Listener> m_callerListener;
--- a/src/libbriarhinge/dispatch/loadbalancer.cpp
+++ b/src/libbriarhinge/dispatch/loadbalancer.cpp
@@ -93,7 +93,7 @@
     return own + others * weight + usual * (1 - weight);
 }
 
-double LoadBalancer::usualLoad(const forwarding::ServiceName &service, Time now) const
+double LoadBalancer::usualLoad(const requests::ServiceName &service, Time now) const
 {
     // Without limits all runners are alike. With them, those without are full, and one of many entries hears of each of
     // them too seldom to tell it from an idle one.
@@ -240,7 +240,7 @@
     });
 }
 
-void LoadBalancer::loadReported(const RunnerId &id, const forwarding::ReportedLoad &load, Time now)
+void LoadBalancer::loadReported(const RunnerId &id, const requests::ReportedLoad &load, Time now)
 {
     updateRunner(id, [&load, now](Runner &runner) {
         runner.reportedLoad = load.running + load.waiting;
@@ -270,7 +270,7 @@
     });
 }
 
-void LoadBalancer::requestAnswered(const RunnerId &id, const forwarding::RouteName &route,
+void LoadBalancer::requestAnswered(const RunnerId &id, const requests::RouteName &route,
                                    TypicalDurations::Duration duration, Time now)
 {
     updateRunner(id, [slowness = m_typicalDurations.add(route, duration), now](Runner &runner) {
@@ -285,7 +285,7 @@
     });
 }
 
-void LoadBalancer::requestStalled(const RunnerId &id, const forwarding::RouteName &route,
+void LoadBalancer::requestStalled(const RunnerId &id, const requests::RouteName &route,
                                   TypicalDurations::Duration waited, Time now)
 {
     // Only runners with free slots count as slow: on a full runner, a request may wait long in the queue.
@@ -319,12 +319,12 @@
     return m_rateLimits.statement(id);
 }
 
-PermitSchedule &LoadBalancer::permitSchedule()
+PermitSchedule<RunnerId> &LoadBalancer::permitSchedule()
 {
     return m_permitSchedule;
 }
 
-forwarding::RequestRate LoadBalancer::totalLimit(const forwarding::ServiceName &service) const
+requests::RequestRate LoadBalancer::totalLimit(const requests::ServiceName &service) const
 {
     double total = 0;
     for (const auto &[id, statement] : m_rateLimits.statements()) {
@@ -333,7 +333,7 @@
             total += statement.limit->value();
         }
     }
-    return forwarding::RequestRate(total);
+    return requests::RequestRate(total);
 }
 
 bool LoadBalancer::isLeaving(const RunnerId &id) const
@@ -347,7 +347,7 @@
     return runner.registration.isDraining || m_leaving.contains(runner.registration.id, runner.registration.startedAt);
 }
 
-std::optional<double> LoadBalancer::loadPerSlot(const forwarding::ServiceName &service, Time now) const
+std::optional<double> LoadBalancer::loadPerSlot(const requests::ServiceName &service, Time now) const
 {
     const bool isLimited = hasLimits(service);
     const base::Milliseconds maxAge = isLimited ? maxLoadReportAge : maxServiceReportAge;
@@ -368,7 +368,7 @@
     return reports < enough ? std::nullopt : std::optional(sum / reports);
 }
 
-bool LoadBalancer::hasLimits(const forwarding::ServiceName &service) const
+bool LoadBalancer::hasLimits(const requests::ServiceName &service) const
 {
     const auto &statements = m_rateLimits.statements();
     return std::any_of(statements.begin(), statements.end(), [this, &service](const auto &entry) {
--- a/src/libbriarhinge/dispatch/loadbalancer.h
+++ b/src/libbriarhinge/dispatch/loadbalancer.h
@@ -7,8 +7,8 @@
 #include "dispatch/runner.h"
 #include "dispatch/runnerperformance.h"
 #include "dispatch/typicaldurations.h"
-#include "forwarding/messages.h"
 #include "placement/runnerhealth.h"
+#include "requests/messages.h"
 
 #include <cstddef>
 #include <map>
@@ -24,11 +24,11 @@
 /** A request that is to be placed on a runner. */
 struct PlacementRequest
 {
-    forwarding::ServiceName service;
-    std::vector<forwarding::PromptBlock> promptBlocks;
+    requests::ServiceName service;
+    std::vector<requests::PromptBlock> promptBlocks;
     base::Tokens promptTokens;
     /** Properties of the service's engines; empty for services without a model. */
-    std::optional<forwarding::EngineTraits> engine;
+    std::optional<requests::EngineTraits> engine;
     /** Runner that executed the previous turn; empty when there is none. */
     RunnerId previousRunner;
     /** Runners that must not be selected. */
@@ -171,7 +171,7 @@
      * @param load the reported load
      * @param now current time
      */
-    void loadReported(const RunnerId &id, const forwarding::ReportedLoad &load, Time now);
+    void loadReported(const RunnerId &id, const requests::ReportedLoad &load, Time now);
 
     /**
      * Records that a connection to a runner could not be opened or was lost.
@@ -204,7 +204,7 @@
      * @param duration duration of the request; for a stream, mean interval between two events
      * @param now current time
      */
-    void requestAnswered(const RunnerId &id, const forwarding::RouteName &route, TypicalDurations::Duration duration,
+    void requestAnswered(const RunnerId &id, const requests::RouteName &route, TypicalDurations::Duration duration,
                          Time now);
 
     /**
@@ -223,7 +223,7 @@
      * @param waited time since the request was sent to the runner
      * @param now current time
      */
-    void requestStalled(const RunnerId &id, const forwarding::RouteName &route, TypicalDurations::Duration waited,
+    void requestStalled(const RunnerId &id, const requests::RouteName &route, TypicalDurations::Duration waited,
                         Time now);
 
     /**
@@ -249,13 +249,13 @@
     const RateStatement *rateStatement(const RunnerId &id) const;
 
     /** @return what is known of the permits of runners with a limit */
-    PermitSchedule &permitSchedule();
+    PermitSchedule<RunnerId> &permitSchedule();
 
     /**
      * @param service a service
      * @return requests a second that its runners with a limit take from all entries together
      */
-    forwarding::RequestRate totalLimit(const forwarding::ServiceName &service) const;
+    requests::RequestRate totalLimit(const requests::ServiceName &service) const;
 
     /** @param id a runner @return whether it drains, has said that it leaves, or is not registered */
     bool isLeaving(const RunnerId &id) const;
@@ -266,7 +266,7 @@
      * @return mean number of running and queued requests per slot of its runners, those at their limits aside, from recent
      *         reports; nothing if too few runners have reported or all are at their limits
      */
-    std::optional<double> loadPerSlot(const forwarding::ServiceName &service, Time now) const;
+    std::optional<double> loadPerSlot(const requests::ServiceName &service, Time now) const;
 
     /** @return number of known runners */
     std::size_t size() const;
@@ -312,9 +312,9 @@
      */
     static double estimatedLoad(const Runner &runner, double usualLoad, Time now);
     /** @return whether a runner of the service has named a limit */
-    bool hasLimits(const forwarding::ServiceName &service) const;
+    bool hasLimits(const requests::ServiceName &service) const;
     /** @return load per slot of runners of the service that have not reported it; 0 unless some of them have limits */
-    double usualLoad(const forwarding::ServiceName &service, Time now) const;
+    double usualLoad(const requests::ServiceName &service, Time now) const;
     double penalty(const Runner &runner, const PlacementRequest &request, Time now) const;
     double placementCost(const Runner &runner, const PlacementRequest &request, double load, Time now) const;
 
@@ -323,7 +323,7 @@
     std::map<RunnerId, Runner> m_runners;
     LeavingRunners m_leaving;
     RateLimits m_rateLimits;
-    PermitSchedule m_permitSchedule;
+    PermitSchedule<RunnerId> m_permitSchedule;
     TypicalDurations m_typicalDurations;
     std::size_t m_rotation = 0;
 };
--- a/src/libbriarhinge/dispatch/permitkeeper.cpp
+++ b/src/libbriarhinge/dispatch/permitkeeper.cpp
@@ -15,7 +15,7 @@
 /** An entry asks again after this time if the keeper has no share, or remembers too many other runners. */
 constexpr base::Milliseconds noPermitDelay{250};
 
-std::chrono::steady_clock::duration permitInterval(forwarding::RequestRate limit, std::size_t keepers)
+std::chrono::steady_clock::duration permitInterval(requests::RequestRate limit, std::size_t keepers)
 {
     const std::chrono::duration<double> interval(static_cast<double>(keepers) / std::max(limit.value(), minRate));
     return std::chrono::duration_cast<std::chrono::steady_clock::duration>(interval);
--- a/src/libbriarhinge/dispatch/permitwait.cpp
+++ b/src/libbriarhinge/dispatch/permitwait.cpp
@@ -15,7 +15,7 @@
 
 }
 
-base::Milliseconds permitWait(const forwarding::Route &route, ProgramStage stage, base::Milliseconds timeLeft)
+base::Milliseconds permitWait(const requests::Route &route, ProgramStage stage, base::Milliseconds timeLeft)
 {
     const base::Milliseconds longest =
         std::min({route.latencyTarget, timeLeft / maxShareOfTimeLeft, longestPermitWait});
--- a/src/libbriarhinge/dispatch/permitwait.h
+++ b/src/libbriarhinge/dispatch/permitwait.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/units.h"
-#include "forwarding/routing.h"
+#include "requests/routing.h"
 
 namespace briarhinge::dispatch
 {
@@ -27,6 +27,6 @@
  * @param timeLeft time until the deadline of the request
  * @return the longest wait
  */
-base::Milliseconds permitWait(const forwarding::Route &route, ProgramStage stage, base::Milliseconds timeLeft);
+base::Milliseconds permitWait(const requests::Route &route, ProgramStage stage, base::Milliseconds timeLeft);
 
 }
--- a/src/libbriarhinge/dispatch/programadmission.cpp
+++ b/src/libbriarhinge/dispatch/programadmission.cpp
@@ -16,7 +16,7 @@
 {
 }
 
-std::optional<base::Milliseconds> ProgramAdmission::refusal(const forwarding::Route &route,
+std::optional<base::Milliseconds> ProgramAdmission::refusal(const requests::Route &route,
                                                             std::optional<double> loadPerSlot) const
 {
     const double bound = route.priority == 0 ? m_bounds.mostUrgent : m_bounds.others;
--- a/src/libbriarhinge/dispatch/programadmission.h
+++ b/src/libbriarhinge/dispatch/programadmission.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/units.h"
-#include "forwarding/routing.h"
+#include "requests/routing.h"
 
 #include <optional>
 
@@ -36,7 +36,7 @@
      * @param loadPerSlot mean number of running and queued requests per slot of the service, if it is known
      * @return the time after which the caller may try again if the program must not start now
      */
-    std::optional<base::Milliseconds> refusal(const forwarding::Route &route, std::optional<double> loadPerSlot) const;
+    std::optional<base::Milliseconds> refusal(const requests::Route &route, std::optional<double> loadPerSlot) const;
 
 private:
     const AdmissionBounds m_bounds;
--- a/src/libbriarhinge/dispatch/promptcacheestimate.cpp
+++ b/src/libbriarhinge/dispatch/promptcacheestimate.cpp
@@ -3,10 +3,10 @@
 namespace briarhinge::dispatch
 {
 
-base::Tokens PromptCacheEstimate::cachedTokens(const std::vector<forwarding::PromptBlock> &blocks) const
+base::Tokens PromptCacheEstimate::cachedTokens(const std::vector<requests::PromptBlock> &blocks) const
 {
     std::uint64_t tokens = 0;
-    for (const forwarding::PromptBlock &block : blocks) {
+    for (const requests::PromptBlock &block : blocks) {
         const auto found = m_blocks.find(block.id);
         if (found == m_blocks.end()) {
             break;
@@ -16,7 +16,7 @@
     return base::Tokens(tokens);
 }
 
-void PromptCacheEstimate::recordPrompt(const std::vector<forwarding::PromptBlock> &blocks, base::Tokens capacity)
+void PromptCacheEstimate::recordPrompt(const std::vector<requests::PromptBlock> &blocks, base::Tokens capacity)
 {
     // Blocks are added from last to first, because an engine evicts the end of a prompt before its beginning.
     for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
--- a/src/libbriarhinge/dispatch/promptcacheestimate.h
+++ b/src/libbriarhinge/dispatch/promptcacheestimate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/units.h"
-#include "forwarding/messages.h"
+#include "requests/messages.h"
 
 #include <cstdint>
 #include <list>
@@ -23,7 +23,7 @@
      * @param blocks blocks of a prompt, in order
      * @return number of tokens in the prompt's prefix that are expected to be cached
      */
-    base::Tokens cachedTokens(const std::vector<forwarding::PromptBlock> &blocks) const;
+    base::Tokens cachedTokens(const std::vector<requests::PromptBlock> &blocks) const;
 
     /**
      * Records a prompt that was sent to the engine.
@@ -31,7 +31,7 @@
      * @param blocks blocks of the prompt, in order
      * @param capacity size of the engine's cache, in tokens
      */
-    void recordPrompt(const std::vector<forwarding::PromptBlock> &blocks, base::Tokens capacity);
+    void recordPrompt(const std::vector<requests::PromptBlock> &blocks, base::Tokens capacity);
 
     /** Drops all blocks, for an engine that has restarted. */
     void clear();
--- a/src/libbriarhinge/dispatch/ratelimits.cpp
+++ b/src/libbriarhinge/dispatch/ratelimits.cpp
@@ -54,7 +54,7 @@
     }
 }
 
-std::optional<forwarding::RequestRate> RateLimits::limit(const RunnerId &id) const
+std::optional<requests::RequestRate> RateLimits::limit(const RunnerId &id) const
 {
     const RateStatement *known = statement(id);
     return known == nullptr ? std::nullopt : known->limit;
--- a/src/libbriarhinge/dispatch/ratelimits.h
+++ b/src/libbriarhinge/dispatch/ratelimits.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dispatch/runner.h"
-#include "forwarding/messages.h"
+#include "requests/messages.h"
 
 #include <chrono>
 #include <cstddef>
@@ -20,7 +20,7 @@
     /** Start of the incarnation in Unix milliseconds, 0 when unknown. */
     std::uint64_t startedAt = 0;
     /** Requests that it takes from all entries together; empty when it takes any number. */
-    std::optional<forwarding::RequestRate> limit;
+    std::optional<requests::RequestRate> limit;
     /** Earliest and latest time at which it can have said so: the request was sent, its answer was received. */
     Time earliest;
     Time latest;
@@ -72,7 +72,7 @@
     void recordRegistration(const RunnerId &id, std::uint64_t startedAt);
 
     /** @param id a runner @return its limit; nothing if it takes any number of requests */
-    std::optional<forwarding::RequestRate> limit(const RunnerId &id) const;
+    std::optional<requests::RequestRate> limit(const RunnerId &id) const;
 
     /** @param id a runner @return the statement that holds for it; null if it never named a limit */
     const RateStatement *statement(const RunnerId &id) const;
--- a/src/libbriarhinge/dispatch/runner.h
+++ b/src/libbriarhinge/dispatch/runner.h
@@ -2,7 +2,7 @@
 
 #include "base/ids.h"
 #include "base/units.h"
-#include "forwarding/routing.h"
+#include "requests/routing.h"
 #include "wire/address.h"
 
 #include <cstdint>
@@ -18,7 +18,7 @@
 struct RegisteredRunner
 {
     RunnerId id;
-    forwarding::ServiceName service;
+    requests::ServiceName service;
     wire::Address address;
     base::ZoneName zone;
     /** Number of requests that the runner processes concurrently. */
--- a/src/libbriarhinge/dispatch/typicaldurations.cpp
+++ b/src/libbriarhinge/dispatch/typicaldurations.cpp
@@ -17,7 +17,7 @@
 
 }
 
-double TypicalDurations::add(const forwarding::RouteName &route, Duration duration)
+double TypicalDurations::add(const requests::RouteName &route, Duration duration)
 {
     const double ratio = ratioToMean(route, duration);
     Mean &mean = m_means[route];
@@ -26,7 +26,7 @@
     return ratio;
 }
 
-double TypicalDurations::ratioToMean(const forwarding::RouteName &route, Duration duration) const
+double TypicalDurations::ratioToMean(const requests::RouteName &route, Duration duration) const
 {
     const auto found = m_means.find(route);
     if (found == m_means.end() || found->second.count < minCount) {
--- a/src/libbriarhinge/dispatch/typicaldurations.h
+++ b/src/libbriarhinge/dispatch/typicaldurations.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "forwarding/routing.h"
+#include "requests/routing.h"
 
 #include <chrono>
 #include <unordered_map>
@@ -26,14 +26,14 @@
      * @param duration duration of the request
      * @return ratio of the duration to the mean before it was added; 1 while there are too few samples
      */
-    double add(const forwarding::RouteName &route, Duration duration);
+    double add(const requests::RouteName &route, Duration duration);
 
     /**
      * @param route route of the request
      * @param duration duration of the request
      * @return ratio of the duration to the mean of the route; 1 while there are too few samples
      */
-    double ratioToMean(const forwarding::RouteName &route, Duration duration) const;
+    double ratioToMean(const requests::RouteName &route, Duration duration) const;
 
 private:
     struct Mean
@@ -42,7 +42,7 @@
         unsigned count = 0;
     };
 
-    std::unordered_map<forwarding::RouteName, Mean> m_means;
+    std::unordered_map<requests::RouteName, Mean> m_means;
 };
 
 }
--- a/src/libbriarhinge/dispatch/urgency.cpp
+++ b/src/libbriarhinge/dispatch/urgency.cpp
@@ -17,22 +17,22 @@
 /** The shortest turns take about 100 ms on an idle runner. */
 constexpr base::Milliseconds minTurnDuration{100};
 
-bool canMeetDeadline(const forwarding::CallerRequest &request, base::Milliseconds waited)
+bool canMeetDeadline(const requests::CallerRequest &request, base::Milliseconds waited)
 {
     return !request.programTimeLeft || *request.programTimeLeft - waited >= minTurnDuration;
 }
 
 }
 
-forwarding::Urgency requestUrgency(const forwarding::Route &route, const forwarding::CallerRequest &request,
-                                   base::Milliseconds waited)
+requests::Urgency requestUrgency(const requests::Route &route, const requests::CallerRequest &request,
+                                 base::Milliseconds waited)
 {
     if (!canMeetDeadline(request, waited)) {
-        return forwarding::Urgency(std::min(leastUrgentOnTime + 1 + route.priority, leastUrgent));
+        return requests::Urgency(std::min(leastUrgentOnTime + 1 + route.priority, leastUrgent));
     }
     const bool isNew = route.storesTurns && request.previousTurn.value().empty();
     const std::uint32_t urgency = route.priority * levelsPerPriority + (isNew ? 1 : 0);
-    return forwarding::Urgency(std::min(urgency, leastUrgentOnTime));
+    return requests::Urgency(std::min(urgency, leastUrgentOnTime));
 }
 
 }
--- a/src/libbriarhinge/dispatch/urgency.h
+++ b/src/libbriarhinge/dispatch/urgency.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "forwarding/messages.h"
-#include "forwarding/routing.h"
+#include "requests/messages.h"
+#include "requests/routing.h"
 
 namespace briarhinge::dispatch
 {
@@ -18,7 +18,7 @@
  * @param waited time since the request arrived
  * @return urgency of the request, 0 being the most urgent
  */
-forwarding::Urgency requestUrgency(const forwarding::Route &route, const forwarding::CallerRequest &request,
-                                   base::Milliseconds waited);
+requests::Urgency requestUrgency(const requests::Route &route, const requests::CallerRequest &request,
+                                 base::Milliseconds waited);
 
 }
--- a/src/libbriarhinge/forwarding/exchangecontext.h
+++ b/src/libbriarhinge/forwarding/exchangecontext.h
@@ -7,46 +7,21 @@
 #include "forwarding/buffermemory.h"
 #include "forwarding/crashdetector.h"
 #include "forwarding/exchangelog.h"
-#include "forwarding/messages.h"
 #include "forwarding/permitclient.h"
-#include "forwarding/routing.h"
 #include "forwarding/runnerconnectionpool.h"
-#include "http/serverconnection.h"
 #include "placement/suspecttable.h"
+#include "requests/routing.h"
 #include "turns/turnclient.h"
 
-#include <concepts>
 #include <cstddef>
 #include <functional>
 #include <memory>
-#include <string>
-#include <variant>
 
 #include <boost/asio/io_context.hpp>
 
 namespace briarhinge::forwarding
 {
 
-/** Encodes and decodes requests and responses. */
-template <class T>
-concept RequestFormat = requires(http::IncomingRequest incoming, const CallerRequest &request,
-                                 const std::string &prompt, const dispatch::RunnerId &runner,
-                                 base::Milliseconds remainingTime, Urgency urgency, const http::ResponseHead &head)
-{
-    {
-        T::decode(std::move(incoming))
-        } -> std::same_as<std::variant<CallerRequest, BadRequest>>;
-    {
-        T::encode(request, prompt, runner, remainingTime, urgency)
-        } -> std::same_as<std::string>;
-    {
-        T::decodeResponse(head)
-        } -> std::same_as<RunnerResponse>;
-    {
-        T::refusal(remainingTime)
-        } -> std::same_as<http::Headers>;
-};
-
 /** State shared by all exchanges of an entry. */
 struct ExchangeContext
 {
@@ -56,7 +31,7 @@
     RunnerConnectionPool &pool;
     PermitClient &permits;
     /** Tells callers that runners with a limit have no place for when to come back. */
-    dispatch::ReturnSchedule &returns;
+    dispatch::ReturnSchedule<requests::ServiceName> &returns;
     /** Returns the number of entries, including this one. */
     std::function<std::size_t()> entryCount;
     turns::TurnClient &turns;
@@ -76,7 +51,7 @@
     /** Finds out whether the runner at an address lives, after it has closed a connection; see LivenessCheck. */
     std::function<void(const wire::Address &, std::function<void(bool)>)> checkLiveness;
     /** Returns the routing in force; null while none is known. */
-    std::function<std::shared_ptr<const Routing>()> routing;
+    std::function<std::shared_ptr<const requests::Routing>()> routing;
 };
 
 }
--- a/src/libbriarhinge/forwarding/exchangelog.cpp
+++ b/src/libbriarhinge/forwarding/exchangelog.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+using requests::ExchangeRecord;
+using requests::Outcome;
+
 std::string_view outcomeName(Outcome outcome)
 {
     switch (outcome) {
--- a/src/libbriarhinge/forwarding/exchangelog.h
+++ b/src/libbriarhinge/forwarding/exchangelog.h
@@ -1,73 +1,15 @@
 #pragma once
 
-#include "base/units.h"
 #include "dispatch/loadbalancer.h"
-#include "http/responseend.h"
 #include "logging/eventlog.h"
 #include "metrics/exchangemetrics.h"
+#include "requests/exchangerecord.h"
 
-#include <cstddef>
-#include <cstdint>
-#include <optional>
 #include <string>
 
 namespace briarhinge::forwarding
 {
 
-/** Result of an exchange. */
-enum class Outcome {
-    Served,
-    /** The runner responded with an error of its own. */
-    RunnerFailure,
-    /** No runner has executed the request; the caller may retry. */
-    Refused,
-    /** The request has crashed too many runners and is not run. */
-    Quarantined,
-    /** The request is invalid and cannot be served. */
-    Rejected,
-    BudgetSpent,
-    /** The request may have been executed. */
-    Unknown,
-    TimedOut,
-    CallerLeft,
-    /** The response ended prematurely. */
-    BrokenOff,
-};
-
-/** Details of an exchange for its log line. */
-struct ExchangeRecord
-{
-    std::string request;
-    std::string route;
-    std::uint64_t routing = 0;
-    /** Runner of the last attempt. */
-    std::string runner;
-    /** Estimated number of requests on that runner when it was selected. */
-    double estimatedLoad = 0;
-    /** Urgency in the runner's queue, 0 being the most urgent. */
-    std::uint32_t urgency = 0;
-    /**
-     * Running and queued requests that the runner reported with its response; empty when it did not report its load.
-     */
-    std::optional<std::uint32_t> reportedLoad;
-    /** Number of prompt tokens that were expected to be in the runner's cache. */
-    std::uint64_t cachedTokens = 0;
-    int attempts = 0;
-    std::size_t events = 0;
-    base::Milliseconds turnWait{0};
-    base::Milliseconds firstByte{0};
-    base::Milliseconds duration{0};
-    std::string reason;
-    /**
-     * Digest of what the request asks for, the same in all attempts of all callers; empty until a connection was lost.
-     */
-    std::string digest;
-    /** How the runner's last response ended; empty if none has ended. */
-    std::optional<http::ResponseEnd> responseEnd;
-    /** Bytes of that response after its last whole event. */
-    std::size_t cutBytes = 0;
-};
-
 /** Writes log lines and updates metrics for exchanges. */
 class ExchangeLog
 {
@@ -85,7 +27,7 @@
      * @param outcome its result
      * @param status HTTP status sent to the caller, 0 when none was sent
      */
-    void ended(const ExchangeRecord &record, Outcome outcome, unsigned status);
+    void ended(const requests::ExchangeRecord &record, requests::Outcome outcome, unsigned status);
 
     /**
      * Records a failed attempt to run a request.
@@ -94,7 +36,8 @@
      * @param placement runner of the attempt
      * @param reason why it failed; the text before the first colon becomes a metric label
      */
-    void attemptFailed(const ExchangeRecord &record, const dispatch::Placement &placement, const std::string &reason);
+    void attemptFailed(const requests::ExchangeRecord &record, const dispatch::Placement &placement,
+                       const std::string &reason);
 
 private:
     logging::EventLog &m_log;
--- a/src/libbriarhinge/forwarding/ratemessages.cpp
+++ b/src/libbriarhinge/forwarding/ratemessages.cpp
@@ -36,7 +36,7 @@
     message.runner = known.runner.value();
     message.started_at = known.statement.startedAt;
     message.is_limited = known.statement.limit.has_value();
-    message.limit = known.statement.limit.value_or(RequestRate(0)).value();
+    message.limit = known.statement.limit.value_or(requests::RequestRate(0)).value();
     message.earliest_age_ms = ageInMilliseconds(known.statement.earliest, now);
     message.latest_age_ms = ageInMilliseconds(known.statement.latest, now);
     return message;
@@ -47,7 +47,7 @@
     dispatch::KnownRate known{dispatch::RunnerId(message.runner), {}};
     known.statement.startedAt = message.started_at;
     if (message.is_limited) {
-        known.statement.limit = RequestRate(std::isfinite(message.limit) ? std::max(0.0, message.limit) : 0);
+        known.statement.limit = requests::RequestRate(std::isfinite(message.limit) ? std::max(0.0, message.limit) : 0);
     }
     known.statement.earliest = now - age(message.earliest_age_ms) - maxTransit;
     known.statement.latest = now - age(message.latest_age_ms);
--- a/src/libbriarhinge/forwarding/messages.h
+++ b/src/libbriarhinge/requests/messages.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace briarhinge::forwarding
+namespace briarhinge::requests
 {
 
 /** Identifies one attempt of a caller to send a request. */
--- a/src/libbriarhinge/forwarding/requestrate.cpp
+++ b/src/libbriarhinge/requests/requestrate.cpp
@@ -1,10 +1,10 @@
-#include "forwarding/requestrate.h"
+#include "requests/requestrate.h"
 
 #include <charconv>
 #include <cmath>
 #include <system_error>
 
-namespace briarhinge::forwarding
+namespace briarhinge::requests
 {
 
 namespace
--- a/src/libbriarhinge/forwarding/requestrate.h
+++ b/src/libbriarhinge/requests/requestrate.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "forwarding/messages.h"
 #include "http/headers.h"
+#include "requests/messages.h"
 
 #include <optional>
 #include <string_view>
 
-namespace briarhinge::forwarding
+namespace briarhinge::requests
 {
 
 /**
--- a/src/libbriarhinge/forwarding/routing.cpp
+++ b/src/libbriarhinge/requests/routing.cpp
@@ -1,10 +1,10 @@
-#include "forwarding/routing.h"
+#include "requests/routing.h"
 
 #include "base/digest.h"
 
 #include <algorithm>
 
-namespace briarhinge::forwarding
+namespace briarhinge::requests
 {
 
 Routing::Routing(RoutingVersion version, std::vector<Route> routes, std::vector<Service> services,
--- a/src/libbriarhinge/forwarding/routing.h
+++ b/src/libbriarhinge/requests/routing.h
@@ -13,7 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace briarhinge::forwarding
+namespace briarhinge::requests
 {
 
 /** Identifies a service: a group of runners that do the same kind of work. */
--- a/src/libbriarhinge/runner/engineupstream.cpp
+++ b/src/libbriarhinge/runner/engineupstream.cpp
@@ -1,7 +1,7 @@
 #include "runner/engineupstream.h"
 
-#include "forwarding/requestrate.h"
 #include "http/client.h"
+#include "requests/requestrate.h"
 #include "runner/linesplitter.h"
 #include "runner/sseparser.h"
 #include "runner/startrate.h"
@@ -65,7 +65,7 @@
     void start(const http::ResponseHead &head)
     {
         m_status = head.status;
-        if (const auto stated = forwarding::statedRate(head.headers, callRateLimitField)) {
+        if (const auto stated = requests::statedRate(head.headers, callRateLimitField)) {
             m_observer.rateStated(*stated);
         }
     }
--- a/src/libbriarhinge/runner/runnerservice.h
+++ b/src/libbriarhinge/runner/runnerservice.h
@@ -409,7 +409,7 @@
         }
     }
 
-    void handleStatedRate(const JobPointer &job, const forwarding::StatedRate &stated)
+    void handleStatedRate(const JobPointer &job, const requests::StatedRate &stated)
     {
         const std::lock_guard lock(m_mutex);
         if (m_startRate.record(stated, job->startedAt, m_clock.now())) {
@@ -425,7 +425,7 @@
         observer.chunk = [this, job](std::uint64_t offset, const std::string &text) {
             handleChunk(job, offset, text);
         };
-        observer.rateStated = [this, job](const forwarding::StatedRate &stated) {
+        observer.rateStated = [this, job](const requests::StatedRate &stated) {
             handleStatedRate(job, stated);
         };
         observer.ended = [this, job](const core::Outcome &outcome) {
--- a/src/libbriarhinge/runner/startrate.cpp
+++ b/src/libbriarhinge/runner/startrate.cpp
@@ -26,12 +26,12 @@
 {
 }
 
-bool StartRate::record(const forwarding::StatedRate &stated, base::Timestamp callStartedAt, base::Timestamp now)
+bool StartRate::record(const requests::StatedRate &stated, base::Timestamp callStartedAt, base::Timestamp now)
 {
     return m_limits.record(upstreamId, {0, stated.limit, toSteadyTime(callStartedAt), toSteadyTime(now)});
 }
 
-std::optional<forwarding::RequestRate> StartRate::limit() const
+std::optional<requests::RequestRate> StartRate::limit() const
 {
     return m_limits.limit(upstreamId);
 }
--- a/src/libbriarhinge/runner/startrate.h
+++ b/src/libbriarhinge/runner/startrate.h
@@ -32,10 +32,10 @@
      * @param now current time
      * @return whether the limit is another one since
      */
-    bool record(const forwarding::StatedRate &stated, base::Timestamp callStartedAt, base::Timestamp now);
+    bool record(const requests::StatedRate &stated, base::Timestamp callStartedAt, base::Timestamp now);
 
     /** @return the limit; nothing if the upstream takes any number of calls */
-    std::optional<forwarding::RequestRate> limit() const;
+    std::optional<requests::RequestRate> limit() const;
 
     /**
      * Takes the permit to start one call.
--- a/src/libbriarhinge/runner/toolupstream.cpp
+++ b/src/libbriarhinge/runner/toolupstream.cpp
@@ -1,8 +1,8 @@
 #include "runner/toolupstream.h"
 
-#include "forwarding/requestrate.h"
 #include "http/client.h"
 #include "http/percentencoding.h"
+#include "requests/requestrate.h"
 #include "runner/startrate.h"
 
 #include <nlohmann/json.hpp>
@@ -71,7 +71,7 @@
     request.contentType = "application/json";
     request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
     m_client->send(std::move(request), [observer](const http::ClientResponse &response) {
-        const auto stated = forwarding::statedRate(response.head.headers, callRateLimitField);
+        const auto stated = requests::statedRate(response.head.headers, callRateLimitField);
         if (response.end.response.hasHead && stated) {
             observer.rateStated(*stated);
         }
--- a/src/libbriarhinge/runner/upstream.h
+++ b/src/libbriarhinge/runner/upstream.h
@@ -2,7 +2,7 @@
 
 #include "base/units.h"
 #include "core/step.h"
-#include "forwarding/messages.h"
+#include "requests/messages.h"
 #include "runner/prefixindex.h"
 
 #include <concepts>
@@ -39,7 +39,7 @@
 {
     std::function<void(std::uint64_t offset, const std::string &text)> chunk;
     /** Called with what the head of the response says of the calls a second that the upstream takes. */
-    std::function<void(const forwarding::StatedRate &stated)> rateStated;
+    std::function<void(const requests::StatedRate &stated)> rateStated;
     /** Called once; Unknown means that the connection to the upstream failed after the call was sent. */
     std::function<void(const core::Outcome &outcome)> ended;
 };
--- /dev/null
+++ b/src/libbriarhinge/stages/requeststate.cpp
@@ -0,0 +1,70 @@
+#include "stages/requeststate.h"
+
+#include <algorithm>
+
+namespace briarhinge::stages
+{
+
+RequestState::RequestState(Time arrivalTime)
+    : arrivedAt(arrivalTime)
+{
+}
+
+bool RequestState::isStoredTurn() const
+{
+    return route->storesTurns && route->kind == requests::RouteKind::Stream;
+}
+
+bool RequestState::isFirstTurn() const
+{
+    return isStoredTurn() && request.previousTurn.value().empty();
+}
+
+bool RequestState::hasBudget() const
+{
+    return route->kind == requests::RouteKind::Stream && request.programBudget.has_value()
+        && request.maxTokens.value() > 0;
+}
+
+bool RequestState::isTurn() const
+{
+    return isStoredTurn() || hasBudget();
+}
+
+dispatch::ProgramStage RequestState::programStage() const
+{
+    return isFirstTurn() ? dispatch::ProgramStage::Begins : dispatch::ProgramStage::UnderWay;
+}
+
+base::Milliseconds RequestState::remainingTime() const
+{
+    return std::chrono::duration_cast<base::Milliseconds>(deadline - std::chrono::steady_clock::now());
+}
+
+base::Milliseconds RequestState::elapsedTime() const
+{
+    return std::chrono::duration_cast<base::Milliseconds>(std::chrono::steady_clock::now() - arrivedAt);
+}
+
+std::uint64_t RequestState::tokensPerEvent() const
+{
+    return placementRequest.engine ? std::max<std::uint64_t>(1, placementRequest.engine->tokensPerEvent.value()) : 1;
+}
+
+placement::RequestContent RequestState::content()
+{
+    if (m_target.empty()) {
+        m_target = request.method + ' ' + request.host + request.target;
+    }
+    return {m_target, prompt, request.body, route->kind == requests::RouteKind::Stream};
+}
+
+const base::Digest &RequestState::digest()
+{
+    if (m_digest.value().empty()) {
+        m_digest = placement::contentDigest(content());
+    }
+    return m_digest;
+}
+
+}
--- /dev/null
+++ b/src/libbriarhinge/stages/requeststate.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "base/digest.h"
+#include "base/units.h"
+#include "dispatch/loadbalancer.h"
+#include "dispatch/permitwait.h"
+#include "placement/crash.h"
+#include "requests/exchangerecord.h"
+#include "requests/messages.h"
+#include "requests/routing.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace briarhinge::stages
+{
+
+/** What is known of a request on its way through an entry. The stages and attempts of one request share it. */
+class RequestState
+{
+public:
+    using Time = std::chrono::steady_clock::time_point;
+
+    /** @param arrivedAt time at which the last byte of the request was read */
+    explicit RequestState(Time arrivedAt);
+
+    /** A request is not sent to a runner when less time is left than the network round trip takes. */
+    static constexpr base::Milliseconds minRemainingTime{15};
+
+    /** @return whether the turn is stored, so that later turns may continue it */
+    bool isStoredTurn() const;
+
+    /** @return whether the request begins a chain; where turns are not stored, it can't be told from a later turn */
+    bool isFirstTurn() const;
+
+    /** @return whether the tokens of the response count against the budget of a program */
+    bool hasBudget() const;
+
+    /** @return whether turn stores are asked before the request may run */
+    bool isTurn() const;
+
+    /** @return how far the program of the request has come, as far as the request shows it */
+    dispatch::ProgramStage programStage() const;
+
+    /** @return time until the deadline of the request */
+    base::Milliseconds remainingTime() const;
+
+    /** @return time since the request arrived */
+    base::Milliseconds elapsedTime() const;
+
+    /** @return number of tokens that each event of a response counts for */
+    std::uint64_t tokensPerEvent() const;
+
+    /** @return what the request asks for; valid until the state is destroyed */
+    placement::RequestContent content();
+
+    /** @return the digest of content(), which does not change once the request can be placed */
+    const base::Digest &digest();
+
+    const Time arrivedAt;
+    Time deadline;
+    requests::CallerRequest request;
+    std::shared_ptr<const requests::Routing> routing;
+    const requests::Route *route = nullptr;
+    /** Inputs and outputs of the preceding turns of the chain. */
+    std::string prompt;
+    /** Number of tokens that the caller was sent. */
+    base::Tokens deliveredTokens;
+    dispatch::PlacementRequest placementRequest;
+    dispatch::Placement placement;
+    requests::ExchangeRecord record;
+    /** Whether a runner may have executed the request. */
+    bool mayHaveRun = false;
+
+private:
+    /** Method, host and path; empty until they are needed. */
+    std::string m_target;
+    /** Empty until it is needed. */
+    base::Digest m_digest;
+};
+
+}
--- a/tests/test_crashdetector.cpp
+++ b/tests/test_crashdetector.cpp
@@ -62,7 +62,7 @@
     {
         dispatch::RegisteredRunner runner;
         runner.id = dispatch::RunnerId("r" + std::to_string(index));
-        runner.service = ServiceName("s");
+        runner.service = requests::ServiceName("s");
         runner.address = {"127.0.0.1", portOf(index)};
         runner.zone = base::ZoneName(index < 2 ? "a" : "b");
         runner.isDraining = isDraining;
--- a/tests/test_leavingrunners.cpp
+++ b/tests/test_leavingrunners.cpp
@@ -17,7 +17,7 @@
 namespace
 {
 
-const forwarding::ServiceName chat("chat");
+const requests::ServiceName chat("chat");
 const dispatch::LoadBalancer::Time start = dispatch::LoadBalancer::Time{} + std::chrono::hours(1);
 
 dispatch::RegisteredRunner runner(const std::string &id, std::uint64_t startedAt, std::uint64_t sequence = 1)
--- a/tests/test_loadbalancer.cpp
+++ b/tests/test_loadbalancer.cpp
@@ -11,7 +11,7 @@
 {
 
 const base::ZoneName localZone("a");
-const forwarding::ServiceName chat("chat");
+const requests::ServiceName chat("chat");
 const LoadBalancer::Time start = LoadBalancer::Time{} + std::chrono::hours(1);
 
 RegisteredRunner runner(const std::string &id, const std::string &zone = "a", std::uint64_t startedAt = 1,
@@ -28,17 +28,17 @@
     return registration;
 }
 
-PlacementRequest turnRequest(std::uint64_t tokens, const std::vector<forwarding::PromptBlock> &blocks)
+PlacementRequest turnRequest(std::uint64_t tokens, const std::vector<requests::PromptBlock> &blocks)
 {
     PlacementRequest request;
     request.service = chat;
     request.promptTokens = base::Tokens(tokens);
     request.promptBlocks = blocks;
-    request.engine = forwarding::EngineTraits{4, base::Tokens(10'000), base::Tokens(10)};
+    request.engine = requests::EngineTraits{4, base::Tokens(10'000), base::Tokens(10)};
     return request;
 }
 
-forwarding::PromptBlock block(const std::string &id, std::uint64_t tokens)
+requests::PromptBlock block(const std::string &id, std::uint64_t tokens)
 {
     return {id, base::Tokens(tokens)};
 }
@@ -176,7 +176,7 @@
 namespace
 {
 
-const forwarding::RouteName lookups("lookups");
+const requests::RouteName lookups("lookups");
 
 PlacementRequest lookup()
 {
@@ -295,9 +295,9 @@
 
 constexpr base::Milliseconds notWaited{0};
 
-forwarding::CallerRequest turnWithTimeLeft(base::Milliseconds left, const std::string &previous)
+requests::CallerRequest turnWithTimeLeft(base::Milliseconds left, const std::string &previous)
 {
-    forwarding::CallerRequest turn;
+    requests::CallerRequest turn;
     turn.programTimeLeft = left;
     turn.previousTurn = turns::TurnId(previous);
     return turn;
@@ -307,12 +307,12 @@
 
 TEST(Urgency, urgentRoutesComeFirstAndBegunProgramsBeforeNewOnes)
 {
-    forwarding::Route urgent;
+    requests::Route urgent;
     urgent.storesTurns = true;
-    forwarding::Route other = urgent;
+    requests::Route other = urgent;
     other.priority = 1;
-    forwarding::CallerRequest first;
-    forwarding::CallerRequest later;
+    requests::CallerRequest first;
+    requests::CallerRequest later;
     later.previousTurn = turns::TurnId("t");
     CHECK(requestUrgency(urgent, later, notWaited) < requestUrgency(urgent, first, notWaited));
     CHECK(requestUrgency(urgent, first, notWaited) < requestUrgency(other, later, notWaited));
@@ -321,9 +321,9 @@
 
 TEST(Urgency, inABurstProgramsThatAreLateAnywayWaitBehindAllThatCanBeInTime)
 {
-    forwarding::Route urgent;
+    requests::Route urgent;
     urgent.storesTurns = true;
-    forwarding::Route other = urgent;
+    requests::Route other = urgent;
     other.priority = 1;
     const auto late = turnWithTimeLeft(base::Milliseconds(-400), "t");
     const auto fresh = turnWithTimeLeft(base::Milliseconds(1500), "");
@@ -333,7 +333,7 @@
 
 TEST(Urgency, aProgramBecomesLateWhileItsTurnWaits)
 {
-    forwarding::Route route;
+    requests::Route route;
     route.storesTurns = true;
     const auto turn = turnWithTimeLeft(base::Milliseconds(300), "t");
     CHECK(requestUrgency(route, turn, notWaited) < requestUrgency(route, turn, base::Milliseconds(250)));
--- a/tests/test_ownanswerends.cpp
+++ b/tests/test_ownanswerends.cpp
@@ -80,7 +80,7 @@
     std::promise<core::Outcome> ended;
     runner::UpstreamObserver observer;
     observer.chunk = [](std::size_t, const std::string &) {};
-    observer.rateStated = [](const forwarding::StatedRate &) {};
+    observer.rateStated = [](const requests::StatedRate &) {};
     observer.ended = [&ended](const core::Outcome &outcome) {
         ended.set_value(outcome);
     };
@@ -257,11 +257,11 @@
 {
     const std::string fields = "HTTP/1.1 200 OK\r\nCall-Rate-Limit: 2.5\r\nContent-Length: ";
     const auto statedBy = [](auto &upstream) {
-        std::promise<std::optional<forwarding::RequestRate>> limit;
+        std::promise<std::optional<requests::RequestRate>> limit;
         runner::UpstreamObserver observer;
-        std::optional<forwarding::RequestRate> stated;
+        std::optional<requests::RequestRate> stated;
         observer.chunk = [](std::uint64_t, const std::string &) {};
-        observer.rateStated = [&stated](const forwarding::StatedRate &rate) {
+        observer.rateStated = [&stated](const requests::StatedRate &rate) {
             stated = rate.limit;
         };
         observer.ended = [&](const core::Outcome &) {
@@ -272,8 +272,8 @@
     };
     const AnswerThread tool({{fields + std::to_string(toolAnswer.size()) + "\r\n\r\n" + toolAnswer}});
     runner::ToolUpstream toolUpstream(tool.url(), base::Milliseconds(5000));
-    CHECK(statedBy(toolUpstream) == forwarding::RequestRate(2.5));
+    CHECK(statedBy(toolUpstream) == requests::RequestRate(2.5));
     const AnswerThread engine({{fields + std::to_string(engineAnswer.size()) + "\r\n\r\n" + engineAnswer}});
     runner::EngineUpstream engineUpstream(engine.url(), base::Milliseconds(5000));
-    CHECK(statedBy(engineUpstream) == forwarding::RequestRate(2.5));
+    CHECK(statedBy(engineUpstream) == requests::RequestRate(2.5));
 }
--- a/tests/test_permits.cpp
+++ b/tests/test_permits.cpp
@@ -30,7 +30,7 @@
 using dispatch::PermitGranted;
 using dispatch::PermitKeeper;
 using dispatch::RunnerId;
-using forwarding::RequestRate;
+using requests::RequestRate;
 
 namespace
 {
@@ -41,7 +41,7 @@
 const Time start = Time{} + std::chrono::hours(1);
 const RunnerId one{"one"};
 const RunnerId two{"two"};
-const forwarding::ServiceName chat("chat");
+const requests::ServiceName chat("chat");
 
 KnownRate limited(const RunnerId &id, double limit, Time now = start)
 {
@@ -138,7 +138,7 @@
     struct Entry
     {
         int incarnation = 0;
-        dispatch::PermitSchedule schedule;
+        dispatch::PermitSchedule<dispatch::RunnerId> schedule;
     };
 
     std::size_t pick(std::size_t count)
@@ -434,7 +434,7 @@
 {
     const KeeperId a{"a"};
     const KeeperId b{"b"};
-    dispatch::PermitSchedule schedule;
+    dispatch::PermitSchedule<dispatch::RunnerId> schedule;
     CHECK_FALSE(schedule.chooseKeeper({one}, start, 0ms).has_value());
     CHECK(schedule.nextPermit(one, start) > start);
     schedule.setKeepers({a, b});
@@ -454,7 +454,7 @@
 // Guards against refused callers that all come back at the next free permit and are refused once more, but for one.
 TEST(Permits, refusedCallersAreToldToComeBackOneAfterTheOther)
 {
-    dispatch::ReturnSchedule returns;
+    dispatch::ReturnSchedule<requests::ServiceName> returns;
     std::set<std::int64_t> delays;
     for (int i = 0; i < 5; ++i) {
         delays.insert(returns.next(chat, start + 100ms, RequestRate(10), 3s, start).count());
@@ -469,9 +469,9 @@
 TEST(Permits, programsUnderWayAndUrgentRoutesMayWaitLonger)
 {
     using dispatch::ProgramStage;
-    forwarding::Route urgent;
+    requests::Route urgent;
     urgent.latencyTarget = 200ms;
-    forwarding::Route other = urgent;
+    requests::Route other = urgent;
     other.priority = 1;
     CHECK(dispatch::permitWait(urgent, ProgramStage::UnderWay, 4s) == 200ms);
     CHECK(dispatch::permitWait(urgent, ProgramStage::UnderWay, 400ms) == 100ms);
@@ -502,7 +502,7 @@
     // Nothing is known of the load of r7.
     dispatch::PlacementRequest request;
     request.service = chat;
-    request.engine = forwarding::EngineTraits{};
+    request.engine = requests::EngineTraits{};
     const auto placement = std::get<dispatch::Placement>(balancer.selectRunner(request, now));
     LONGS_EQUAL(3, placement.permitCandidates.size());
     // Where the others have room, work goes there first.
--- a/tests/test_platformdocuments.cpp
+++ b/tests/test_platformdocuments.cpp
@@ -69,15 +69,15 @@
     return incoming;
 }
 
-forwarding::CallerRequest decoded(http::IncomingRequest incoming)
+requests::CallerRequest decoded(http::IncomingRequest incoming)
 {
-    return std::get<forwarding::CallerRequest>(WireFormat::decode(std::move(incoming)));
+    return std::get<requests::CallerRequest>(WireFormat::decode(std::move(incoming)));
 }
 
 std::string encoded(const http::IncomingRequest &incoming)
 {
     return WireFormat::encode(decoded(incoming), "before ", dispatch::RunnerId("i-1"), base::Milliseconds(70),
-                              forwarding::Urgency(3));
+                              requests::Urgency(3));
 }
 
 }
@@ -125,21 +125,21 @@
 TEST(RoutingDocument, anUnknownKindRunsAtMostOnce)
 {
     const auto routing = parseRouting(routingText);
-    CHECK(routing->find("h.example", "/c/")->kind == forwarding::RouteKind::Once);
-    CHECK(routing->find("h.example", "/a/b/")->kind == forwarding::RouteKind::Idempotent);
-    CHECK(routing->find("h.example", "/a/")->kind == forwarding::RouteKind::Stream);
+    CHECK(routing->find("h.example", "/c/")->kind == requests::RouteKind::Once);
+    CHECK(routing->find("h.example", "/a/b/")->kind == requests::RouteKind::Idempotent);
+    CHECK(routing->find("h.example", "/a/")->kind == requests::RouteKind::Stream);
 }
 
 TEST(RoutingDocument, trafficIsSplitByWeightAndAProgramStaysWithItsService)
 {
     const auto routing = parseRouting(routingText);
-    const forwarding::Route *route = routing->find("h.example", "/a/b/");
+    const requests::Route *route = routing->find("h.example", "/a/b/");
     int first = 0;
     constexpr int programs = 1000;
     for (int i = 0; i < programs; ++i) {
         const std::string key = "program-" + std::to_string(i);
-        const auto &service = forwarding::chooseService(*route, key);
-        CHECK(service == forwarding::chooseService(*route, key));
+        const auto &service = requests::chooseService(*route, key);
+        CHECK(service == requests::chooseService(*route, key));
         first += service.value() == "s1" ? 1 : 0;
     }
     CHECK(first > programs * 85 / 100);
@@ -240,10 +240,10 @@
     http::IncomingRequest without = incomingTurn();
     without.headers = {};
     without.headers.add("Host", "h");
-    CHECK(std::holds_alternative<forwarding::BadRequest>(WireFormat::decode(without)));
+    CHECK(std::holds_alternative<requests::BadRequest>(WireFormat::decode(without)));
     auto twice = incomingTurn();
     twice.headers.add("x-request-id", "r-2");
-    CHECK(std::holds_alternative<forwarding::BadRequest>(WireFormat::decode(twice)));
+    CHECK(std::holds_alternative<requests::BadRequest>(WireFormat::decode(twice)));
 }
 
 TEST(WireFormat, onlyTheRunnersStatementMarksARequestAsNotExecuted)
--- a/tests/test_programadmission.cpp
+++ b/tests/test_programadmission.cpp
@@ -22,7 +22,7 @@
 
 constexpr int runnerCount = 12;
 constexpr std::uint32_t slotsPerRunner = 6;
-const forwarding::ServiceName chat("chat");
+const requests::ServiceName chat("chat");
 
 using Time = LoadBalancer::Time;
 using Millis = std::chrono::milliseconds;
@@ -160,7 +160,7 @@
     {
         Program &program = m_programs[index];
         const bool isFirst = program.turn == 0;
-        forwarding::Route route;
+        requests::Route route;
         route.priority = 1;
         const auto refusal =
             m_isAdmitting && isFirst ? m_admission.refusal(route, m_balancer.loadPerSlot(chat, m_now)) : std::nullopt;
@@ -276,9 +276,9 @@
 TEST(ProgramAdmission, urgentProgramsAreRefusedLast)
 {
     const ProgramAdmission admission;
-    forwarding::Route urgent;
+    requests::Route urgent;
     urgent.priority = 0;
-    forwarding::Route other;
+    requests::Route other;
     other.priority = 1;
     CHECK_FALSE(admission.refusal(other, 1.25).has_value());
     CHECK(admission.refusal(other, 1.3).has_value());
@@ -289,7 +289,7 @@
 // Guards against programs that are refused because of what one or two runners reported.
 TEST(ProgramAdmission, anUnknownLoadRefusesNobody)
 {
-    CHECK_FALSE(ProgramAdmission().refusal(forwarding::Route{}, std::nullopt).has_value());
+    CHECK_FALSE(ProgramAdmission().refusal(requests::Route{}, std::nullopt).has_value());
     LoadBalancer balancer{base::ZoneName("a")};
     for (int i = 0; i < 8; ++i) {
         RegisteredRunner registration;
--- a/tests/test_ratelimits.cpp
+++ b/tests/test_ratelimits.cpp
@@ -15,7 +15,7 @@
 using namespace briarhinge;
 using namespace briarhinge::tests;
 using dispatch::RateStatement;
-using forwarding::RequestRate;
+using requests::RequestRate;
 using standins::platform::AnswerEnding;
 using standins::platform::ScriptedAnswer;
 
@@ -38,7 +38,7 @@
     return {startedAt, limit ? std::optional(RequestRate(*limit)) : std::nullopt, at(earliest), at(latest)};
 }
 
-std::optional<forwarding::StatedRate> stated(unsigned status, const std::vector<std::string> &values)
+std::optional<requests::StatedRate> stated(unsigned status, const std::vector<std::string> &values)
 {
     http::ResponseHead head;
     head.status = status;
@@ -48,7 +48,7 @@
     return platform::WireFormat::decodeResponse(head).statedRate;
 }
 
-bool isLimit(double expected, const std::optional<forwarding::StatedRate> &rate)
+bool isLimit(double expected, const std::optional<requests::StatedRate> &rate)
 {
     return rate && rate->limit && rate->limit->value() == expected;
 }
--- a/tests/test_runnerservice.cpp
+++ b/tests/test_runnerservice.cpp
@@ -524,7 +524,7 @@
     };
     sendCall();
     clock.pass(base::Milliseconds(20));
-    upstream.running.back().observer.rateStated({forwarding::RequestRate(2)});
+    upstream.running.back().observer.rateStated({requests::RequestRate(2)});
     complete(0);
     for (int i = 0; i < 12; ++i) {
         sendCall();
@@ -547,7 +547,7 @@
     clock.pass(base::Milliseconds(1000));
     send(session, 1, charge("one"));
     clock.pass(base::Milliseconds(20));
-    upstream.running.back().observer.rateStated({forwarding::RequestRate(2)});
+    upstream.running.back().observer.rateStated({requests::RequestRate(2)});
     complete(0);
     send(session, 2, charge("two"));
     send(session, 3, charge("three"));
