Accounts: Keys, revocation, usage caps and shares of client accounts

Now, where a configuration declares accounts, an entry recognizes them by digests of keys, stops by itself before a revocation limit passes that it could not hear of, and gets permits from the turn stores, which share each cap; programs that begin promise the requests they will send. Turns, budgets and crash counts of accounts are apart. A sub-agent's first turn is no new program any more: the turn stores know. Room that gets short is shared among accounts by what they have used of their caps.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -32,6 +32,8 @@
  */
 constexpr base::Milliseconds seedDelay{250};
 constexpr base::Milliseconds seedTimeout{500};
+/** Percentage of the time limit for revoked keys after which the accounts are confirmed again: two reads may be lost. */
+constexpr int confirmationShare = 40;
 /** Memory for all answers that are being received; an entry has some 100 MB in all. */
 constexpr std::size_t answerMemoryBytes = std::size_t{32} * 1024 * 1024;
 /** An answer of this size is received whatever the others use. */
@@ -68,6 +70,11 @@
                 [this](const dispatch::KnownRate &known) {
                     recordRate(known, "turn-store");
                 })
+    , m_usage(context, m_turns, settings.usageTolerance.permitLifetime(),
+              [this] {
+                  return m_rateSharing.entryCount() + 1;
+              })
+    , m_knowledge(settings.revocationLimit)
     , m_runnerProbe(context)
     , m_crashDetector(m_runnerProbe, m_balancer, m_suspects, log, m_metrics,
                       [this](const placement::CrashReport &report) {
@@ -90,6 +97,8 @@
                         m_admission,
                         m_connectionPool,
                         m_permits,
+                        m_usage,
+                        m_knowledge,
                         m_returns,
                         [this] {
                             return m_rateSharing.entryCount() + 1;
@@ -189,8 +198,24 @@
         return;
     }
     m_routing = routing;
+    const accounts::AccountDirectory *accounts = routing->accounts();
     m_log.write(logging::events::routesInForce,
-                {{"version", routing->version().value()}, {"routes", routing->routeCount()}});
+                {{"version", routing->version().value()},
+                 {"routes", routing->routeCount()},
+                 {"accounts", accounts == nullptr ? 0 : accounts->size()},
+                 {"sharedKeys", accounts == nullptr ? 0 : accounts->sharedKeyCount()}});
+    if (accounts != nullptr) {
+        watchAccounts();
+    }
+}
+
+void EntryNode::watchAccounts()
+{
+    if (m_settings.revocationLimit) {
+        m_watch.confirmEvery(*m_settings.revocationLimit * confirmationShare / 100, [this](auto asOf) {
+            m_knowledge.confirm(asOf);
+        });
+    }
 }
 
 void EntryNode::watchRunners()
@@ -361,6 +386,7 @@
         for (const turns::DiskId &disk : m_turns.disks()) {
             keepers.emplace_back(disk.value());
         }
+        m_usage.setKeepers(keepers);
         m_balancer.permitSchedule().setKeepers(std::move(keepers));
     } else {
         m_log.write(logging::events::badEntry, {{"key", item.key}});
@@ -375,6 +401,7 @@
             return;
         }
         const auto now = std::chrono::steady_clock::now();
+        m_knowledge.setReadable(m_watch.isStoreAvailable());
         m_overloadDetector.recordTimerDelay(std::chrono::duration_cast<base::Milliseconds>(now - due), now);
         if (now - m_lastProbe > probeInterval) {
             m_lastProbe = now;
@@ -447,7 +474,8 @@
 bool EntryNode::isReady() const
 {
     return !m_isStopping && m_routing && m_turns.isReady() && m_balancer.size() > 0
-        && !m_overloadDetector.isOverloaded(std::chrono::steady_clock::now());
+        && !m_overloadDetector.isOverloaded(std::chrono::steady_clock::now())
+        && !(m_routing->accounts() != nullptr && m_knowledge.isFading(std::chrono::steady_clock::now()));
 }
 
 void EntryNode::answerReadiness(const std::shared_ptr<http::ServerConnection> &connection)
@@ -464,7 +492,9 @@
                      {"routing", m_routing ? m_routing->version().value() : 0},
                      {"runners", m_balancer.size()},
                      {"turnStores", m_turns.isReady() ? "answer" : "silent"},
-                     {"late", m_overloadDetector.isOverloaded(std::chrono::steady_clock::now()) ? "yes" : "no"}});
+                     {"late", m_overloadDetector.isOverloaded(std::chrono::steady_clock::now()) ? "yes" : "no"},
+                     {"accountsAge",
+                      m_knowledge.age(std::chrono::steady_clock::now()).value_or(base::Milliseconds(-1)).count()}});
     }
     connection->respond({isReadyNow ? statusOk : statusUnavailable, {}}, {});
 }
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -13,6 +13,7 @@
 #include "forwarding/ratesharing.h"
 #include "forwarding/runnerconnectionpool.h"
 #include "forwarding/runnerprobe.h"
+#include "forwarding/usageclient.h"
 #include "http/listener.h"
 #include "metrics/exchangemetrics.h"
 #include "platform/nodesettings.h"
@@ -97,6 +98,7 @@
      */
     bool recordRate(const dispatch::KnownRate &known, std::string_view source);
     void applyRouting(const keyvalue::KeyValue &item);
+    void watchAccounts();
     void applyRunner(const keyvalue::KeyValue &item);
     void applyGroup(const keyvalue::KeyValue &item);
     void applyRelay(const keyvalue::KeyValue &item);
@@ -126,6 +128,8 @@
     forwarding::CrashSharing<platform::StoreClient> m_crashSharing;
     forwarding::RateSharing m_rateSharing;
     forwarding::PermitClient m_permits;
+    forwarding::UsageClient m_usage;
+    accounts::AccountKnowledge m_knowledge;
     dispatch::ReturnSchedule<requests::ServiceName> m_returns;
     forwarding::RunnerProbe m_runnerProbe;
     forwarding::CrashDetector<forwarding::RunnerProbe> m_crashDetector;
--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -46,6 +46,14 @@
     , m_permitServer([this] {
         return permitKeepers();
     })
+    , m_usageServer(
+          settings.usageTolerance,
+          [this] {
+              return permitKeepers();
+          },
+          [this](const base::ProgramId &program) {
+              return m_store->isProgramUnderWay(program);
+          })
     , m_saveTimer(context)
 {
 }
@@ -93,7 +101,8 @@
     };
     m_server = std::make_unique<turns::TurnServer>(m_context, *m_store, m_journal, m_log, deployment,
                                                    [this](const wire::MessageUnion &message) {
-                                                       return m_permitServer.handleMessage(message);
+                                                       auto answer = m_permitServer.handleMessage(message);
+                                                       return answer ? answer : m_usageServer.handleMessage(message);
                                                    });
     const wire::Address address{m_settings.ip, m_settings.firstInternalPort};
     const auto listening = m_server->listen(address);
@@ -201,7 +210,7 @@
         if (item.key.starts_with(platform::retirementPrefix)) {
             m_groupManager->setRetirement(turns::StoreName(item.key.substr(platform::retirementPrefix.size())), true);
         } else if (item.key == platform::routingKey) {
-            updateDeployment(item);
+            updateDeployment({item.key, platform::withoutKeys(item.value), item.version});
         }
     };
     handlers.onRemoved = [this](const std::string &key, base::Milliseconds) {
--- a/src/briarhingenode/storenode.h
+++ b/src/briarhingenode/storenode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/permitserver.h"
+#include "forwarding/usageserver.h"
 #include "platform/nodesettings.h"
 #include "platform/storeclient.h"
 #include "platform/storewatch.h"
@@ -76,6 +77,7 @@
     turns::Journal m_journal;
     std::unique_ptr<turns::TurnStore> m_store;
     forwarding::PermitServer m_permitServer;
+    forwarding::UsageServer m_usageServer;
     std::unique_ptr<turns::TurnServer> m_server;
     std::unique_ptr<Manager> m_groupManager;
     /** The routing, the runners and the entries by key, for entries that start without the platform's store. */
--- a/src/libbriarhinge/dispatch/permitschedule.h
+++ b/src/libbriarhinge/dispatch/permitschedule.h
@@ -43,10 +43,13 @@
         m_keepers = std::move(keepers);
     }
 
-    /** @return the keepers that share each limit */
-    const std::vector<KeeperId> &keepers() const
+    /** @param now current time @return whether there is a keeper that has not stayed silent lately */
+    bool hasKeeper(Time now) const
     {
-        return m_keepers;
+        return std::any_of(m_keepers.begin(), m_keepers.end(), [this, now](const KeeperId &keeper) {
+            const auto silent = m_silentUntil.find(keeper);
+            return silent == m_silentUntil.end() || silent->second <= now;
+        });
     }
 
     /**
--- a/src/libbriarhinge/dispatch/permitwait.cpp
+++ b/src/libbriarhinge/dispatch/permitwait.cpp
@@ -15,12 +15,12 @@
 
 }
 
-base::Milliseconds permitWait(const requests::Route &route, ProgramStage stage, base::Milliseconds timeLeft)
+base::Milliseconds permitWait(const RequestPriority &priority, base::Milliseconds latencyTarget, ProgramStage stage,
+                              base::Milliseconds timeLeft)
 {
-    const base::Milliseconds longest =
-        std::min({route.latencyTarget, timeLeft / maxShareOfTimeLeft, longestPermitWait});
+    const base::Milliseconds longest = std::min({latencyTarget, timeLeft / maxShareOfTimeLeft, longestPermitWait});
     const int divisor =
-        (stage == ProgramStage::Begins ? newProgramDivisor : 1) * (route.priority > 0 ? lowPriorityDivisor : 1);
+        (stage == ProgramStage::Begins ? newProgramDivisor : 1) * (priority.isHighest() ? 1 : lowPriorityDivisor);
     return std::max(longest / divisor, base::Milliseconds(0));
 }
 
--- a/src/libbriarhinge/dispatch/permitwait.h
+++ b/src/libbriarhinge/dispatch/permitwait.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/units.h"
-#include "requests/routing.h"
+#include "dispatch/requestpriority.h"
 
 namespace briarhinge::dispatch
 {
@@ -20,13 +20,15 @@
  * Computes how long a request may wait for a permit when all runners are at their limits. Waiting helps as long as the
  * answer is still of its full value; a caller that is refused comes back no sooner. Since permits are granted in the order
  * of the requests, those that may wait longer go first when permits are short: programs under way before new ones, whose
- * work would not be lost, and urgent routes before others.
+ * work would not be lost, and urgent requests before others.
  *
- * @param route route of the request
+ * @param priority priority of the request
+ * @param latencyTarget time within which its answer has its full value
  * @param stage how far its program has come
  * @param timeLeft time until the deadline of the request
  * @return the longest wait
  */
-base::Milliseconds permitWait(const requests::Route &route, ProgramStage stage, base::Milliseconds timeLeft);
+base::Milliseconds permitWait(const RequestPriority &priority, base::Milliseconds latencyTarget, ProgramStage stage,
+                              base::Milliseconds timeLeft);
 
 }
--- a/src/libbriarhinge/forwarding/attempt.h
+++ b/src/libbriarhinge/forwarding/attempt.h
@@ -200,7 +200,7 @@
             self->responseEnded(end);
         };
         const requests::Urgency urgency =
-            dispatch::requestUrgency(*m_state.route, m_state.request, m_state.elapsedTime());
+            dispatch::requestUrgency(m_state.priority(), *m_state.route, m_state.request, m_state.elapsedTime());
         record.urgency = urgency.value();
         m_connection->send(
             Format::encode(m_state.request, m_state.prompt, m_placement.id, m_state.remainingTime(), urgency),
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "forwarding/attempt.h"
+#include "stages/accountstage.h"
 #include "stages/deadlinestage.h"
 #include "stages/placementstage.h"
 #include "stages/programstage.h"
 #include "stages/routestage.h"
 #include "stages/suspectstage.h"
 #include "stages/turnstage.h"
+#include "stages/usagestage.h"
 
 #include <chrono>
 #include <memory>
@@ -41,11 +43,14 @@
                           [this] {
                               deadlineExpired();
                           })
-        , m_programStage(m_state, context.balancer, context.admission)
+        , m_accountStage(m_state, context.knowledge)
+        , m_usageStage(m_state, context.usage)
         , m_turnStage(m_state, context.turns, context.retryDelay)
+        , m_programStage(m_state, context.balancer, context.admission)
         , m_suspectStage(m_state, context.suspects, context.context)
         , m_placementStage(m_state, context.balancer, context.permits, context.returns, context.entryCount)
-        , m_stages(m_routeStage, m_deadlineStage, m_programStage, m_turnStage, m_suspectStage, m_placementStage)
+        , m_stages(m_routeStage, m_deadlineStage, m_accountStage, m_usageStage, m_turnStage, m_programStage,
+                   m_suspectStage, m_placementStage)
     {
     }
 
@@ -73,6 +78,7 @@
 private:
     using PlacementStage = stages::PlacementStage<PermitClient>;
     using TurnStage = stages::TurnStage<turns::TurnClient>;
+    using UsageStage = stages::UsageStage<UsageClient>;
 
     static constexpr unsigned statusBadRequest = 400;
     static constexpr unsigned statusBadGateway = 502;
@@ -196,14 +202,8 @@
             endStream();
             return;
         }
-        turns::Turn turn;
-        turn.id = turns::TurnId(m_state.request.id.value());
-        turn.parent = m_state.request.previousTurn;
-        turn.input = m_state.request.body;
-        turn.output = stream.data;
-        turn.engine = m_attempt->placement().id.value();
         m_isStoringTurn = true;
-        m_turnStage.storeTurn(std::move(turn), [self = this->shared_from_this()](bool isStored) {
+        m_turnStage.storeTurn(stream.data, m_attempt->placement().id, [self = this->shared_from_this()](bool isStored) {
             self->turnStored(isStored);
         });
     }
@@ -284,8 +284,13 @@
             respondWithStatus(statusBadGateway, requests::Outcome::Unknown);
             return;
         }
-        m_caller->respond({refusal.status, refusal.retryDelay ? Format::refusal(*refusal.retryDelay) : http::Headers()},
-                          {});
+        http::Headers headers;
+        if (refusal.retryDelay) {
+            headers = Format::refusal(*refusal.retryDelay);
+        } else if (refusal.status == stages::statusUnauthorized) {
+            headers = Format::challenge();
+        }
+        m_caller->respond({refusal.status, headers}, {});
         finish(refusal.outcome, refusal.status);
     }
 
@@ -353,12 +358,14 @@
     stages::RequestState m_state;
     stages::RouteStage m_routeStage;
     stages::DeadlineStage m_deadlineStage;
-    stages::ProgramStage m_programStage;
+    stages::AccountStage m_accountStage;
+    UsageStage m_usageStage;
     TurnStage m_turnStage;
+    stages::ProgramStage m_programStage;
     stages::SuspectStage m_suspectStage;
     PlacementStage m_placementStage;
-    stages::StageRow<stages::RouteStage, stages::DeadlineStage, stages::ProgramStage, TurnStage, stages::SuspectStage,
-                     PlacementStage>
+    stages::StageRow<stages::RouteStage, stages::DeadlineStage, stages::AccountStage, UsageStage, TurnStage,
+                     stages::ProgramStage, stages::SuspectStage, PlacementStage>
         m_stages;
     std::shared_ptr<Attempt<Format>> m_attempt;
     /** Status of the stream that the caller is being sent; 0 when there is none. */
--- a/src/libbriarhinge/forwarding/exchangecontext.h
+++ b/src/libbriarhinge/forwarding/exchangecontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accounts/accountknowledge.h"
 #include "dispatch/loadbalancer.h"
 #include "dispatch/programadmission.h"
 #include "dispatch/retrydelay.h"
@@ -9,6 +10,7 @@
 #include "forwarding/exchangelog.h"
 #include "forwarding/permitclient.h"
 #include "forwarding/runnerconnectionpool.h"
+#include "forwarding/usageclient.h"
 #include "placement/suspecttable.h"
 #include "requests/routing.h"
 #include "turns/turnclient.h"
@@ -30,6 +32,10 @@
     const dispatch::ProgramAdmission &admission;
     RunnerConnectionPool &pool;
     PermitClient &permits;
+    /** Keeps client accounts within their usage caps. */
+    UsageClient &usage;
+    /** How far the known client accounts are the ones in force. */
+    const accounts::AccountKnowledge &knowledge;
     /** Tells callers that runners with a limit have no place for when to come back. */
     dispatch::ReturnSchedule<requests::ServiceName> &returns;
     /** Returns the number of entries, including this one. */
--- a/src/libbriarhinge/forwarding/exchangelog.cpp
+++ b/src/libbriarhinge/forwarding/exchangelog.cpp
@@ -21,6 +21,8 @@
         return "runner-failure";
     case Outcome::Refused:
         return "refused";
+    case Outcome::CapExceeded:
+        return "cap-exceeded";
     case Outcome::Quarantined:
         return "quarantined";
     case Outcome::Rejected:
@@ -74,6 +76,7 @@
     if (outcome == Outcome::Served) {
         m_log.write(logging::events::exchangeEnded,
                     {{"request", record.request},
+                     {"account", record.account},
                      {"route", record.route},
                      {"runner", record.runner},
                      {"took", record.duration.count()},
@@ -91,6 +94,7 @@
     }
     m_log.write(logging::events::exchangeFailed,
                 {{"request", record.request},
+                 {"account", record.account},
                  {"outcome", name},
                  {"status", status},
                  {"reason", record.reason},
--- a/src/libbriarhinge/forwarding/requestformat.h
+++ b/src/libbriarhinge/forwarding/requestformat.h
@@ -32,6 +32,9 @@
     {
         T::refusal(remainingTime)
         } -> std::same_as<http::Headers>;
+    {
+        T::challenge()
+        } -> std::same_as<http::Headers>;
 };
 
 }
--- a/src/libbriarhinge/requests/exchangerecord.h
+++ b/src/libbriarhinge/requests/exchangerecord.h
@@ -18,6 +18,8 @@
     RunnerFailure,
     /** No runner has executed the request; the caller may retry. */
     Refused,
+    /** The client account is beyond its usage cap; the caller may retry. */
+    CapExceeded,
     /** The request has crashed too many runners and is not run. */
     Quarantined,
     /** The request is invalid and cannot be served. */
@@ -37,6 +39,8 @@
     std::string request;
     std::string route;
     std::uint64_t routing = 0;
+    /** Client account of the caller; empty when there is none. */
+    std::string account;
     /** Runner of the last attempt. */
     std::string runner;
     /** Estimated number of requests on that runner when it was selected. */
--- a/src/libbriarhinge/requests/messages.h
+++ b/src/libbriarhinge/requests/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accounts/account.h"
 #include "base/ids.h"
 #include "base/units.h"
 #include "http/headers.h"
@@ -36,6 +37,11 @@
     std::string body;
     /** Header fields that are forwarded to the runner unmodified. */
     http::Headers forwardedHeaders;
+    accounts::Credentials credentials;
+    /** Whether the runner gets the credentials: where no client accounts are declared, they are not for this system. */
+    bool forwardsCredentials = false;
+    /** The client account that the request is handled for, as the runner is told; empty for none. */
+    base::AccountId account;
     /** The caller's timeout; empty when the caller did not state one. */
     std::optional<base::Milliseconds> timeout;
     /** Empty when the request does not belong to a program. */
--- a/src/libbriarhinge/requests/routing.cpp
+++ b/src/libbriarhinge/requests/routing.cpp
@@ -8,9 +8,10 @@
 {
 
 Routing::Routing(RoutingVersion version, std::vector<Route> routes, std::vector<Service> services,
-                 http::ServerLimits limits)
+                 http::ServerLimits limits, std::optional<accounts::AccountDirectory> accounts)
     : m_version(version)
     , m_limits(limits)
+    , m_accounts(std::move(accounts))
 {
     for (Route &route : routes) {
         std::string host = route.host;
@@ -57,6 +58,11 @@
     return found == m_services.end() ? nullptr : &found->second;
 }
 
+const accounts::AccountDirectory *Routing::accounts() const
+{
+    return m_accounts ? &*m_accounts : nullptr;
+}
+
 std::size_t Routing::routeCount() const
 {
     std::size_t count = 0;
--- a/src/libbriarhinge/requests/routing.h
+++ b/src/libbriarhinge/requests/routing.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accounts/accountdirectory.h"
 #include "base/ids.h"
 #include "base/units.h"
 #include "http/serverlimits.h"
@@ -59,6 +60,8 @@
     std::uint32_t maxAttempts = 1;
     /** Whether turns are stored, so that later turns only need to carry new input. */
     bool storesTurns = false;
+    /** Whether callers without a client account are served. */
+    bool isAnonymousAllowed = false;
 };
 
 /** Properties of a service's engines. */
@@ -87,9 +90,10 @@
      * @param routes all routes
      * @param services all services
      * @param limits limits for the requests of callers
+     * @param accounts all client accounts; empty if callers need none
      */
-    Routing(RoutingVersion version, std::vector<Route> routes, std::vector<Service> services,
-            http::ServerLimits limits);
+    Routing(RoutingVersion version, std::vector<Route> routes, std::vector<Service> services, http::ServerLimits limits,
+            std::optional<accounts::AccountDirectory> accounts = std::nullopt);
 
     RoutingVersion version() const;
 
@@ -109,6 +113,9 @@
      */
     const Service *service(const ServiceName &name) const;
 
+    /** @return all client accounts; null if callers need none */
+    const accounts::AccountDirectory *accounts() const;
+
     /** @return number of routes of all hosts */
     std::size_t routeCount() const;
 
@@ -118,6 +125,7 @@
     std::map<std::string, std::vector<Route>, std::less<>> m_routes;
     std::unordered_map<ServiceName, Service> m_services;
     const http::ServerLimits m_limits;
+    const std::optional<accounts::AccountDirectory> m_accounts;
 };
 
 /**
--- a/src/libbriarhinge/stages/placementstage.h
+++ b/src/libbriarhinge/stages/placementstage.h
@@ -102,8 +102,8 @@
                                                : refusal("no runner is left"));
             return;
         }
-        const base::Milliseconds wait =
-            dispatch::permitWait(*m_state.route, m_state.programStage(), m_state.remainingTime());
+        const base::Milliseconds wait = dispatch::permitWait(m_state.priority(), m_state.route->latencyTarget,
+                                                             m_state.programStage(), m_state.remainingTime());
         if (m_state.placementRequest.permitWait.count() == 0 && *noCapacity.nextPermit <= now() + wait) {
             m_state.placementRequest.permitWait = wait;
             enter(onResult);
--- a/src/libbriarhinge/stages/programstage.h
+++ b/src/libbriarhinge/stages/programstage.h
@@ -28,10 +28,10 @@
     /** @param onResult receives 503 with a time to come back if the program must not start now */
     void enter(const StageHandler &onResult)
     {
-        if (m_state.isFirstTurn()) {
+        if (m_state.programStage() == dispatch::ProgramStage::Begins) {
             const auto load =
                 m_balancer.loadPerSlot(m_state.placementRequest.service, std::chrono::steady_clock::now());
-            if (const auto delay = m_admission.refusal(*m_state.route, load)) {
+            if (const auto delay = m_admission.refusal(m_state.route->priority, load, m_state.relativeUse)) {
                 onResult(refusal("the runners can't finish another program in time", *delay));
                 return;
             }
--- a/src/libbriarhinge/stages/requeststate.cpp
+++ b/src/libbriarhinge/stages/requeststate.cpp
@@ -33,7 +33,19 @@
 
 dispatch::ProgramStage RequestState::programStage() const
 {
-    return isFirstTurn() ? dispatch::ProgramStage::Begins : dispatch::ProgramStage::UnderWay;
+    const bool begins = isFirstTurn() && beginsProgram.value_or(true);
+    return begins ? dispatch::ProgramStage::Begins : dispatch::ProgramStage::UnderWay;
+}
+
+bool RequestState::mayBeginProgram() const
+{
+    const bool showsIt = isStoredTurn() ? request.previousTurn.value().empty() : hasBudget();
+    return showsIt && !request.program.value().empty();
+}
+
+dispatch::RequestPriority RequestState::priority() const
+{
+    return {account == nullptr ? std::nullopt : account->priority, route->priority};
 }
 
 base::Milliseconds RequestState::remainingTime() const
@@ -54,7 +66,9 @@
 placement::RequestContent RequestState::content()
 {
     if (m_target.empty()) {
-        m_target = request.method + ' ' + request.host + request.target;
+        // An account can't have the requests of others quarantined.
+        const std::string &caller = request.account.value();
+        m_target = (caller.empty() ? caller : caller + '\n') + request.method + ' ' + request.host + request.target;
     }
     return {m_target, prompt, request.body, route->kind == requests::RouteKind::Stream};
 }
--- a/src/libbriarhinge/stages/requeststate.h
+++ b/src/libbriarhinge/stages/requeststate.h
@@ -4,6 +4,7 @@
 #include "base/units.h"
 #include "dispatch/loadbalancer.h"
 #include "dispatch/permitwait.h"
+#include "dispatch/requestpriority.h"
 #include "placement/crash.h"
 #include "requests/exchangerecord.h"
 #include "requests/messages.h"
@@ -12,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace briarhinge::stages
@@ -41,7 +43,13 @@
     /** @return whether turn stores are asked before the request may run */
     bool isTurn() const;
 
-    /** @return how far the program of the request has come, as far as the request shows it */
+    /** @return whether the request may be the first one of a program, as far as it shows that itself */
+    bool mayBeginProgram() const;
+
+    /** @return what decides the order in which the request runs */
+    dispatch::RequestPriority priority() const;
+
+    /** @return how far the program of the request has come, as far as that is known */
     dispatch::ProgramStage programStage() const;
 
     /** @return time until the deadline of the request */
@@ -64,6 +72,15 @@
     requests::CallerRequest request;
     std::shared_ptr<const requests::Routing> routing;
     const requests::Route *route = nullptr;
+    /** The caller's account, of the routing above; null when there is none. */
+    const accounts::Account *account = nullptr;
+    /** Whether the request begins a program; empty as long as that is not known. */
+    std::optional<bool> beginsProgram;
+    /**
+     * Part of its usage cap that the account has used lately, as a multiple of the mean part of all accounts; empty if the
+     * account has no cap, or the request can't begin a program.
+     */
+    std::optional<double> relativeUse;
     /** Inputs and outputs of the preceding turns of the chain. */
     std::string prompt;
     /** Number of tokens that the caller was sent. */
--- a/src/libbriarhinge/stages/turnstage.h
+++ b/src/libbriarhinge/stages/turnstage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accounts/scope.h"
 #include "dispatch/retrydelay.h"
 #include "stages/requeststate.h"
 #include "stages/stage.h"
@@ -51,14 +52,14 @@
             return;
         }
         turns::TurnStart start;
-        start.program = m_state.request.program;
+        start.program = scoped<base::ProgramId>(m_state.request.program.value());
         start.attempt = turns::AttemptId(m_state.request.id.value());
         start.maxTokens = m_state.request.maxTokens;
         if (m_state.hasBudget()) {
             start.budget = m_state.request.programBudget;
         }
         if (m_state.isStoredTurn()) {
-            start.previous = m_state.request.previousTurn;
+            start.previous = scoped<turns::TurnId>(m_state.request.previousTurn.value());
         }
         m_turns.begin(start, [this, onResult](turns::TurnStartResult result) {
             handleResult(std::move(result), onResult);
@@ -73,17 +74,30 @@
     }
 
     /**
-     * Stores a turn that the caller was sent completely, and settles the reservation.
+     * Stores the turn when the caller was sent all of its answer, and settles the reservation.
      *
-     * @param turn the turn
+     * @param output the data of each event of the answer, each followed by a line feed
+     * @param engine the runner that ran the turn
      * @param onStored receives whether the turn is durable
      */
-    void storeTurn(turns::Turn turn, std::function<void(bool)> onStored)
+    void storeTurn(const std::string &output, const dispatch::RunnerId &engine, std::function<void(bool)> onStored)
     {
+        turns::Turn turn;
+        turn.id = scoped<turns::TurnId>(m_state.request.id.value());
+        turn.parent = scoped<turns::TurnId>(m_state.request.previousTurn.value());
+        turn.input = m_state.request.body;
+        turn.output = output;
+        turn.engine = engine.value();
         settle(std::move(turn), std::move(onStored));
     }
 
 private:
+    template <class Id>
+    Id scoped(const std::string &id) const
+    {
+        return Id(accounts::scopedId(m_state.request.account, id));
+    }
+
     /** Maximum wait for the turn stores at the end of a turn; callers wait two seconds for the next bytes. */
     static constexpr base::Milliseconds storeTurnTimeout{1900};
 
@@ -98,6 +112,9 @@
                 return;
             }
             m_state.prompt = std::move(granted->prompt);
+            if (m_state.hasBudget()) {
+                m_state.beginsProgram = !granted->isProgramUnderWay;
+            }
             m_state.placementRequest.previousRunner = dispatch::RunnerId(granted->engine);
             onResult(Proceed{});
             return;
@@ -121,7 +138,7 @@
             return;
         }
         turns::TurnEnd end;
-        end.program = m_state.request.program;
+        end.program = scoped<base::ProgramId>(m_state.request.program.value());
         end.reservation = std::exchange(m_reservation, {});
         end.spent = m_state.deliveredTokens;
         end.turn = std::move(turn);
--- a/src/libbriarhinge/turns/beginoperation.cpp
+++ b/src/libbriarhinge/turns/beginoperation.cpp
@@ -323,7 +323,7 @@
 
     TurnGranted granted()
     {
-        return {m_prompt, m_engine, m_reservation};
+        return {m_prompt, m_engine, m_reservation, isUnderWay(m_budgetEntries, m_reservation)};
     }
 
     void abandonReservation()
--- a/src/libbriarhinge/turns/budgetledger.cpp
+++ b/src/libbriarhinge/turns/budgetledger.cpp
@@ -40,6 +40,13 @@
     }
 }
 
+bool isUnderWay(const BudgetEntries &entries, const AttemptId &attempt)
+{
+    return std::any_of(entries.begin(), entries.end(), [&attempt](const BudgetEntry &entry) {
+        return entry.attempt != attempt && (!entry.isSettled || entry.spent.value() > 0);
+    });
+}
+
 BudgetDecision checkBudget(const BudgetEntries &entries, const AttemptId &attempt, base::Tokens budget)
 {
     std::uint64_t settled = 0;
@@ -78,6 +85,12 @@
     return found == m_budgets.end() ? BudgetEntries{} : found->second.entries;
 }
 
+bool BudgetLedger::isUnderWay(const base::ProgramId &program) const
+{
+    const auto found = m_budgets.find(program);
+    return found != m_budgets.end() && turns::isUnderWay(found->second.entries);
+}
+
 std::vector<base::ProgramId> BudgetLedger::programs() const
 {
     std::vector<base::ProgramId> names;
--- a/src/libbriarhinge/turns/budgetledger.h
+++ b/src/libbriarhinge/turns/budgetledger.h
@@ -44,6 +44,13 @@
  */
 void mergeEntries(BudgetEntries &target, const BudgetEntries &from);
 
+/**
+ * @param entries attempts of a program
+ * @param attempt an attempt that does not count
+ * @return whether another attempt runs, or has generated tokens
+ */
+bool isUnderWay(const BudgetEntries &entries, const AttemptId &attempt = {});
+
 /** Outcome of a budget check for an attempt. */
 enum class BudgetDecision {
     Granted,
@@ -85,6 +92,9 @@
     /** @return the attempts of @p program */
     BudgetEntries entries(const base::ProgramId &program) const;
 
+    /** @return whether @p program is known and under way */
+    bool isUnderWay(const base::ProgramId &program) const;
+
     /** @return all programs in unspecified order */
     std::vector<base::ProgramId> programs() const;
 
--- a/src/libbriarhinge/turns/relayserver.cpp
+++ b/src/libbriarhinge/turns/relayserver.cpp
@@ -16,7 +16,8 @@
 /** Whether a message is of a type that entries send to turn stores. */
 bool isRelayable(const wire::MessageUnion &message)
 {
-    return message.AsBeginTurn() != nullptr || message.AsEndTurn() != nullptr || message.AsRequestPermit() != nullptr;
+    return message.AsBeginTurn() != nullptr || message.AsEndTurn() != nullptr || message.AsRequestPermit() != nullptr
+        || message.AsRequestUses() != nullptr;
 }
 
 }
--- a/src/libbriarhinge/turns/turnclient.h
+++ b/src/libbriarhinge/turns/turnclient.h
@@ -43,6 +43,8 @@
     std::string engine;
     /** The reservation to settle with end(); empty if nothing was reserved. */
     AttemptId reservation;
+    /** Whether another attempt of the program runs, or has generated tokens; only known with a reservation. */
+    bool isProgramUnderWay = false;
 };
 
 /** The program's remaining budget does not cover the turn. */
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -273,6 +273,11 @@
     return m_isRewriteNeeded;
 }
 
+bool TurnStore::isProgramUnderWay(const base::ProgramId &program) const
+{
+    return m_budgets.isUnderWay(program);
+}
+
 std::size_t TurnStore::turnCount() const
 {
     return m_turns.size();
--- a/src/libbriarhinge/turns/turnstore.h
+++ b/src/libbriarhinge/turns/turnstore.h
@@ -110,6 +110,9 @@
     /** @return whether a write failed and no request may be acknowledged until a snapshot is durable */
     bool isRewriteNeeded() const;
 
+    /** @return whether @p program has an attempt that runs, or that has generated tokens */
+    bool isProgramUnderWay(const base::ProgramId &program) const;
+
     /** @return the number of stored turns */
     std::size_t turnCount() const;
 
--- a/tests/test_loadbalancer.cpp
+++ b/tests/test_loadbalancer.cpp
@@ -314,9 +314,12 @@
     requests::CallerRequest first;
     requests::CallerRequest later;
     later.previousTurn = turns::TurnId("t");
-    CHECK(requestUrgency(urgent, later, notWaited) < requestUrgency(urgent, first, notWaited));
-    CHECK(requestUrgency(urgent, first, notWaited) < requestUrgency(other, later, notWaited));
-    CHECK(requestUrgency(other, later, notWaited) < requestUrgency(other, first, notWaited));
+    CHECK(requestUrgency({std::nullopt, urgent.priority}, urgent, later, notWaited)
+          < requestUrgency({std::nullopt, urgent.priority}, urgent, first, notWaited));
+    CHECK(requestUrgency({std::nullopt, urgent.priority}, urgent, first, notWaited)
+          < requestUrgency({std::nullopt, other.priority}, other, later, notWaited));
+    CHECK(requestUrgency({std::nullopt, other.priority}, other, later, notWaited)
+          < requestUrgency({std::nullopt, other.priority}, other, first, notWaited));
 }
 
 TEST(Urgency, inABurstProgramsThatAreLateAnywayWaitBehindAllThatCanBeInTime)
@@ -327,8 +330,10 @@
     other.priority = 1;
     const auto late = turnWithTimeLeft(base::Milliseconds(-400), "t");
     const auto fresh = turnWithTimeLeft(base::Milliseconds(1500), "");
-    CHECK(requestUrgency(other, fresh, notWaited) < requestUrgency(urgent, late, notWaited));
-    CHECK(requestUrgency(urgent, late, notWaited) < requestUrgency(other, late, notWaited));
+    CHECK(requestUrgency({std::nullopt, other.priority}, other, fresh, notWaited)
+          < requestUrgency({std::nullopt, urgent.priority}, urgent, late, notWaited));
+    CHECK(requestUrgency({std::nullopt, urgent.priority}, urgent, late, notWaited)
+          < requestUrgency({std::nullopt, other.priority}, other, late, notWaited));
 }
 
 TEST(Urgency, aProgramBecomesLateWhileItsTurnWaits)
@@ -336,5 +341,6 @@
     requests::Route route;
     route.storesTurns = true;
     const auto turn = turnWithTimeLeft(base::Milliseconds(300), "t");
-    CHECK(requestUrgency(route, turn, notWaited) < requestUrgency(route, turn, base::Milliseconds(250)));
+    CHECK(requestUrgency({std::nullopt, route.priority}, route, turn, notWaited)
+          < requestUrgency({std::nullopt, route.priority}, route, turn, base::Milliseconds(250)));
 }
--- a/tests/test_permits.cpp
+++ b/tests/test_permits.cpp
@@ -473,13 +473,16 @@
     urgent.latencyTarget = 200ms;
     requests::Route other = urgent;
     other.priority = 1;
-    CHECK(dispatch::permitWait(urgent, ProgramStage::UnderWay, 4s) == 200ms);
-    CHECK(dispatch::permitWait(urgent, ProgramStage::UnderWay, 400ms) == 100ms);
-    CHECK(dispatch::permitWait(urgent, ProgramStage::UnderWay, -5ms) == 0ms);
-    CHECK(dispatch::permitWait(other, ProgramStage::UnderWay, 4s)
-          > dispatch::permitWait(urgent, ProgramStage::Begins, 4s));
-    CHECK(dispatch::permitWait(urgent, ProgramStage::Begins, 4s)
-          > dispatch::permitWait(other, ProgramStage::Begins, 4s));
+    CHECK(dispatch::permitWait({std::nullopt, urgent.priority}, urgent.latencyTarget, ProgramStage::UnderWay, 4s)
+          == 200ms);
+    CHECK(dispatch::permitWait({std::nullopt, urgent.priority}, urgent.latencyTarget, ProgramStage::UnderWay, 400ms)
+          == 100ms);
+    CHECK(dispatch::permitWait({std::nullopt, urgent.priority}, urgent.latencyTarget, ProgramStage::UnderWay, -5ms)
+          == 0ms);
+    CHECK(dispatch::permitWait({std::nullopt, other.priority}, other.latencyTarget, ProgramStage::UnderWay, 4s)
+          > dispatch::permitWait({std::nullopt, urgent.priority}, urgent.latencyTarget, ProgramStage::Begins, 4s));
+    CHECK(dispatch::permitWait({std::nullopt, urgent.priority}, urgent.latencyTarget, ProgramStage::Begins, 4s)
+          > dispatch::permitWait({std::nullopt, other.priority}, other.latencyTarget, ProgramStage::Begins, 4s));
 }
 
 // The load of a large fleet in which most runners of a service have limits: each of 60 entries hears of each of the others
--- a/tests/test_programadmission.cpp
+++ b/tests/test_programadmission.cpp
@@ -162,8 +162,9 @@
         const bool isFirst = program.turn == 0;
         requests::Route route;
         route.priority = 1;
-        const auto refusal =
-            m_isAdmitting && isFirst ? m_admission.refusal(route, m_balancer.loadPerSlot(chat, m_now)) : std::nullopt;
+        const auto refusal = m_isAdmitting && isFirst
+            ? m_admission.refusal(route.priority, m_balancer.loadPerSlot(chat, m_now))
+            : std::nullopt;
         if (refusal) {
             if (program.returns++ < maxReturns) {
                 schedule(m_now + *refusal, [this, index] {
@@ -280,16 +281,16 @@
     urgent.priority = 0;
     requests::Route other;
     other.priority = 1;
-    CHECK_FALSE(admission.refusal(other, 1.25).has_value());
-    CHECK(admission.refusal(other, 1.3).has_value());
-    CHECK_FALSE(admission.refusal(urgent, 1.5).has_value());
-    CHECK(admission.refusal(urgent, 1.6).has_value());
+    CHECK_FALSE(admission.refusal(other.priority, 1.25).has_value());
+    CHECK(admission.refusal(other.priority, 1.3).has_value());
+    CHECK_FALSE(admission.refusal(urgent.priority, 1.5).has_value());
+    CHECK(admission.refusal(urgent.priority, 1.6).has_value());
 }
 
 // Guards against programs that are refused because of what one or two runners reported.
 TEST(ProgramAdmission, anUnknownLoadRefusesNobody)
 {
-    CHECK_FALSE(ProgramAdmission().refusal(requests::Route{}, std::nullopt).has_value());
+    CHECK_FALSE(ProgramAdmission().refusal(0, std::nullopt).has_value());
     LoadBalancer balancer{base::ZoneName("a")};
     for (int i = 0; i < 8; ++i) {
         RegisteredRunner registration;
--- a/tests/test_stages.cpp
+++ b/tests/test_stages.cpp
@@ -205,7 +205,7 @@
     row.enter();
     row.turns.grant();
     bool isStored = false;
-    row.turnStage.storeTurn({}, [&isStored](bool stored) {
+    row.turnStage.storeTurn("a\n", dispatch::RunnerId("i-1"), [&isStored](bool stored) {
         isStored = stored;
     });
     CHECK(isStored);
