--- a/src/libbriarhinge/dispatch/programadmission.cpp
+++ b/src/libbriarhinge/dispatch/programadmission.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/programadmission.h"
 
+#include <algorithm>
+
 namespace briarhinge::dispatch
 {
 
@@ -8,10 +10,10 @@
 
 /** About half of a short program of three turns: until then, programs under way have ended and left their slots. */
 constexpr base::Milliseconds retryDelay{500};
-/** Part of the room up to the bound that is left when it begins to be shared. */
-constexpr double shortageBegins = 0.4;
-/** Multiple of the others' use from which an account is refused as soon as room is short. */
-constexpr double largestUse = 2;
+/** What an account has used beyond the mean part lowers its bound by this share of it, and raises it when it has used less. */
+constexpr double weightOfUse = 0.25;
+constexpr double smallestShare = 0.5;
+constexpr double largestShare = 1.2;
 
 }
 
@@ -32,9 +34,8 @@
         return *loadPerSlot > bound ? std::optional(retryDelay) : std::nullopt;
     }
     const double bound = isMostUrgent ? m_bounds.sharedMostUrgent : m_bounds.sharedOthers;
-    const double roomLeft = (bound - *loadPerSlot) / (bound * shortageBegins);
-    const bool isRefused = roomLeft < 1 && *relativeUse > roomLeft * largestUse;
-    return isRefused ? std::optional(retryDelay) : std::nullopt;
+    const double share = std::clamp(1 + (1 - *relativeUse) * weightOfUse, smallestShare, largestShare);
+    return *loadPerSlot > bound * share ? std::optional(retryDelay) : std::nullopt;
 }
 
 }
--- a/src/libbriarhinge/dispatch/programadmission.h
+++ b/src/libbriarhinge/dispatch/programadmission.h
@@ -16,8 +16,8 @@
     /** For all others. */
     double others = 1.25;
     /** The same where accounts share the room: programs under way keep some of it, since they wait for no others' end. */
-    double sharedMostUrgent = 0.95;
-    double sharedOthers = 0.65;
+    double sharedMostUrgent = 0.75;
+    double sharedOthers = 0.5;
 };
 
 /**
