Forwarding: A second try before the first is late, within a limit that operators set

Off by default (--second-tries). dispatch::SecondTries decides without a network; the exchange takes the first whole answer of two attempts and closes the other. The test with real entries found that requests on kept connections had none: the first try counts as sent before start() returns.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -75,6 +75,7 @@
                   return m_rateSharing.entryCount() + 1;
               })
     , m_knowledge(settings.revocationLimit)
+    , m_secondTries(settings.secondTryShare)
     , m_runnerProbe(context)
     , m_crashDetector(m_runnerProbe, m_balancer, m_suspects, log, m_metrics,
                       [this](const placement::CrashReport &report) {
@@ -98,6 +99,8 @@
                         m_connectionPool,
                         m_permits,
                         m_usage,
+                        m_secondTries,
+                        m_metrics,
                         m_knowledge,
                         m_returns,
                         [this] {
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -130,6 +130,7 @@
     forwarding::PermitClient m_permits;
     forwarding::UsageClient m_usage;
     accounts::AccountKnowledge m_knowledge;
+    dispatch::SecondTries m_secondTries;
     dispatch::ReturnSchedule<requests::ServiceName> m_returns;
     forwarding::RunnerProbe m_runnerProbe;
     forwarding::CrashDetector<forwarding::RunnerProbe> m_crashDetector;
--- a/src/briarhingenode/main.cpp
+++ b/src/briarhingenode/main.cpp
@@ -24,6 +24,7 @@
 constexpr int exitBadSettings = 2;
 /** Interval at which buffered log lines are written. */
 constexpr base::Milliseconds logFlushInterval{200};
+constexpr double maxSecondTries = 100;
 constexpr const char *settingsVariable = "BRIARHINGE_NODE_FILE";
 
 /** Flushes the log periodically. */
@@ -132,16 +133,17 @@
     return exitBadSettings;
 }
 
-int runRole(const std::string &role, const std::string &path)
+int runRole(const std::string &role, const std::string &path, double secondTryShare)
 {
-    const auto read = platform::readNodeSettings(path);
+    auto read = platform::readNodeSettings(path);
     if (const auto *errors = std::get_if<platform::NodeSettingsErrors>(&read)) {
         for (const std::string &message : errors->messages) {
             fail(message);
         }
         return exitBadSettings;
     }
-    const auto &settings = std::get<platform::NodeSettings>(read);
+    auto &settings = std::get<platform::NodeSettings>(read);
+    settings.secondTryShare = secondTryShare;
     if (role == "entry") {
         return run<node::EntryNode>(settings, path, role);
     }
@@ -160,7 +162,9 @@
     options.add_options()("role", "entry or turn-store", cxxopts::value<std::string>())(
         "settings",
         std::string("settings file; the default is taken from the environment variable ") + settingsVariable,
-        cxxopts::value<std::string>()->default_value(variable == nullptr ? "" : variable))("help", "print this help");
+        cxxopts::value<std::string>()->default_value(variable == nullptr ? "" : variable))(
+        "second-tries", "most second tries, in percent of the requests that may be repeated",
+        cxxopts::value<double>()->default_value("0"))("help", "print this help");
     options.parse_positional({"role"});
     options.positional_help("ROLE");
     try {
@@ -172,7 +176,12 @@
         if (parsed.count("role") == 0) {
             return fail("missing role; see --help");
         }
-        return runRole(parsed["role"].as<std::string>(), parsed["settings"].as<std::string>());
+        const double secondTries = parsed["second-tries"].as<double>();
+        if (!(secondTries >= 0 && secondTries <= maxSecondTries)) {
+            return fail("--second-tries must be from 0 to 100");
+        }
+        return runRole(parsed["role"].as<std::string>(), parsed["settings"].as<std::string>(),
+                       secondTries / maxSecondTries);
     } catch (const cxxopts::exceptions::exception &error) {
         return fail(error.what());
     }
--- a/src/libbriarhinge/forwarding/attempt.h
+++ b/src/libbriarhinge/forwarding/attempt.h
@@ -85,13 +85,15 @@
     /**
      * @param context state shared by all exchanges of the entry
      * @param state the request
+     * @param number number of attempts of the request that began before
      * @param placement the runner
      * @param handlers receives the results
      */
-    Attempt(ExchangeContext &context, stages::RequestState &state, dispatch::Placement placement,
+    Attempt(ExchangeContext &context, stages::RequestState &state, std::size_t number, dispatch::Placement placement,
             AttemptHandlers handlers)
         : m_shared(context)
         , m_state(state)
+        , m_number(number)
         , m_placement(std::move(placement))
         , m_handlers(std::move(handlers))
         , m_memory(context.memory)
@@ -108,6 +110,13 @@
         });
     }
 
+    /** Ends the attempt since another one was answered, which says nothing of this runner. */
+    void supersede()
+    {
+        m_hasHead = true;
+        cancel();
+    }
+
     /** Ends the attempt; the runner sees a closed connection. No handler is called any more. */
     void cancel()
     {
@@ -122,6 +131,12 @@
         m_handlers = {};
     }
 
+    /** @return number of attempts of the request that began before */
+    std::size_t number() const
+    {
+        return m_number;
+    }
+
     /** @return the runner of the attempt */
     const dispatch::Placement &placement() const
     {
@@ -428,6 +443,7 @@
 
     ExchangeContext &m_shared;
     stages::RequestState &m_state;
+    const std::size_t m_number;
     const dispatch::Placement m_placement;
     AttemptHandlers m_handlers;
     std::shared_ptr<http::ClientConnection> m_connection;
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -10,11 +10,16 @@
 #include "stages/turnstage.h"
 #include "stages/usagestage.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
 
 namespace briarhinge::forwarding
 {
@@ -51,6 +56,7 @@
         , m_placementStage(m_state, context.balancer, context.permits, context.returns, context.entryCount)
         , m_stages(m_routeStage, m_deadlineStage, m_accountStage, m_usageStage, m_turnStage, m_programStage,
                    m_suspectStage, m_placementStage)
+        , m_secondTryTimer(context.context)
     {
     }
 
@@ -111,11 +117,61 @@
         } else if (std::holds_alternative<stages::OutOfTime>(result)) {
             deadlineExpired();
         } else {
-            startAttempt();
+            const bool isFirstTry = m_state.record.attempts == 0;
+            startAttempt(m_state.placement);
+            if (isFirstTry) {
+                scheduleSecondTry();
+            }
+        }
+    }
+
+    /** Waits for the first try's answer, and decides on a second one when it is late. */
+    void scheduleSecondTry()
+    {
+        const requests::Route &route = *m_state.route;
+        if (route.kind != requests::RouteKind::Idempotent || m_isFinished) {
+            return;
+        }
+        const auto late = m_shared.secondTries.requestSent(route.name);
+        if (!late) {
+            return;
+        }
+        m_secondTryTimer.expires_after(*late);
+        m_secondTryTimer.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+            if (!error && !self->m_isFinished) {
+                self->decideOnSecondTry();
+            }
+        });
+    }
+
+    void decideOnSecondTry()
+    {
+        if (m_attempts.size() != 1 || !canRepeat()) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        dispatch::PlacementRequest request = m_state.placementRequest;
+        request.excluded.insert(m_attempts.front()->placement().id);
+        const auto selection = m_shared.balancer.selectRunner(request, now);
+        const auto *placement = std::get_if<dispatch::Placement>(&selection);
+        const bool hasRunner = placement != nullptr && placement->permitCandidates.empty();
+        auto decision = dispatch::SecondTryDecision::NoRoom;
+        if (hasRunner && !m_state.placementRequest.isSuspect) {
+            decision = m_shared.secondTries.decide(m_shared.balancer.loadPerSlot(request.service, now));
+        }
+        const bool isCapped = m_state.account != nullptr && m_state.account->cap;
+        if (decision == dispatch::SecondTryDecision::Send && isCapped
+            && !m_shared.usage.takeAtHand(m_state.account->id)) {
+            decision = dispatch::SecondTryDecision::LimitReached;
+        }
+        m_shared.metrics.secondTry(dispatch::decisionName(decision));
+        if (decision == dispatch::SecondTryDecision::Send) {
+            m_shared.log.secondTry(m_state.record, m_attempts.front()->placement(), *placement, m_state.elapsedTime());
+            startAttempt(*placement);
         }
     }
 
-    void startAttempt()
+    void startAttempt(const dispatch::Placement &placement)
     {
         AttemptHandlers handlers;
         handlers.onStream = [self = this->shared_from_this()](const requests::RunnerResponse &response) {
@@ -125,11 +181,14 @@
             self->m_caller->sendChunk(events);
             self->m_state.deliveredTokens = base::Tokens(eventCount * self->m_state.tokensPerEvent());
         };
-        handlers.onEnd = [self = this->shared_from_this()](const AttemptEnd &end) {
-            self->attemptEnded(end);
+        const std::size_t number = m_attemptCount++;
+        handlers.onEnd = [self = this->shared_from_this(), number](const AttemptEnd &end) {
+            self->attemptEnded(number, end);
         };
-        m_attempt = std::make_shared<Attempt<Format>>(m_shared, m_state, m_state.placement, std::move(handlers));
-        m_attempt->start();
+        const auto attempt =
+            std::make_shared<Attempt<Format>>(m_shared, m_state, number, placement, std::move(handlers));
+        m_attempts.push_back(attempt);
+        attempt->start();
     }
 
     void streamStarted(const requests::RunnerResponse &response)
@@ -144,11 +203,23 @@
         return m_streamStatus != 0;
     }
 
-    void attemptEnded(const AttemptEnd &end)
+    void attemptEnded(std::size_t number, const AttemptEnd &end)
     {
         if (m_isFinished) {
             return;
         }
+        const auto ended = std::find_if(m_attempts.begin(), m_attempts.end(), [number](const auto &attempt) {
+            return attempt->number() == number;
+        });
+        m_attempt = *ended;
+        m_attempts.erase(ended);
+        if (!m_attempts.empty() && !isAnswer(end)) {
+            // The other one may still be answered.
+            m_hasLostAttempt = m_hasLostAttempt || std::holds_alternative<Lost>(end);
+            m_state.placementRequest.excluded.insert(m_attempt->placement().id);
+            logFailure("one of two tries");
+            return;
+        }
         std::visit(
             [this](const auto &result) {
                 handleEnd(result);
@@ -156,6 +227,27 @@
             end);
     }
 
+    /** @return whether an attempt ended with what the caller is sent, other tries or not */
+    static bool isAnswer(const AttemptEnd &end)
+    {
+        const auto *answer = std::get_if<WholeAnswer>(&end);
+        return std::holds_alternative<WholeStream>(end)
+            || (answer != nullptr && answer->response.status < firstServerError);
+    }
+
+    /** Ends the tries that have not been answered. */
+    void supersedeOthers()
+    {
+        if (m_attempts.empty()) {
+            return;
+        }
+        const bool isFirst = m_attempt->number() < m_attempts.front()->number();
+        m_shared.metrics.secondTry(isFirst ? "superseded" : "won");
+        for (const auto &other : std::exchange(m_attempts, {})) {
+            other->supersede();
+        }
+    }
+
     void handleEnd(const NotConnected &end)
     {
         logFailure(end.reason);
@@ -191,6 +283,11 @@
             retryElsewhere();
             return;
         }
+        supersedeOthers();
+        m_state.record.runner = m_attempt->placement().id.value();
+        if (status < firstError && m_state.route->kind == requests::RouteKind::Idempotent) {
+            m_shared.secondTries.requestAnswered(m_state.route->name, m_state.elapsedTime());
+        }
         m_caller->respond({status, answer.response.forwardedHeaders}, answer.body);
         finish(status < firstError ? requests::Outcome::Served : requests::Outcome::RunnerFailure, status);
     }
@@ -336,8 +433,8 @@
 
     void cancelAttempt()
     {
-        if (m_attempt) {
-            m_attempt->cancel();
+        for (const auto &attempt : std::exchange(m_attempts, {})) {
+            attempt->cancel();
         }
     }
 
@@ -347,6 +444,8 @@
             return;
         }
         m_stages.leave();
+        m_secondTryTimer.cancel();
+        m_attempts.clear();
         m_attempt.reset();
         m_caller->setDisconnectHandler(nullptr);
         m_state.record.duration = m_state.elapsedTime();
@@ -367,7 +466,12 @@
     stages::StageRow<stages::RouteStage, stages::DeadlineStage, stages::AccountStage, UsageStage, TurnStage,
                      stages::ProgramStage, stages::SuspectStage, PlacementStage>
         m_stages;
+    boost::asio::steady_timer m_secondTryTimer;
+    /** The attempts under way, in the order in which they began. */
+    std::vector<std::shared_ptr<Attempt<Format>>> m_attempts;
+    /** The attempt that ended last. */
     std::shared_ptr<Attempt<Format>> m_attempt;
+    std::size_t m_attemptCount = 0;
     /** Status of the stream that the caller is being sent; 0 when there is none. */
     unsigned m_streamStatus = 0;
     int m_connectFailures = 0;
--- a/src/libbriarhinge/forwarding/exchangecontext.h
+++ b/src/libbriarhinge/forwarding/exchangecontext.h
@@ -5,6 +5,7 @@
 #include "dispatch/programadmission.h"
 #include "dispatch/retrydelay.h"
 #include "dispatch/returnschedule.h"
+#include "dispatch/secondtries.h"
 #include "forwarding/buffermemory.h"
 #include "forwarding/crashdetector.h"
 #include "forwarding/exchangelog.h"
@@ -34,6 +35,9 @@
     PermitClient &permits;
     /** Keeps client accounts within their usage caps. */
     UsageClient &usage;
+    /** Decides on second tries of requests that may be repeated. */
+    dispatch::SecondTries &secondTries;
+    metrics::ExchangeMetrics &metrics;
     /** How far the known client accounts are the ones in force. */
     const accounts::AccountKnowledge &knowledge;
     /** Tells callers that runners with a limit have no place for when to come back. */
--- a/src/libbriarhinge/forwarding/exchangelog.cpp
+++ b/src/libbriarhinge/forwarding/exchangelog.cpp
@@ -73,6 +73,9 @@
 {
     const std::string name(outcomeName(outcome));
     m_metrics.requestFinished(record.route, name, record.duration);
+    if (outcome == Outcome::CapExceeded) {
+        m_metrics.capExceeded(record.account);
+    }
     if (outcome == Outcome::Served) {
         m_log.write(logging::events::exchangeEnded,
                     {{"request", record.request},
@@ -130,4 +133,15 @@
                  {"reason", reason}});
 }
 
+void ExchangeLog::secondTry(const ExchangeRecord &record, const dispatch::Placement &first,
+                            const dispatch::Placement &second, base::Milliseconds waited)
+{
+    m_log.write(logging::events::secondTry,
+                {{"request", record.request},
+                 {"route", record.route},
+                 {"first", first.id.value()},
+                 {"second", second.id.value()},
+                 {"waited", waited.count()}});
+}
+
 }
--- a/src/libbriarhinge/forwarding/exchangelog.h
+++ b/src/libbriarhinge/forwarding/exchangelog.h
@@ -39,6 +39,17 @@
     void attemptFailed(const requests::ExchangeRecord &record, const dispatch::Placement &placement,
                        const std::string &reason);
 
+    /**
+     * Records that a request is sent to a second runner while the first one has not answered.
+     *
+     * @param record details of the exchange
+     * @param first runner of the first try
+     * @param second runner of the second try
+     * @param waited time since the request arrived
+     */
+    void secondTry(const requests::ExchangeRecord &record, const dispatch::Placement &first,
+                   const dispatch::Placement &second, base::Milliseconds waited);
+
 private:
     logging::EventLog &m_log;
     metrics::ExchangeMetrics &m_metrics;
--- a/src/libbriarhinge/forwarding/usageclient.cpp
+++ b/src/libbriarhinge/forwarding/usageclient.cpp
@@ -112,6 +112,11 @@
     }
 }
 
+bool UsageClient::takeAtHand(const base::AccountId &account)
+{
+    return m_stock.take(account, steadyNow()).has_value();
+}
+
 void UsageClient::giveBack(const base::AccountId &account, const accounts::UsageAllowed &allowed)
 {
     m_stock.giveBack(account, allowed.permit);
--- a/src/libbriarhinge/forwarding/usageclient.h
+++ b/src/libbriarhinge/forwarding/usageclient.h
@@ -51,6 +51,14 @@
      */
     void acquire(const accounts::UsageNeed &need, UsageHandler onResult);
 
+    /**
+     * Takes a permit for a second try of a request, which is worth none that others wait for.
+     *
+     * @param account the account
+     * @return whether a permit was at hand
+     */
+    bool takeAtHand(const base::AccountId &account);
+
     /**
      * Takes a permit back for a request that no runner got.
      *
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -86,6 +86,7 @@
 inline constexpr EventKind digestQuarantined{646, "digest-quarantined", Level::Error};
 inline constexpr EventKind runnerLeaving{647, "runner-leaving", Level::Info};
 inline constexpr EventKind runnerLimited{648, "runner-limited", Level::Warning};
+inline constexpr EventKind secondTry{649, "second-try", Level::Info};
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
 // clang-format off
@@ -150,6 +151,7 @@
     digestQuarantined,
     runnerLeaving,
     runnerLimited,
+    secondTry,
     invariantViolated,
 };
 // clang-format on
--- a/src/libbriarhinge/metrics/exchangemetrics.cpp
+++ b/src/libbriarhinge/metrics/exchangemetrics.cpp
@@ -17,6 +17,8 @@
 /** Bucket bounds in seconds, chosen around the latency targets of 0.15 to 0.6 s and the timeouts of 1.2 to 5 s. */
 const prometheus::Histogram::BucketBoundaries latencyBounds{0.01, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5,
                                                             0.75, 1,    1.5, 2,    3,   5};
+/** Accounts with a time series of their own. */
+constexpr std::size_t maxAccountLabels = 200;
 
 }
 
@@ -48,6 +50,15 @@
                                                           .Name("briarhinge_runner_checks_total")
                                                           .Help("Checks of runners after lost connections")
                                                           .Register(registry);
+    prometheus::Family<prometheus::Counter> &secondTries = prometheus::BuildCounter()
+                                                               .Name("briarhinge_second_tries_total")
+                                                               .Help("Second tries of requests that may be repeated")
+                                                               .Register(registry);
+    prometheus::Family<prometheus::Counter> &capsExceeded = prometheus::BuildCounter()
+                                                                .Name("briarhinge_cap_exceeded_total")
+                                                                .Help("Requests beyond their account's usage cap")
+                                                                .Register(registry);
+    std::map<std::string, prometheus::Counter *, std::less<>> capCounters;
     prometheus::Family<prometheus::Histogram> &latencies = prometheus::BuildHistogram()
                                                                .Name("briarhinge_request_seconds")
                                                                .Help("Time to the end of the answer")
@@ -104,6 +115,21 @@
     d->limitChanges.Increment();
 }
 
+void ExchangeMetrics::secondTry(std::string_view result)
+{
+    d->secondTries.Add({{"result", std::string(result)}}).Increment();
+}
+
+void ExchangeMetrics::capExceeded(std::string_view account)
+{
+    auto counter = d->capCounters.find(account);
+    if (counter == d->capCounters.end()) {
+        const std::string label(d->capCounters.size() < maxAccountLabels ? account : "other");
+        counter = d->capCounters.emplace(label, &d->capsExceeded.Add({{"account", label}})).first;
+    }
+    counter->second->Increment();
+}
+
 std::string ExchangeMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(d->registry.Collect());
--- a/src/libbriarhinge/metrics/exchangemetrics.h
+++ b/src/libbriarhinge/metrics/exchangemetrics.h
@@ -46,6 +46,20 @@
     /** Counts a change of the limit that a runner names in its answers. */
     void runnerLimitChanged();
 
+    /**
+     * Counts what became of second tries of requests that may be repeated.
+     *
+     * @param result what was decided, or which try was answered; a label with few distinct values
+     */
+    void secondTry(std::string_view result);
+
+    /**
+     * Counts a request that was refused since its client account is beyond its usage cap.
+     *
+     * @param account the account, a label; beyond some hundred of them one label stands for all others
+     */
+    void capExceeded(std::string_view account);
+
     /** @return the metrics in the Prometheus text format */
     std::string text() const;
 
--- a/tests/platformdeployment.cpp
+++ b/tests/platformdeployment.cpp
@@ -24,8 +24,9 @@
 
 }
 
-PlatformDeployment::PlatformDeployment(int turnStores)
+PlatformDeployment::PlatformDeployment(int turnStores, double secondTryShare)
     : m_firstPort(allocatePorts())
+    , m_secondTryShare(secondTryShare)
     , store(context, addressAt(0))
     , model(context, addressAt(1), "i-model")
     , toolOne(context, addressAt(2), "i-tool-1")
@@ -81,6 +82,7 @@
     settings.zone = base::ZoneName("z");
     settings.storeAddress = addressAt(0);
     settings.toleratedDiskLosses = 1;
+    settings.secondTryShare = m_secondTryShare;
     return settings;
 }
 
--- a/tests/platformdeployment.h
+++ b/tests/platformdeployment.h
@@ -39,8 +39,11 @@
 public:
     static constexpr int entryCount = 2;
 
-    /** @param turnStores number of turn stores to start */
-    explicit PlatformDeployment(int turnStores = 3);
+    /**
+     * @param turnStores number of turn stores to start
+     * @param secondTryShare most second tries, as a share of the requests that may be repeated
+     */
+    explicit PlatformDeployment(int turnStores = 3, double secondTryShare = 0);
 
     /**
      * Runs the deployment until a condition holds.
@@ -132,6 +135,7 @@
 
     /** Declared before the members that listen on these ports. */
     const std::uint16_t m_firstPort;
+    const double m_secondTryShare;
 
 public:
     boost::asio::io_context context;
--- a/tests/scripteddeployment.cpp
+++ b/tests/scripteddeployment.cpp
@@ -14,8 +14,9 @@
 }
 
 ScriptedDeployment::ScriptedDeployment(standins::platform::ScriptedRunner::Script chatScript,
-                                       standins::platform::ScriptedRunner::Script toolScript)
-    : chat(context, std::move(chatScript))
+                                       standins::platform::ScriptedRunner::Script toolScript, double secondTryShare)
+    : PlatformDeployment(3, secondTryShare)
+    , chat(context, std::move(chatScript))
     , tools(context, std::move(toolScript))
 {
     store.remove("servers/i-model");
