--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/attempt.h"
+#include "forwarding/secondtry.h"
 #include "stages/accountstage.h"
 #include "stages/deadlinestage.h"
 #include "stages/placementstage.h"
@@ -19,8 +20,6 @@
 #include <variant>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace briarhinge::forwarding
 {
 
@@ -56,7 +55,7 @@
         , m_placementStage(m_state, context.balancer, context.permits, context.returns, context.entryCount)
         , m_stages(m_routeStage, m_deadlineStage, m_accountStage, m_usageStage, m_turnStage, m_programStage,
                    m_suspectStage, m_placementStage)
-        , m_secondTryTimer(context.context)
+        , m_secondTry(context, m_state)
     {
     }
 
@@ -119,55 +118,21 @@
         } else {
             const bool isFirstTry = m_state.record.attempts == 0;
             startAttempt(m_state.placement);
-            if (isFirstTry) {
-                scheduleSecondTry();
+            if (isFirstTry && !m_isFinished) {
+                m_secondTry.schedule([self = this->shared_from_this()] {
+                    self->answerIsLate();
+                });
             }
         }
     }
 
-    /** Waits for the first try's answer, and decides on a second one when it is late. */
-    void scheduleSecondTry()
-    {
-        const requests::Route &route = *m_state.route;
-        if (route.kind != requests::RouteKind::Idempotent || m_isFinished) {
-            return;
-        }
-        const auto late = m_shared.secondTries.requestSent(route.name);
-        if (!late) {
-            return;
-        }
-        m_secondTryTimer.expires_after(*late);
-        m_secondTryTimer.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
-            if (!error && !self->m_isFinished) {
-                self->decideOnSecondTry();
-            }
-        });
-    }
-
-    void decideOnSecondTry()
+    void answerIsLate()
     {
-        if (m_attempts.size() != 1 || !canRepeat()) {
+        if (m_isFinished || m_attempts.size() != 1 || !canRepeat()) {
             return;
         }
-        const auto now = std::chrono::steady_clock::now();
-        dispatch::PlacementRequest request = m_state.placementRequest;
-        request.excluded.insert(m_attempts.front()->placement().id);
-        const auto selection = m_shared.balancer.selectRunner(request, now);
-        const auto *placement = std::get_if<dispatch::Placement>(&selection);
-        const bool hasRunner = placement != nullptr && placement->permitCandidates.empty();
-        auto decision = dispatch::SecondTryDecision::NoRoom;
-        if (hasRunner && !m_state.placementRequest.isSuspect) {
-            decision = m_shared.secondTries.decide(m_shared.balancer.loadPerSlot(request.service, now));
-        }
-        const bool isCapped = m_state.account != nullptr && m_state.account->cap;
-        if (decision == dispatch::SecondTryDecision::Send && isCapped
-            && !m_shared.usage.takeAtHand(m_state.account->id)) {
-            decision = dispatch::SecondTryDecision::LimitReached;
-        }
-        m_shared.metrics.secondTry(dispatch::decisionName(decision));
-        if (decision == dispatch::SecondTryDecision::Send) {
-            m_shared.log.secondTry(m_state.record, m_attempts.front()->placement(), *placement, m_state.elapsedTime());
-            startAttempt(*placement);
+        if (const auto second = m_secondTry.decide(m_attempts.front()->placement())) {
+            startAttempt(*second);
         }
     }
 
@@ -222,7 +187,7 @@
         }
         std::visit(
             [this](const auto &result) {
-                handleEnd(result);
+                this->handleEnd(result);
             },
             end);
     }
@@ -444,7 +409,7 @@
             return;
         }
         m_stages.leave();
-        m_secondTryTimer.cancel();
+        m_secondTry.cancel();
         m_attempts.clear();
         m_attempt.reset();
         m_caller->setDisconnectHandler(nullptr);
@@ -466,7 +431,7 @@
     stages::StageRow<stages::RouteStage, stages::DeadlineStage, stages::AccountStage, UsageStage, TurnStage,
                      stages::ProgramStage, stages::SuspectStage, PlacementStage>
         m_stages;
-    boost::asio::steady_timer m_secondTryTimer;
+    SecondTry m_secondTry;
     /** The attempts under way, in the order in which they began. */
     std::vector<std::shared_ptr<Attempt<Format>>> m_attempts;
     /** The attempt that ended last. */
--- a/tests/test_usage.cpp
+++ b/tests/test_usage.cpp
@@ -93,7 +93,7 @@
         // 75 accounts with three requests a second each, together some 225.
         const auto millisecond = (now - start) / 1ms;
         for (int account = 0; account < 75; ++account) {
-            if (millisecond % 333 == account * 4) {
+            if (millisecond % 333 == 4L * account) {
                 quietRefused += keepers.allows(base::AccountId(std::to_string(account)), quietCap, now) ? 0 : 1;
             }
         }
@@ -134,7 +134,7 @@
         if (keepers.allows(loud, cap, now, true, programSize)) {
             ++started;
             for (int i = 1; i < programSize; ++i) {
-                ++due[now + i * 200ms];
+                ++due[now + std::chrono::milliseconds(200L * i)];
             }
         }
         while (!due.empty() && due.begin()->first <= now) {
@@ -156,7 +156,7 @@
     CHECK(keepers.allows(loud, cap, start + settled, true, 12));
     int allowed = 0;
     for (int i = 0; i < 11; ++i) {
-        allowed += keepers.allows(loud, cap, start + settled + i * 100ms) ? 1 : 0;
+        allowed += keepers.allows(loud, cap, start + settled + std::chrono::milliseconds(100L * i)) ? 1 : 0;
     }
     LONGS_EQUAL(11, allowed);
 }
@@ -194,7 +194,8 @@
     UsageKeeper keeper(start, UsageTolerance{}, 10);
     for (int account = 0; account < 100; ++account) {
         const base::AccountId id(std::to_string(account));
-        keeper.decide({id, {5, 5}, 1, 1, 0, 0, 1, 0}, keeperCount, start + settled + account * 5s);
+        keeper.decide({id, {5, 5}, 1, 1, 0, 0, 1, 0}, keeperCount,
+                      start + settled + std::chrono::seconds(5L * account));
     }
     CHECK(keeper.size() <= 12);
 }
@@ -247,7 +248,7 @@
         const int restartsAt = *rc::gen::inRange(0, 8000);
         const int cutEntry = *rc::gen::inRange(0, entries);
         for (int step = 0; step < 10'000; step += 3) {
-            const Time now = start + settled + step * 1ms;
+            const Time now = start + settled + std::chrono::milliseconds(step);
             if (step / 3 == restartsAt / 3) {
                 keepers.pop_back();
                 keepers.emplace_front(now, tolerance);
