--- a/tests/platformdeployment.cpp
+++ b/tests/platformdeployment.cpp
@@ -24,9 +24,9 @@
 
 }
 
-PlatformDeployment::PlatformDeployment(int turnStores, double secondTryShare)
+PlatformDeployment::PlatformDeployment(int turnStores, SettingsChange customize)
     : m_firstPort(allocatePorts())
-    , m_secondTryShare(secondTryShare)
+    , m_customize(std::move(customize))
     , store(context, addressAt(0))
     , model(context, addressAt(1), "i-model")
     , toolOne(context, addressAt(2), "i-tool-1")
@@ -82,7 +82,9 @@
     settings.zone = base::ZoneName("z");
     settings.storeAddress = addressAt(0);
     settings.toleratedDiskLosses = 1;
-    settings.secondTryShare = m_secondTryShare;
+    if (m_customize) {
+        m_customize(settings);
+    }
     return settings;
 }
 
--- a/tests/platformdeployment.h
+++ b/tests/platformdeployment.h
@@ -37,13 +37,16 @@
 class PlatformDeployment
 {
 public:
+    /** Changes the settings of a process. */
+    using SettingsChange = std::function<void(platform::NodeSettings &)>;
+
     static constexpr int entryCount = 2;
 
     /**
      * @param turnStores number of turn stores to start
-     * @param secondTryShare most second tries, as a share of the requests that may be repeated
+     * @param customize changes the settings of each process before it starts
      */
-    explicit PlatformDeployment(int turnStores = 3, double secondTryShare = 0);
+    explicit PlatformDeployment(int turnStores = 3, SettingsChange customize = {});
 
     /**
      * Runs the deployment until a condition holds.
@@ -135,7 +138,7 @@
 
     /** Declared before the members that listen on these ports. */
     const std::uint16_t m_firstPort;
-    const double m_secondTryShare;
+    const SettingsChange m_customize;
 
 public:
     boost::asio::io_context context;
--- a/tests/scripteddeployment.cpp
+++ b/tests/scripteddeployment.cpp
@@ -14,8 +14,8 @@
 }
 
 ScriptedDeployment::ScriptedDeployment(standins::platform::ScriptedRunner::Script chatScript,
-                                       standins::platform::ScriptedRunner::Script toolScript, double secondTryShare)
-    : PlatformDeployment(3, secondTryShare)
+                                       standins::platform::ScriptedRunner::Script toolScript, SettingsChange customize)
+    : PlatformDeployment(3, std::move(customize))
     , chat(context, std::move(chatScript))
     , tools(context, std::move(toolScript))
 {
--- a/tests/scripteddeployment.h
+++ b/tests/scripteddeployment.h
@@ -16,10 +16,10 @@
     /**
      * @param chat answers the requests of the service "chat"
      * @param tools answers the requests of the service "tools" that the other runner of the service does not get
-     * @param secondTryShare most second tries, as a share of the requests that may be repeated
+     * @param customize changes the settings of each process before it starts
      */
     explicit ScriptedDeployment(standins::platform::ScriptedRunner::Script chat,
-                                standins::platform::ScriptedRunner::Script tools = {}, double secondTryShare = 0);
+                                standins::platform::ScriptedRunner::Script tools = {}, SettingsChange customize = {});
 
     /**
      * Sends a turn of a program and waits for the end of its answer.
--- a/tests/test_secondtries.cpp
+++ b/tests/test_secondtries.cpp
@@ -65,6 +65,11 @@
              "Keep-Alive: timeout=5\r\n\r\nok"}};
 }
 
+void withoutLimit(platform::NodeSettings &settings)
+{
+    settings.secondTryShare = 1;
+}
+
 /** Sends requests that may be repeated, one after the other, and returns the longest time to an answer. */
 std::chrono::milliseconds longestAnswer(tests::ScriptedDeployment &deployment, int requests)
 {
@@ -89,7 +94,7 @@
 
 TEST(SecondTries, theFirstWholeAnswerWinsAndTheOtherTryIsClosed)
 {
-    tests::ScriptedDeployment deployment(wholeAnswer, wholeAnswer, 1);
+    tests::ScriptedDeployment deployment(wholeAnswer, wholeAnswer, withoutLimit);
     longestAnswer(deployment, 100);
     deployment.tools.setScript([](const std::string &) {
         return standins::platform::ScriptedAnswer{{"HTTP/1.1 200 OK\r\n",
@@ -105,7 +110,7 @@
 
 TEST(SecondTries, aTryThatBreaksOffLeavesTheOtherOne)
 {
-    tests::ScriptedDeployment deployment(wholeAnswer, wholeAnswer, 1);
+    tests::ScriptedDeployment deployment(wholeAnswer, wholeAnswer, withoutLimit);
     longestAnswer(deployment, 100);
     deployment.tools.setScript([](const std::string &) {
         return standins::platform::ScriptedAnswer{
