--- a/tests/test_programadmission.cpp
+++ b/tests/test_programadmission.cpp
@@ -308,3 +308,99 @@
     // Old reports say nothing of the load now.
     CHECK_FALSE(balancer.loadPerSlot(chat, begin + std::chrono::seconds(1)).has_value());
 }
+
+namespace
+{
+
+/** Programs of one group of accounts that began and that were refused. */
+struct Starts
+{
+    int begun = 0;
+    int refused = 0;
+};
+
+/**
+ * Programs that occupy one of 344 slots for 1.5 s each, for 20 s of virtual time: of 75 accounts that send what they usually
+ * do, and of one that sends many times that, up to its cap of 1.6 times its usual.
+ *
+ * @param othersPerSecond programs of the 75 accounts; 120 a second are what they usually send
+ * @param loudPerSecond programs of the loud account; 30 a second are what it usually sends
+ */
+std::pair<Starts, Starts> playAccounts(double othersPerSecond, double loudPerSecond)
+{
+    constexpr double slots = 344;
+    constexpr int duration = 1500;
+    constexpr int usageSpan = 5000;
+    constexpr double usualOthers = 120;
+    constexpr double usualLoud = 30;
+    constexpr double capOverUsual = 1.6;
+    const ProgramAdmission admission;
+    std::queue<int> ends;
+    std::queue<std::pair<int, bool>> recent;
+    double othersUsed = 0;
+    double loudUsed = 0;
+    double othersDue = 0;
+    double loudDue = 0;
+    Starts others;
+    Starts loud;
+    for (int now = 0; now < 20'000; ++now) {
+        while (!ends.empty() && ends.front() <= now) {
+            ends.pop();
+        }
+        while (!recent.empty() && recent.front().first + usageSpan <= now) {
+            (recent.front().second ? loudUsed : othersUsed) -= 1;
+            recent.pop();
+        }
+        const double mean = (othersUsed + loudUsed) / (usualOthers + usualLoud);
+        const auto ask = [&](bool isLoud) {
+            const double use = isLoud ? loudUsed / usualLoud : othersUsed / usualOthers;
+            const auto refusal =
+                admission.refusal(0, static_cast<double>(ends.size()) / slots, mean > 0 ? use / mean : 1);
+            Starts &starts = isLoud ? loud : others;
+            if (refusal) {
+                ++starts.refused;
+                return;
+            }
+            ++starts.begun;
+            ends.push(now + duration);
+            recent.emplace(now, isLoud);
+            (isLoud ? loudUsed : othersUsed) += 1;
+        };
+        for (othersDue += othersPerSecond / 1000; othersDue >= 1; othersDue -= 1) {
+            ask(false);
+        }
+        for (loudDue += std::min(loudPerSecond, usualLoud * capOverUsual) / 1000; loudDue >= 1; loudDue -= 1) {
+            ask(true);
+        }
+    }
+    return {others, loud};
+}
+
+}
+
+TEST(ProgramAdmission, anAccountManyTimesItsUsualCostsTheOthersNothing)
+{
+    // All ask for more than there is: 0.75 of 344 slots hold 172 programs a second, of which four fifths are the others' fair
+    // part by their caps. They get it within 5%, and so does the loud account.
+    const auto [others, loud] = playAccounts(200, 240);
+    const double fair = 0.75 * 344 / 1.5 * 20;
+    CHECK(others.begun >= fair * 0.8 * 0.95);
+    CHECK(loud.begun >= fair * 0.2 * 0.95);
+    // Where the others' usual programs leave room for what it may send, nobody is refused.
+    LONGS_EQUAL(0, playAccounts(120, 240).first.refused);
+}
+
+TEST(ProgramAdmission, roomThatOthersLeaveGoesToWhoeverAsks)
+{
+    const auto [others, loud] = playAccounts(12, 240);
+    LONGS_EQUAL(0, others.refused);
+    LONGS_EQUAL(0, loud.refused);
+}
+
+TEST(ProgramAdmission, noAccountIsWithoutProgressWhileAllAskForMoreThanThereIs)
+{
+    const auto [others, loud] = playAccounts(400, 240);
+    // 0.75 of 344 slots hold some 170 programs a second; the loud account's fair part is a fifth of them.
+    CHECK(loud.begun >= 170 * 20 / 5 / 2);
+    CHECK(others.begun >= 170 * 20 / 2);
+}
