--- a/src/libbriarhinge/accounts/usagekeeper.h
+++ b/src/libbriarhinge/accounts/usagekeeper.h
@@ -108,7 +108,7 @@
 };
 
 /**
- * Grants permits for one of several equal shares of the usage caps of all client accounts, so that the keepers together
+ * Grants permits for one of several equal shares of the quotas of all client accounts, so that the keepers together
  * never exceed a cap by more than the tolerance, whether they can reach each other or not.
  *
  * A cap holds for each span of the agreed length; what may be sent at once grows at its rate, so that a keeper that starts
--- a/src/libbriarhinge/accounts/usageresult.h
+++ b/src/libbriarhinge/accounts/usageresult.h
@@ -12,7 +12,7 @@
 namespace briarhinge::accounts
 {
 
-/** A request of a client account that has a usage cap. */
+/** A request of a client account that has a quota. */
 struct UsageNeed
 {
     const Account &account;
--- a/src/libbriarhinge/dispatch/programadmission.h
+++ b/src/libbriarhinge/dispatch/programadmission.h
@@ -41,7 +41,7 @@
      *
      * @param priority priority of the route of the turn, 0 being the most urgent
      * @param loadPerSlot mean number of running and queued requests per slot of the service, if it is known
-     * @param relativeUse part of its usage cap that the caller's account has used lately, as a multiple of the mean part of
+     * @param relativeUse part of its quota that the caller's account has used lately, as a multiple of the mean part of
      *                    all accounts; empty if it has no cap
      * @return the time after which the caller may try again if the program must not start now
      */
--- a/src/libbriarhinge/forwarding/exchangecontext.h
+++ b/src/libbriarhinge/forwarding/exchangecontext.h
@@ -33,7 +33,7 @@
     const dispatch::ProgramAdmission &admission;
     RunnerConnectionPool &pool;
     PermitClient &permits;
-    /** Keeps client accounts within their usage caps. */
+    /** Keeps client accounts within their quotas. */
     UsageClient &usage;
     /** Decides on second tries of requests that may be repeated. */
     dispatch::SecondTries &secondTries;
--- a/src/libbriarhinge/metrics/exchangemetrics.cpp
+++ b/src/libbriarhinge/metrics/exchangemetrics.cpp
@@ -56,7 +56,7 @@
                                                                .Register(registry);
     prometheus::Family<prometheus::Counter> &capsExceeded = prometheus::BuildCounter()
                                                                 .Name("briarhinge_cap_exceeded_total")
-                                                                .Help("Requests beyond their account's usage cap")
+                                                                .Help("Requests beyond their account's quota")
                                                                 .Register(registry);
     std::map<std::string, prometheus::Counter *, std::less<>> capCounters;
     prometheus::Family<prometheus::Histogram> &latencies = prometheus::BuildHistogram()
--- a/src/libbriarhinge/metrics/exchangemetrics.h
+++ b/src/libbriarhinge/metrics/exchangemetrics.h
@@ -54,7 +54,7 @@
     void secondTry(std::string_view result);
 
     /**
-     * Counts a request that was refused since its client account is beyond its usage cap.
+     * Counts a request that was refused since its client account is beyond its quota.
      *
      * @param account the account, a label; beyond some hundred of them one label stands for all others
      */
--- a/src/libbriarhinge/requests/exchangerecord.h
+++ b/src/libbriarhinge/requests/exchangerecord.h
@@ -18,7 +18,7 @@
     RunnerFailure,
     /** No runner has executed the request; the caller may retry. */
     Refused,
-    /** The client account is beyond its usage cap; the caller may retry. */
+    /** The client account is beyond its quota; the caller may retry. */
     CapExceeded,
     /** The request has crashed too many runners and is not run. */
     Quarantined,
--- a/src/libbriarhinge/stages/requeststate.h
+++ b/src/libbriarhinge/stages/requeststate.h
@@ -77,7 +77,7 @@
     /** Whether the request begins a program; empty as long as that is not known. */
     std::optional<bool> beginsProgram;
     /**
-     * Part of its usage cap that the account has used lately, as a multiple of the mean part of all accounts; empty if the
+     * Part of its quota that the account has used lately, as a multiple of the mean part of all accounts; empty if the
      * account has no cap, or the request can't begin a program.
      */
     std::optional<double> relativeUse;
--- a/src/libbriarhinge/stages/usagestage.h
+++ b/src/libbriarhinge/stages/usagestage.h
@@ -22,7 +22,7 @@
     usage.giveBack(account, allowed);
 };
 
-/** Keeps client accounts within their usage caps. Holds a permit, which is given back if no runner got the request. */
+/** Keeps client accounts within their quotas. Holds a permit, which is given back if no runner got the request. */
 template <UsageSource Usage>
 class UsageStage
 {
