--- a/src/libbriarhinge/accounts/usagestock.cpp
+++ b/src/libbriarhinge/accounts/usagestock.cpp
@@ -15,8 +15,6 @@
 constexpr Seconds rateTime{1};
 /** Fewer expected requests than this are not worth a permit ahead: each would wait for a keeper anyway. */
 constexpr double minExpected = 2;
-/** An account that has sent nothing for this time has no permits left. */
-constexpr Seconds idleTime{30};
 
 double decayed(double recent, Seconds age)
 {
@@ -95,18 +93,6 @@
     return expected >= minExpected && atHand(stock, now) < expected / 2;
 }
 
-std::size_t UsageStock::size() const
-{
-    return m_stocks.size();
-}
-
-void UsageStock::forgetIdle(Time now)
-{
-    std::erase_if(m_stocks, [now](const auto &entry) {
-        return now - entry.second.updatedAt > idleTime;
-    });
-}
-
 base::Milliseconds UsageStock::permitLifetime() const
 {
     return m_permitLifetime;
--- a/src/libbriarhinge/accounts/usagestock.h
+++ b/src/libbriarhinge/accounts/usagestock.h
@@ -4,7 +4,6 @@
 #include "base/units.h"
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -73,12 +72,6 @@
      */
     bool isLow(const base::AccountId &account, Time now);
 
-    /** @return number of accounts that are remembered */
-    std::size_t size() const;
-
-    /** Forgets accounts that have sent nothing for a while. */
-    void forgetIdle(Time now);
-
     /** @return how long a permit may be used after it was asked for */
     base::Milliseconds permitLifetime() const;
 
