--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -318,8 +318,8 @@
 
     def exit(self):
         """Ends the runner: it listens no more, and its channels are closed."""
-        self.server.shutdown()
-        self.server.server_close()
+        # Channels that wait to be accepted end with the listening socket.
+        self.server.socket.close()
         with self._lock:
             connections = list(self._connections)
         for connection in connections:
@@ -327,6 +327,7 @@
                 connection.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
+        self.server.shutdown()
 
     def handle(self, handler, body):
         """Runs a request."""
