--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -16,6 +16,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -28,6 +29,9 @@
 EXIT_BROKEN = 1
 EXIT_CANNOT_RUN = 2
 
+# "the runner is back after some seconds"
+RUNNER_DOWN_S = 3.0
+
 _hosts = itertools.count(1)
 
 
@@ -285,6 +289,10 @@
         self._lock = threading.Lock()
         self._connections = set()
         self._born = int(time.time() * 1000)
+        # A request with this path crashes the runner when it begins to run; the runner is back after some seconds.
+        self.crashing_path = None
+        self.crashes = []
+        self.is_listening = True
         runner = self
 
         class Handler(QuietHandler):
@@ -306,6 +314,7 @@
             def do_POST(self):
                 runner.handle(self, self.rfile.read(int(self.headers.get("Content-Length", 0))))
 
+        self._handler = Handler
         self.server = Server(Handler)
         self.register("ready")
 
@@ -316,18 +325,31 @@
                     "born": self._born}
         return self.store.put("servers/" + self.id, json.dumps(document))
 
-    def exit(self):
-        """Ends the runner: it listens no more, and its channels are closed."""
-        # Channels that wait to be accepted end with the listening socket.
-        self.server.socket.close()
+    def _end(self):
+        # A listening socket that another thread polls stops to listen only when it is shut down.
         with self._lock:
+            self.is_listening = False
             connections = list(self._connections)
-        for connection in connections:
+        for connection in [self.server.socket, *connections]:
             try:
                 connection.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
+
+    def exit(self):
+        """Ends the runner: it listens no more, and its channels are closed."""
+        self._end()
         self.server.shutdown()
+        self.server.server_close()
+
+    def _come_back(self):
+        host, port = self.server.server_address
+        self.exit()
+        time.sleep(RUNNER_DOWN_S)
+        self._born = int(time.time() * 1000)
+        self.server = Server(self._handler, host, port)
+        self.is_listening = True
+        self.register("ready")
 
     def handle(self, handler, body):
         """Runs a request."""
@@ -335,6 +357,17 @@
         if handler.headers.get("X-Expect-Instance", self.id) != self.id:
             handler.reply(421, {})
             return
+        if handler.path == self.crashing_path:
+            with self._lock:
+                is_running, self.is_listening = self.is_listening, False
+                if is_running:
+                    self.crashes.append(time.monotonic())
+            if is_running:
+                self.record.write(f"runner {self.name} runs {request} {handler.command} {handler.path} and crashes")
+                self._end()
+                threading.Thread(target=self._come_back, daemon=True).start()
+            handler.close_connection = True
+            return
         with self._lock:
             self.received.append((time.monotonic(), request, handler.path, body))
             self.busy += 1
@@ -577,5 +610,8 @@
     except CannotRun as error:
         record.write(f"the case could not run: {error}")
         return EXIT_CANNOT_RUN
+    except Exception:  # pylint: disable=broad-except
+        record.write("the case could not run:\n" + traceback.format_exc())
+        return EXIT_CANNOT_RUN
     record.write("the rule held" if has_held else "the rule was broken")
     return EXIT_HELD if has_held else EXIT_BROKEN
