--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -12,6 +12,7 @@
 import shutil
 import signal
 import socket
+import socketserver
 import subprocess
 import tempfile
 import threading
@@ -31,6 +32,8 @@
 
 # "the runner is back after some seconds"
 RUNNER_DOWN_S = 3.0
+# "after three ping intervals of silence"
+SILENT_PINGS_S = 3.6
 
 _hosts = itertools.count(1)
 
@@ -78,6 +81,11 @@
         self.address = f"{self.server_address[0]}:{self.server_address[1]}"
         threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
 
+    def server_bind(self):
+        # The one of HTTPServer looks up the host's name.
+        socketserver.TCPServer.server_bind(self)
+        self.server_name, self.server_port = self.server_address
+
     def handle_error(self, request, client_address):
         """Clients may close their connections at any time."""
 
@@ -283,6 +291,7 @@
     def __init__(self, store, record, name, service, zone, work_s=0.02):
         self.store, self.record, self.name, self.service, self.zone = store, record, name, service, zone
         self.id = f"i-{name}"
+        self.boots = 0
         self.work_s = work_s
         self.received = []
         self.busy = 0
@@ -292,6 +301,8 @@
         # A request with this path crashes the runner when it begins to run; the runner is back after some seconds.
         self.crashing_path = None
         self.crashes = []
+        # How long a crash leaves all channels open and silent, as a machine without power does; 0: it closes them.
+        self.dark_s = 0.0
         self.is_listening = True
         runner = self
 
@@ -342,6 +353,19 @@
         self.server.shutdown()
         self.server.server_close()
 
+    def _go_dark(self):
+        time.sleep(SILENT_PINGS_S)
+        self.store.remove("servers/" + self.id)
+        time.sleep(max(0.0, self.dark_s - SILENT_PINGS_S))
+        self.exit()
+        host, port = self.server.server_address
+        self.boots += 1
+        self.id = f"i-{self.name}-{self.boots}"
+        self._born = int(time.time() * 1000)
+        self.server = Server(self._handler, host, port)
+        self.is_listening = True
+        self.register("ready")
+
     def _come_back(self):
         host, port = self.server.server_address
         self.exit()
@@ -362,10 +386,19 @@
                 is_running, self.is_listening = self.is_listening, False
                 if is_running:
                     self.crashes.append(time.monotonic())
+            handler.close_connection = True
             if is_running:
                 self.record.write(f"runner {self.name} runs {request} {handler.command} {handler.path} and crashes")
-                self._end()
-                threading.Thread(target=self._come_back, daemon=True).start()
+                if self.dark_s:
+                    self._go_dark()
+                else:
+                    self._end()
+                    threading.Thread(target=self._come_back, daemon=True).start()
+            return
+        if not self.is_listening:
+            # Silent until the machine is back.
+            while not self.is_listening:
+                time.sleep(0.05)
             handler.close_connection = True
             return
         with self._lock:
