ServerConnection: Refuses chunk lines and trailers that outgrow the input buffer

Cause: the parser leaves an unfinished chunk line (size, extension) or block of trailers in the input buffer, and readMore() asked for more room than its 256 KiB: std::length_error, caught nowhere, ended the entry (SIGABRT). Change: what the parser leaves of a body's framing may have 16 KiB, of a head what the buffer holds; beyond that the request is refused with 413 or 431 and its connection closed. Other connections are not affected. Shown before: ServerConnection.aBodyWhoseFramingNeverEndsIsRefused ended the test process ("basic_flat_buffer too long"); passes now. From a runner the same (extension, trailers, a size without end) is bounded already by Beast's reading functions: UnboundedAnswers has a case for each.

--- a/src/libbriarhinge/http/serverconnection.cpp
+++ b/src/libbriarhinge/http/serverconnection.cpp
@@ -35,6 +35,8 @@
 constexpr base::Milliseconds lingerTimeout{1000};
 /** Allows for a body of the maximum size over a slow link. */
 constexpr base::Milliseconds bodyTimeout{10'000};
+/** Largest line of a chunk, or block of trailers, that is received. */
+constexpr std::size_t maxFramingBytes = std::size_t{16} * 1024;
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusTimeout = 408;
 constexpr unsigned statusTooLarge = 413;
@@ -201,6 +203,10 @@
         error_code error;
         d->input.consume(d->parser->put(d->input.data(), error));
         if (error == beast::http::error::need_more) {
+            if (!isWithinBuffer()) {
+                refuse(d->parser->is_header_done() ? statusTooLarge : statusHeadTooLarge);
+                return;
+            }
             if (d->parser->is_header_done()) {
                 startTimer(bodyTimeout);
             }
@@ -220,6 +226,13 @@
     }
 }
 
+bool ServerConnection::isWithinBuffer() const
+{
+    // The parser leaves only what is incomplete: a part of the head, a chunk's line with its extensions, or trailers.
+    const std::size_t left = d->input.size();
+    return left + readBytes <= inputBufferBytes && (!d->parser->is_header_done() || left <= maxFramingBytes);
+}
+
 void ServerConnection::requestReceived()
 {
     d->timer.cancel();
--- a/src/libbriarhinge/http/serverconnection.h
+++ b/src/libbriarhinge/http/serverconnection.h
@@ -107,6 +107,7 @@
     void awaitRequest();
     void readMore();
     void parseInput();
+    bool isWithinBuffer() const;
     void requestReceived();
     void refuse(unsigned status);
     void write(std::string bytes);
--- a/tests/test_serverconnection.cpp
+++ b/tests/test_serverconnection.cpp
@@ -1,5 +1,6 @@
 #include "http/listener.h"
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -22,6 +23,8 @@
 constexpr std::uint16_t port = 18'471;
 constexpr std::chrono::milliseconds headTimeout{60};
 constexpr std::chrono::milliseconds idleTimeout{200};
+/** More than any buffer of a connection holds. */
+constexpr std::size_t endlessBytes = std::size_t{500} * 1024;
 
 http::ServerLimits shortLimits()
 {
@@ -59,6 +62,21 @@
         boost::asio::write(caller, boost::asio::buffer(bytes));
     }
 
+    /** Sends @p bytes to the server while it reads; stops when the server has ended the connection. */
+    void sendInPieces(tcp::socket &socket, const std::string &bytes)
+    {
+        constexpr std::size_t pieceBytes = std::size_t{16} * 1024;
+        for (std::size_t sent = 0; sent < bytes.size(); sent += pieceBytes) {
+            boost::system::error_code error;
+            boost::asio::write(socket, boost::asio::buffer(&bytes[sent], std::min(pieceBytes, bytes.size() - sent)),
+                               error);
+            if (error) {
+                return;
+            }
+            runFor(std::chrono::milliseconds(1));
+        }
+    }
+
     std::string received()
     {
         std::string bytes(caller.available(), '\0');
@@ -105,3 +123,46 @@
     LONGS_EQUAL(2, paths.size());
     STRCMP_EQUAL("/two", paths.back().c_str());
 }
+
+// Guards against a request whose unfinished part outgrows the input buffer and ends the process.
+TEST(ServerConnection, aBodyWhoseFramingNeverEndsIsRefused)
+{
+    const std::string head = "POST /charge HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string letters(endlessBytes, 'a');
+    const std::string digits(endlessBytes, '0');
+    const std::vector<std::string> requests{head + "5;" + letters, head + "5;a=\"" + letters, head + digits,
+                                            head + "0\r\nX-A: " + letters, head + "0;" + letters,
+                                            head + "5\r\nhello\r\n5;" + letters};
+    for (const std::string &request : requests) {
+        tcp::socket other(callerContext);
+        other.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        sendInPieces(other, request);
+        runFor(std::chrono::milliseconds(20));
+        std::string answer(other.available(), '\0');
+        boost::asio::read(other, boost::asio::buffer(answer));
+        STRNCMP_EQUAL("HTTP/1.1 413", answer.c_str(), 12);
+    }
+    LONGS_EQUAL(0, paths.size());
+    caller = tcp::socket(callerContext);
+    caller.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    send("GET /after HTTP/1.1\r\nHost: x\r\n\r\n");
+    runFor(std::chrono::milliseconds(20));
+    STRNCMP_EQUAL("HTTP/1.1 200", received().c_str(), 12);
+}
+
+TEST(ServerConnection, aBodyWithShortExtensionsAndTrailersIsServed)
+{
+    const std::string head = "POST /charge HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    send(head + "5;a=b\r\nhello\r\n0\r\nX-A: b\r\n\r\n");
+    runFor(std::chrono::milliseconds(20));
+    STRNCMP_EQUAL("HTTP/1.1 200", received().c_str(), 12);
+    LONGS_EQUAL(1, paths.size());
+}
+
+TEST(ServerConnection, aHeadWithoutEndIsRefused)
+{
+    sendInPieces(caller, "GET /" + std::string(endlessBytes, 'a'));
+    runFor(std::chrono::milliseconds(20));
+    STRNCMP_EQUAL("HTTP/1.1 431", received().c_str(), 12);
+    LONGS_EQUAL(0, paths.size());
+}
--- a/tests/test_unboundedanswers.cpp
+++ b/tests/test_unboundedanswers.cpp
@@ -67,6 +67,7 @@
                                              {head("Content-Length: 7000000\r\n" + chunked), letters},
                                              {head(chunked) + "5;", letters},
                                              {head(chunked) + "0\r\nX-A: ", letters},
+                                             {head(chunked), std::string(8192, '0')},
                                              // In the answer to another request.
                                              {head("", "other"), letters},
                                              {head(chunked, "other"), chunk(letters)},
