StoreGroup: Every change of members bears the tolerated losses and has a way back

Change: the first group and every set after a retirement have as many members as must keep a turn, and smaller groups acknowledge nothing. A change that can't end is replaced or given up. A spare store takes the place of a dead member of a small group instead of growing it. Members ping each other each second and remove one that was silent for 10 s. A group, registration or epoch out of bounds is not read.

--- a/src/libbriarhinge/turns/groupdecision.cpp
+++ b/src/libbriarhinge/turns/groupdecision.cpp
@@ -1,6 +1,7 @@
 #include "turns/groupdecision.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace briarhinge::turns
 {
@@ -29,6 +30,44 @@
     return members;
 }
 
+Members withoutDisk(Members members, const DiskId &disk)
+{
+    std::erase_if(members, [&disk](const StoreMember &member) {
+        return member.disk == disk;
+    });
+    return members;
+}
+
+/** @return the members of @p members whose disks are not among those of @p others */
+Members membersNotIn(const Members &members, const Members &others)
+{
+    Members result;
+    std::copy_if(members.begin(), members.end(), std::back_inserter(result), [&others](const StoreMember &member) {
+        return !containsDisk(others, member.disk);
+    });
+    return result;
+}
+
+bool isEachIn(const Members &members, const std::set<DiskId> &disks)
+{
+    return std::all_of(members.begin(), members.end(), [&disks](const StoreMember &member) {
+        return disks.contains(member.disk);
+    });
+}
+
+bool isAnyIn(const Members &members, const std::set<DiskId> &disks)
+{
+    return std::any_of(members.begin(), members.end(), [&disks](const StoreMember &member) {
+        return disks.contains(member.disk);
+    });
+}
+
+/** @return whether this store reaches enough of the current set to copy its state */
+bool reachesReadQuorum(const GroupView &view, const QuorumRule &rule)
+{
+    return hasReadQuorum(rule, view.group, RespondingDisks(view.responding.begin(), view.responding.end()));
+}
+
 /** Selects stores round-robin over the zones, in the order of their names. */
 Members selectAcrossZones(Members candidates, std::size_t count)
 {
@@ -62,89 +101,123 @@
     const auto first = std::min_element(candidates.begin(), candidates.end(), [](const auto &left, const auto &right) {
         return left.name < right.name;
     });
-    if (!view.canBootstrap || first == candidates.end() || first->name != view.self.name) {
+    // A smaller group could keep nothing; this store waits for more stores to register.
+    const bool canKeepTurns = candidates.size() >= rule.copies();
+    if (!view.canBootstrap || !canKeepTurns || first->name != view.self.name) {
         return std::nullopt;
     }
     return StoreGroup{GroupEpoch(1), selectAcrossZones(candidates, rule.groupSize()), {}};
 }
 
-/** Finds the member that this spare store should replace: a retiring one first, then an unreachable one. */
-const StoreMember *memberToReplace(const GroupView &view, const QuorumRule &rule)
+/** Finds the member that a spare store should replace: an unreachable one first, then a retiring one. */
+const StoreMember *memberToReplace(const GroupView &view)
 {
-    const Members &current = view.group.current;
-    for (const StoreMember &member : current) {
-        if (view.retiring.contains(member.name)) {
+    const StoreMember *retiring = nullptr;
+    for (const StoreMember &member : view.group.current) {
+        if (view.unreachable.contains(member.disk)) {
             return &member;
         }
-    }
-    const StoreMember *lost = nullptr;
-    std::size_t reachable = 0;
-    for (const StoreMember &member : current) {
-        if (view.unreachable.contains(member.name)) {
-            lost = &member;
-        } else {
-            ++reachable;
+        if (view.retiring.contains(member.name)) {
+            retiring = &member;
         }
     }
-    // A store that reaches less than a write quorum is probably isolated itself.
-    return reachable >= rule.writeQuorum(current.size()) ? lost : nullptr;
+    return retiring;
 }
 
 /** Next set proposed by a store outside of the group while no change is in progress. */
 std::optional<Members> proposeJoin(const GroupView &view, const QuorumRule &rule)
 {
-    if (const StoreMember *member = memberToReplace(view, rule)) {
-        return replaceMember(view.group.current, member->name, view.self);
+    const Members &current = view.group.current;
+    const bool isEachMemberKnown = std::all_of(current.begin(), current.end(), [&view](const StoreMember &member) {
+        return view.responding.contains(member.disk) || view.unreachable.contains(member.disk);
+    });
+    // To grow the group beside a dead member would leave that member in it for good.
+    if (!isEachMemberKnown || !reachesReadQuorum(view, rule)) {
+        return std::nullopt;
+    }
+    if (const StoreMember *member = memberToReplace(view)) {
+        return replaceMember(current, member->name, view.self);
     }
-    if (view.group.current.size() < rule.groupSize()) {
-        Members grown = view.group.current;
+    if (current.size() < rule.groupSize()) {
+        Members grown = current;
         grown.push_back(view.self);
         return grown;
     }
     return std::nullopt;
 }
 
+/** Next set proposed by a member of a stable group: without itself if it retires, or without the lost members. */
+std::optional<Members> proposeShrink(const GroupView &view, const QuorumRule &rule)
+{
+    const Members &current = view.group.current;
+    if (view.canShrink && view.retiring.contains(view.self.name)
+        && retirementObstacle(view, rule) == RetirementObstacle::None) {
+        return withoutDisk(current, view.self.disk);
+    }
+    Members left = current;
+    std::erase_if(left, [&view](const StoreMember &member) {
+        return view.lost.contains(member.disk);
+    });
+    const bool canShrink = left.size() < current.size() && left.size() >= rule.copies();
+    return canShrink && isEachIn(left, view.responding) ? std::optional(std::move(left)) : std::nullopt;
+}
+
 std::optional<Members> proposeWhileStable(const GroupView &view, const QuorumRule &rule)
 {
     const Members &current = view.group.current;
     const StoreMember *own = findMember(current, view.self.name);
-    const bool isRetiring = view.retiring.contains(view.self.name);
     if (own == nullptr) {
-        return isRetiring ? std::nullopt : proposeJoin(view, rule);
+        return view.retiring.contains(view.self.name) ? std::nullopt : proposeJoin(view, rule);
     }
     if (own->disk != view.self.disk) {
         return replaceMember(current, view.self.name, view.self);
     }
-    if (isRetiring && view.canShrink && current.size() > 1) {
-        Members left = current;
-        std::erase_if(left, [&view](const StoreMember &member) {
-            return member.name == view.self.name;
-        });
-        return left;
+    return proposeShrink(view, rule);
+}
+
+GroupView stableView(const GroupView &view)
+{
+    GroupView stable = view;
+    stable.group.next.clear();
+    return stable;
+}
+
+/** Next set, which is empty to abandon the change, proposed while a store joins. */
+std::optional<Members> proposeWhileJoining(const GroupView &view, const QuorumRule &rule, const Members &joining)
+{
+    const StoreMember *own = findMember(joining, view.self.name);
+    if (own != nullptr) {
+        return own->disk == view.self.disk ? std::nullopt
+                                           : std::optional(replaceMember(view.group.next, own->name, view.self));
     }
-    return std::nullopt;
+    if (!containsDisk(view.group.current, view.self.disk)) {
+        return isAnyIn(joining, view.unreachable) ? proposeWhileStable(stableView(view), rule) : std::nullopt;
+    }
+    return isAnyIn(joining, view.lost) && reachesReadQuorum(view, rule) ? std::optional(Members()) : std::nullopt;
 }
 
-/** Next set proposed while a change is in progress: replaces a joining store that was lost. */
-std::optional<Members> proposeWhileChanging(const GroupView &view, const QuorumRule &rule)
+/** Next set, which is empty to abandon the change, proposed while a store leaves without a successor. */
+std::optional<Members> proposeWhileLeaving(const GroupView &view, const QuorumRule &rule)
 {
     const Members &next = view.group.next;
-    if (containsDisk(next, view.self.disk)) {
-        return std::nullopt;
-    }
     const StoreMember *own = findMember(next, view.self.name);
-    if (own != nullptr && !containsDisk(view.group.current, own->disk)) {
-        return replaceMember(next, own->name, view.self);
+    if (own != nullptr && own->disk != view.self.disk) {
+        return replaceMember(view.group.current, own->name, view.self);
     }
-    const bool isJoiningStoreLost = std::any_of(next.begin(), next.end(), [&view](const StoreMember &member) {
-        return !containsDisk(view.group.current, member.disk) && view.unreachable.contains(member.name);
-    });
-    if (!isJoiningStoreLost) {
+    if (!isAnyIn(next, view.unreachable)) {
         return std::nullopt;
     }
-    GroupView stable = view;
-    stable.group.next.clear();
-    return proposeWhileStable(stable, rule);
+    if (!containsDisk(view.group.current, view.self.disk)) {
+        return proposeWhileStable(stableView(view), rule);
+    }
+    // The next set needs all its members, so it can't do without one that is gone.
+    return reachesReadQuorum(view, rule) ? std::optional(Members()) : std::nullopt;
+}
+
+std::optional<Members> proposeWhileChanging(const GroupView &view, const QuorumRule &rule)
+{
+    const Members joining = membersNotIn(view.group.next, view.group.current);
+    return joining.empty() ? proposeWhileLeaving(view, rule) : proposeWhileJoining(view, rule, joining);
 }
 
 }
@@ -161,6 +234,43 @@
     return StoreGroup{GroupEpoch(view.group.epoch.value() + 1), view.group.current, *next};
 }
 
+CopyTask copyTask(const GroupView &view)
+{
+    const Members &current = view.group.current;
+    const Members &next = view.group.next;
+    if (next.empty()) {
+        return CopyTask::None;
+    }
+    const bool isInCurrent = containsDisk(current, view.self.disk);
+    const bool isInNext = containsDisk(next, view.self.disk);
+    if (isInNext && !isInCurrent) {
+        return CopyTask::Fetch;
+    }
+    if (!isInCurrent || !membersNotIn(next, current).empty()) {
+        return CopyTask::None;
+    }
+    const Members leaving = membersNotIn(current, next);
+    // One of several leaving stores may lack what another one has.
+    const bool isOnlyOneLeaving = leaving.size() == 1;
+    if (!isInNext) {
+        return isOnlyOneLeaving ? CopyTask::Push : CopyTask::None;
+    }
+    const auto first = std::min_element(next.begin(), next.end(), [](const auto &left, const auto &right) {
+        return left.name < right.name;
+    });
+    const bool isLeaverGone = !isOnlyOneLeaving || isEachIn(leaving, view.unreachable);
+    return first->disk == view.self.disk && isLeaverGone ? CopyTask::Spread : CopyTask::None;
+}
+
+RetirementObstacle retirementObstacle(const GroupView &view, const QuorumRule &rule)
+{
+    const Members left = withoutDisk(view.group.current, view.self.disk);
+    if (left.size() < rule.copies()) {
+        return RetirementObstacle::TooFewStores;
+    }
+    return isEachIn(left, view.responding) ? RetirementObstacle::None : RetirementObstacle::MemberUnreachable;
+}
+
 StoreGroup completedGroup(const StoreGroup &group)
 {
     return {GroupEpoch(group.epoch.value() + 1), group.next, {}};
--- a/src/libbriarhinge/turns/groupmanager.h
+++ b/src/libbriarhinge/turns/groupmanager.h
@@ -7,10 +7,13 @@
 #include "turns/statetransfer.h"
 #include "turns/turnserver.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,6 +28,10 @@
     base::Milliseconds checkInterval{200};
     /** Time without a response after which a member counts as unreachable; longer than its process takes to restart. */
     base::Milliseconds suspicionTimeout{1200};
+    /** Time without a response after which a member is removed without a successor; longer than a planned restart. */
+    base::Milliseconds removalTimeout{10'000};
+    /** Interval at which the members of a stable group ping each other. */
+    base::Milliseconds stablePingInterval{1000};
     /** Time for all stores of a new deployment to register before the first group is created. */
     base::Milliseconds bootstrapDelay{1500};
     /** Time that a retiring member waits for a spare store to replace it before the group shrinks. */
@@ -99,7 +106,7 @@
     void updateGroup(const std::string &text, keyvalue::KeyVersion version)
     {
         const auto group = parseStoreGroup(text);
-        if (!group) {
+        if (!group || group->epoch.value() == 0) {
             m_log.write(logging::events::badEntry, {{"key", std::string(groupKey)}});
             return;
         }
@@ -107,6 +114,9 @@
         if (group->epoch < m_group.epoch) {
             return;
         }
+        if (group->epoch > m_group.epoch) {
+            resetContacts(*group);
+        }
         m_group = *group;
         m_version = version;
         if (m_store.adopt(*group)) {
@@ -114,6 +124,10 @@
             m_log.write(
                 logging::events::groupAdopted,
                 {{"epoch", group->epoch.value()}, {"members", group->current.size()}, {"next", group->next.size()}});
+            if (group->current.size() < m_rule.copies()) {
+                m_log.write(logging::events::groupTooSmall,
+                            {{"members", group->current.size()}, {"needed", m_rule.copies()}});
+            }
         }
     }
 
@@ -151,6 +165,14 @@
 private:
     using Time = std::chrono::steady_clock::time_point;
 
+    /** What is known of a member's disk. */
+    struct Contact
+    {
+        /** The last response, or the beginning of the wait for one. */
+        Time silentSince;
+        std::optional<Time> lastResponse;
+    };
+
     void tick()
     {
         if (m_isStopped) {
@@ -171,11 +193,14 @@
         }
         reportRetirement();
         pingMembers();
-        if (isCopyOwner()) {
-            copyState();
-            return;
+        const GroupView current = view();
+        reportObstacle(current);
+        reportMissingStores(current);
+        if (const auto proposal = proposeGroup(current, m_rule)) {
+            writeGroup(*proposal);
+        } else if (const CopyTask task = copyTask(current); task != CopyTask::None) {
+            copyState(task);
         }
-        propose();
     }
 
     void registerSelf()
@@ -216,32 +241,97 @@
         }
     }
 
+    /** Logs what keeps this store from leaving the group, whenever that changes. */
+    void reportObstacle(const GroupView &view)
+    {
+        const bool isLeaving = view.canShrink && containsDisk(m_group.current, m_self.disk);
+        const auto obstacle = isLeaving ? retirementObstacle(view, m_rule) : RetirementObstacle::None;
+        if (obstacle == std::exchange(m_reportedObstacle, obstacle) || obstacle == RetirementObstacle::None) {
+            return;
+        }
+        const bool isAnyMissing = obstacle == RetirementObstacle::TooFewStores;
+        m_log.write(logging::events::retirement,
+                    {{"state", "waiting"},
+                     {"reason", isAnyMissing ? "too few stores would remain" : "a member does not respond"}});
+    }
+
+    /** Logs once that too few stores are registered for a first group. */
+    void reportMissingStores(const GroupView &view)
+    {
+        const bool isWaiting =
+            m_group.epoch.value() == 0 && view.canBootstrap && view.registered.size() < m_rule.copies();
+        if (isWaiting && !std::exchange(m_isMissingReported, true)) {
+            m_log.write(logging::events::groupTooSmall,
+                        {{"members", view.registered.size()}, {"needed", m_rule.copies()}});
+        }
+    }
+
+    /** Members of both sets; a store whose disk is replaced occurs with either disk. */
+    std::map<DiskId, StoreMember> contactedMembers(const StoreGroup &group) const
+    {
+        std::map<DiskId, StoreMember> members;
+        for (const auto *set : {&group.current, &group.next}) {
+            for (const StoreMember &member : *set) {
+                if (member.disk != m_self.disk) {
+                    members.emplace(member.disk, member);
+                }
+            }
+        }
+        return members;
+    }
+
+    /** Forgets the disks that are not in @p group; the others are not suspected for a silence between two pings. */
+    void resetContacts(const StoreGroup &group)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const auto members = contactedMembers(group);
+        std::erase_if(m_contacts, [&members](const auto &item) {
+            return !members.contains(item.first);
+        });
+        for (auto &[disk, contact] : m_contacts) {
+            if (now - contact.silentSince <= m_timings.suspicionTimeout + m_timings.stablePingInterval) {
+                contact.silentSince = now;
+            }
+        }
+    }
+
     void pingMembers()
     {
         const auto now = std::chrono::steady_clock::now();
-        // A serving member of a stable group learns everything relevant from the key-value service.
-        if (m_group.next.empty() && containsDisk(m_group.current, m_self.disk)) {
-            m_lastResponse.clear();
+        const bool isStableMember =
+            m_group.next.empty() && containsDisk(m_group.current, m_self.disk) && !m_retiring.contains(m_self.name);
+        const bool isAnySilent = std::any_of(m_contacts.begin(), m_contacts.end(), [this, now](const auto &item) {
+            return now - item.second.silentSince > m_timings.suspicionTimeout + m_timings.stablePingInterval;
+        });
+        if (isStableMember && !isAnySilent && now - m_lastPing < m_timings.stablePingInterval) {
             return;
         }
-        for (const StoreMember &member : m_group.members()) {
-            if (member.name == m_self.name) {
-                continue;
-            }
-            m_lastResponse.try_emplace(member.name, now);
+        m_lastPing = now;
+        for (const auto &[disk, member] : contactedMembers(m_group)) {
+            m_contacts.try_emplace(disk, Contact{now, std::nullopt});
             wire::BeginTurnT ping;
             ping.epoch = m_group.epoch.value();
             wire::MessageUnion message;
             message.Set(std::move(ping));
             m_peers.sendRequest(member.address, std::move(message), m_timings.pingTimeout,
-                                [this, name = member.name](const wire::ChannelReply &reply) {
-                                    if (std::holds_alternative<wire::FrameT>(reply)) {
-                                        m_lastResponse[name] = std::chrono::steady_clock::now();
-                                    }
+                                [this](const wire::ChannelReply &reply) {
+                                    recordResponse(reply);
                                 });
         }
     }
 
+    void recordResponse(const wire::ChannelReply &reply)
+    {
+        const auto *frame = std::get_if<wire::FrameT>(&reply);
+        const auto *begun = frame == nullptr ? nullptr : frame->message.AsTurnBegun();
+        // A member that came back with an empty disk responds for another disk than the listed one.
+        const auto contact = begun == nullptr ? m_contacts.end() : m_contacts.find(DiskId(begun->disk));
+        if (contact != m_contacts.end()) {
+            contact->second.silentSince = std::chrono::steady_clock::now();
+            contact->second.lastResponse = contact->second.silentSince;
+        }
+    }
+
     GroupView view() const
     {
         const auto now = std::chrono::steady_clock::now();
@@ -251,9 +341,17 @@
         for (const auto &[name, member] : m_registered) {
             view.registered.push_back(member);
         }
-        for (const auto &[name, last] : m_lastResponse) {
-            if (now - last > m_timings.suspicionTimeout) {
-                view.unreachable.insert(name);
+        view.responding.insert(m_self.disk);
+        for (const auto &[disk, contact] : m_contacts) {
+            const auto silence = now - contact.silentSince;
+            if (contact.lastResponse && now - *contact.lastResponse <= m_timings.suspicionTimeout) {
+                view.responding.insert(disk);
+            }
+            if (silence > m_timings.suspicionTimeout) {
+                view.unreachable.insert(disk);
+            }
+            if (silence > m_timings.removalTimeout) {
+                view.lost.insert(disk);
             }
         }
         for (const auto &[name, since] : m_retiring) {
@@ -264,13 +362,6 @@
         return view;
     }
 
-    void propose()
-    {
-        if (const auto proposal = proposeGroup(view(), m_rule)) {
-            writeGroup(*proposal);
-        }
-    }
-
     void writeGroup(const StoreGroup &group)
     {
         m_isWriting = true;
@@ -288,39 +379,37 @@
         });
     }
 
-    /** Whether this store has to copy the state for the change in progress. */
-    bool isCopyOwner() const
+    void copyState(CopyTask task)
     {
-        if (m_group.next.empty()) {
-            return false;
-        }
-        const bool isInCurrent = containsDisk(m_group.current, m_self.disk);
-        const bool isInNext = containsDisk(m_group.next, m_self.disk);
-        const bool isShrinking = m_group.next.size() < m_group.current.size();
-        return isInNext ? !isInCurrent : isInCurrent && isShrinking;
-    }
-
-    void copyState()
-    {
-        if (m_isCopying) {
+        const GroupEpoch epoch = m_group.epoch;
+        if (m_copyingEpoch == epoch) {
             return;
         }
-        m_isCopying = true;
-        const GroupEpoch epoch = m_group.epoch;
+        m_copyingEpoch = epoch;
         auto transfer = std::make_shared<StateTransfer>(m_peers, m_store, m_rule, m_log);
         auto onDone = [this, epoch](bool isComplete) {
             // Leaving members may lose their disks once the change is complete, so the copy has to be durable first.
             m_server.whenWritten([this, epoch, isComplete](bool isDurable) {
-                m_isCopying = false;
+                if (m_copyingEpoch == epoch) {
+                    m_copyingEpoch.reset();
+                }
                 if (isComplete && isDurable && !m_isStopped && m_group.epoch == epoch && !m_isWriting) {
                     writeGroup(completedGroup(m_group));
                 }
             });
         };
-        if (containsDisk(m_group.next, m_self.disk)) {
+        switch (task) {
+        case CopyTask::Fetch:
             transfer->fetch(std::move(onDone));
-        } else {
+            return;
+        case CopyTask::Push:
             transfer->push(std::move(onDone));
+            return;
+        case CopyTask::Spread:
+            transfer->spread(std::move(onDone));
+            return;
+        case CopyTask::None:
+            return;
         }
     }
 
@@ -340,11 +429,15 @@
     keyvalue::KeyVersion m_registrationVersion;
     std::map<StoreName, StoreMember> m_registered;
     std::map<StoreName, Time> m_retiring;
-    std::map<StoreName, Time> m_lastResponse;
+    std::map<DiskId, Contact> m_contacts;
+    Time m_lastPing;
+    /** Epoch of the change for which the state is being copied. */
+    std::optional<GroupEpoch> m_copyingEpoch;
+    RetirementObstacle m_reportedObstacle = RetirementObstacle::None;
     bool m_isGroupKnown = false;
     bool m_isRegistered = false;
     bool m_isWriting = false;
-    bool m_isCopying = false;
+    bool m_isMissingReported = false;
     bool m_isRetirementReported = false;
     bool m_isCompletionReported = false;
     bool m_isStopped = false;
--- a/src/libbriarhinge/turns/statetransfer.cpp
+++ b/src/libbriarhinge/turns/statetransfer.cpp
@@ -1,6 +1,7 @@
 #include "turns/statetransfer.h"
 
 #include <chrono>
+#include <utility>
 
 namespace briarhinge::turns
 {
@@ -28,22 +29,52 @@
 
 void StateTransfer::fetch(DoneHandler onDone)
 {
-    m_onDone = std::move(onDone);
     m_group = m_store.group();
-    m_pendingMembers = m_group.current.size();
-    for (const StoreMember &member : m_group.current) {
-        fetchPage(member, {});
-    }
+    begin(m_group.current, false, std::move(onDone));
 }
 
 void StateTransfer::push(DoneHandler onDone)
 {
-    m_onDone = std::move(onDone);
-    m_isPush = true;
     m_group = m_store.group();
-    m_pendingMembers = m_group.next.size();
-    for (const StoreMember &member : m_group.next) {
-        pushPage(member, {});
+    begin(m_group.next, true, std::move(onDone));
+}
+
+void StateTransfer::spread(DoneHandler onDone)
+{
+    fetch([self = shared_from_this(), onDone = std::move(onDone)](bool isComplete) mutable {
+        if (!isComplete) {
+            onDone(false);
+            return;
+        }
+        self->begin(self->m_group.next, true, std::move(onDone));
+    });
+}
+
+void StateTransfer::begin(const std::vector<StoreMember> &members, bool isPush, DoneHandler onDone)
+{
+    m_onDone = std::move(onDone);
+    m_isPush = isPush;
+    m_copiedDisks.clear();
+    std::vector<StoreMember> others;
+    for (const StoreMember &member : members) {
+        if (member.disk == m_store.disk()) {
+            m_copiedDisks.insert(member.disk);
+        } else {
+            others.push_back(member);
+        }
+    }
+    m_targetCount = members.size();
+    m_pendingMembers = others.size();
+    if (others.empty()) {
+        finish();
+        return;
+    }
+    for (const StoreMember &member : others) {
+        if (isPush) {
+            pushPage(member, {});
+        } else {
+            fetchPage(member, {});
+        }
     }
 }
 
@@ -114,19 +145,22 @@
     if (isComplete) {
         m_copiedDisks.insert(member.disk);
     }
-    --m_pendingMembers;
-    const bool isTransferComplete =
-        m_isPush ? m_copiedDisks.size() == m_group.next.size() : hasReadQuorum(m_rule, m_group, m_copiedDisks);
     // Waits for all members even with a quorum: a slow member may lack records that another one has.
-    if (m_pendingMembers > 0) {
-        return;
+    if (--m_pendingMembers == 0) {
+        finish();
     }
+}
+
+void StateTransfer::finish()
+{
+    const bool isComplete =
+        m_isPush ? m_copiedDisks.size() == m_targetCount : hasReadQuorum(m_rule, m_group, m_copiedDisks);
     m_log.write(logging::events::stateFetched,
                 {{"epoch", m_group.epoch.value()},
                  {"members", m_copiedDisks.size()},
                  {"turns", m_turnCount},
-                 {"whole", isTransferComplete ? "yes" : "no"}});
-    m_onDone(isTransferComplete);
+                 {"whole", isComplete ? "yes" : "no"}});
+    std::exchange(m_onDone, nullptr)(isComplete);
 }
 
 }
--- a/src/libbriarhinge/turns/statetransfer.h
+++ b/src/libbriarhinge/turns/statetransfer.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace briarhinge::turns
 {
@@ -33,10 +34,15 @@
     /** Sends the state to the next set; complete if all its members stored it. @param onDone receives the outcome */
     void push(DoneHandler onDone);
 
+    /** Fetches the state from the current set and sends it to the next set. @param onDone receives the outcome */
+    void spread(DoneHandler onDone);
+
 private:
+    void begin(const std::vector<StoreMember> &members, bool isPush, DoneHandler onDone);
     void fetchPage(const StoreMember &member, const std::string &after);
     void pushPage(const StoreMember &member, const std::string &after);
     void finishMember(const StoreMember &member, bool isComplete);
+    void finish();
 
     StorePeers &m_peers;
     TurnStore &m_store;
@@ -44,7 +50,9 @@
     logging::EventLog &m_log;
     StoreGroup m_group;
     RespondingDisks m_copiedDisks;
+    /** Members whose copy has not finished yet. */
     std::size_t m_pendingMembers = 0;
+    std::size_t m_targetCount = 0;
     std::size_t m_turnCount = 0;
     bool m_isPush = false;
     DoneHandler m_onDone;
--- a/src/libbriarhinge/turns/storegroup.cpp
+++ b/src/libbriarhinge/turns/storegroup.cpp
@@ -12,6 +12,11 @@
 
 using nlohmann::json;
 
+/** More than any group or joint change has; protects against lists that would fill the memory. */
+constexpr std::size_t maxListedMembers = 64;
+/** Epochs grow by one per change, so a larger one was not written by a turn store. */
+constexpr std::uint64_t maxEpoch = std::uint64_t{1} << 62;
+
 json membersJson(const std::vector<StoreMember> &members)
 {
     json list = json::array();
@@ -26,15 +31,25 @@
 
 std::vector<StoreMember> parseMembers(const json &list)
 {
+    if (!list.is_array() || list.size() > maxListedMembers) {
+        throw std::invalid_argument("no list of members");
+    }
     std::vector<StoreMember> members;
     for (const json &item : list) {
         const auto address = wire::parseAddress(item.at("address").get<std::string>());
-        if (!address) {
+        if (!address || address->port == 0) {
             throw std::invalid_argument("member without an address");
         }
-        members.push_back({StoreName(item.at("name").get<std::string>()),
+        StoreMember member{StoreName(item.at("name").get<std::string>()),
                            base::ZoneName(item.at("zone").get<std::string>()), *address,
-                           DiskId(item.at("disk").get<std::string>())});
+                           DiskId(item.at("disk").get<std::string>())};
+        const bool isListedTwice = std::any_of(members.begin(), members.end(), [&member](const StoreMember &other) {
+            return other.name == member.name || other.disk == member.disk;
+        });
+        if (isListedTwice || member.name.value().empty() || member.disk.value().empty()) {
+            throw std::invalid_argument("member without an identity of its own");
+        }
+        members.push_back(std::move(member));
     }
     return members;
 }
@@ -84,8 +99,13 @@
 {
     try {
         const json document = json::parse(text);
-        return StoreGroup{GroupEpoch(document.at("epoch").get<std::uint64_t>()), parseMembers(document.at("current")),
-                          parseMembers(document.at("next"))};
+        const json &epoch = document.at("epoch");
+        if (!epoch.is_number_unsigned() || epoch.get<std::uint64_t>() > maxEpoch) {
+            return std::nullopt;
+        }
+        StoreGroup group{GroupEpoch(epoch.get<std::uint64_t>()), parseMembers(document.at("current")),
+                         parseMembers(document.at("next"))};
+        return group.current.empty() ? std::nullopt : std::optional(std::move(group));
     } catch (const std::exception &) {
         return std::nullopt;
     }
@@ -93,14 +113,13 @@
 
 std::size_t QuorumRule::writeQuorum(std::size_t members) const
 {
-    const std::size_t copies = toleratedLosses + 1;
     const std::size_t majority = members / 2 + 1;
-    return std::min(members, std::max(copies, majority));
+    return std::max(copies(), majority);
 }
 
 std::size_t QuorumRule::readQuorum(std::size_t members) const
 {
-    return members - writeQuorum(members) + 1;
+    return members - std::min(members, writeQuorum(members)) + 1;
 }
 
 bool hasWriteQuorum(const QuorumRule &rule, const StoreGroup &group, const RespondingDisks &disks)
--- a/src/libbriarhinge/turns/storegroup.h
+++ b/src/libbriarhinge/turns/storegroup.h
@@ -51,7 +51,10 @@
 /** @return @p group as JSON, the format used in the key-value service */
 std::string toJson(const StoreGroup &group);
 
-/** @return the group described by the JSON @p text, or nothing if it is malformed */
+/**
+ * @param text a group or, with epoch 0 and a single member, a registration as JSON
+ * @return the group, or nothing if it is malformed, names a store or a disk twice in a set, or has no current member
+ */
 std::optional<StoreGroup> parseStoreGroup(std::string_view text);
 
 /** Quorum sizes of a group, derived from the number of disk losses that it tolerates. */
@@ -66,10 +69,16 @@
         return 2 * toleratedLosses + 1;
     }
 
-    /** @return the acknowledgements that a write to a set of @p members needs */
+    /** @return the disks that a record must be on to survive the tolerated losses; smaller groups acknowledge nothing */
+    std::size_t copies() const
+    {
+        return toleratedLosses + 1;
+    }
+
+    /** @return the acknowledgements that a write to a set of @p members needs; may be more than there are members */
     std::size_t writeQuorum(std::size_t members) const;
 
-    /** @return the responses from a set of @p members that overlap with every write quorum */
+    /** @return the responses from a set of @p members that overlap with every write quorum, at least one */
     std::size_t readQuorum(std::size_t members) const;
 };
 
--- a/tests/test_serverconnection.cpp
+++ b/tests/test_serverconnection.cpp
@@ -63,7 +63,7 @@
     }
 
     /** Sends @p bytes to the server while it reads; stops when the server has ended the connection. */
-    void sendInPieces(tcp::socket &socket, const std::string &bytes)
+    void sendInPieces(tcp::socket & socket, const std::string &bytes)
     {
         constexpr std::size_t pieceBytes = std::size_t{16} * 1024;
         for (std::size_t sent = 0; sent < bytes.size(); sent += pieceBytes) {
@@ -130,9 +130,9 @@
     const std::string head = "POST /charge HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::string letters(endlessBytes, 'a');
     const std::string digits(endlessBytes, '0');
-    const std::vector<std::string> requests{head + "5;" + letters, head + "5;a=\"" + letters, head + digits,
-                                            head + "0\r\nX-A: " + letters, head + "0;" + letters,
-                                            head + "5\r\nhello\r\n5;" + letters};
+    const std::vector<std::string> requests{head + "5;" + letters, head + "5;a=\"" + letters,
+                                            head + digits,         head + "0\r\nX-A: " + letters,
+                                            head + "0;" + letters, head + "5\r\nhello\r\n5;" + letters};
     for (const std::string &request : requests) {
         tcp::socket other(callerContext);
         other.connect({boost::asio::ip::make_address("127.0.0.1"), port});
--- a/tests/test_storegroup.cpp
+++ b/tests/test_storegroup.cpp
@@ -25,15 +25,27 @@
     return set;
 }
 
+/** A view of a group of three stores that all respond. */
 GroupView makeView(const std::string &self, const std::string &disk = "1")
 {
     GroupView view;
     view.group = {GroupEpoch(4), {member("a"), member("b"), member("c")}, {}};
     view.self = member(self, disk);
+    view.responding = {DiskId("a-1"), DiskId("b-1"), DiskId("c-1"), view.self.disk};
     view.canBootstrap = true;
     return view;
 }
 
+/** Lets the member with @p disk be silent for a while in @p view, or for so long that it counts as lost. */
+void silence(GroupView &view, const std::string &disk, bool isLost = false)
+{
+    view.responding.erase(DiskId(disk));
+    view.unreachable.insert(DiskId(disk));
+    if (isLost) {
+        view.lost.insert(DiskId(disk));
+    }
+}
+
 }
 
 TEST_GROUP(StoreGroup){};
@@ -44,7 +56,7 @@
         const QuorumRule each{toleratedLosses};
         for (std::size_t members = 1; members < 10; ++members) {
             CHECK(each.writeQuorum(members) + each.readQuorum(members) > members);
-            CHECK(each.writeQuorum(members) >= std::min(members, toleratedLosses + 1));
+            CHECK(each.writeQuorum(members) >= toleratedLosses + 1);
         }
     }
 }
@@ -75,6 +87,35 @@
     CHECK_FALSE(parseStoreGroup("no json").has_value());
 }
 
+TEST(StoreGroup, isNotReadFromAnOddEntry)
+{
+    const auto text = [](const std::string &epoch, const std::string &members) {
+        return R"({"epoch":)" + epoch + R"(,"current":)" + members + R"(,"next":[]})";
+    };
+    const auto entry = [](const std::string &name, const std::string &address, const std::string &disk) {
+        return R"({"name":")" + name + R"(","zone":"z","address":")" + address + R"(","disk":")" + disk + "\"}";
+    };
+    const std::string a = entry("a", "127.0.0.1:7000", "a-1");
+    CHECK(parseStoreGroup(text("4", "[" + a + "]")).has_value());
+    std::string many = a;
+    for (int i = 0; i < 10'000; ++i) {
+        many += "," + entry("m" + std::to_string(i), "127.0.0.1:7000", "d" + std::to_string(i));
+    }
+    const std::string deep(100'000, '[');
+    for (const std::string &odd :
+         {text("-1", "[" + a + "]"), text("1.5", "[" + a + "]"), text("18446744073709551615", "[" + a + "]"),
+          text("1e400", "[" + a + "]"), text("\"4\"", "[" + a + "]"), text("4", "[]"), text("4", a), text("4", "null"),
+          text("4", "[" + a + "," + a + "]"), text("4", "[" + a + "," + entry("b", "127.0.0.1:7001", "a-1") + "]"),
+          text("4", "[" + entry("a", "127.0.0.1", "a-1") + "]"),
+          text("4", "[" + entry("a", "127.0.0.1:0", "a-1") + "]"),
+          text("4", "[" + entry("a", "127.0.0.1:65536", "a-1") + "]"),
+          text("4", "[" + entry("", "127.0.0.1:7000", "a-1") + "]"),
+          text("4", "[" + entry("a", "127.0.0.1:7000", "") + "]"), text("4", "[" + many + "]"), text("4", deep),
+          deep + std::string(deep.size(), ']')}) {
+        CHECK_FALSE_TEXT(parseStoreGroup(odd).has_value(), odd.substr(0, 200).c_str());
+    }
+}
+
 TEST_GROUP(GroupDecision){};
 
 TEST(GroupDecision, theStoreWithTheLowestNameCreatesTheGroupAcrossZones)
@@ -104,7 +145,7 @@
 {
     GroupView view = makeView("d");
     CHECK_FALSE(proposeGroup(view, rule).has_value());
-    view.unreachable = {StoreName("b")};
+    silence(view, "b-1");
     const auto group = proposeGroup(view, rule);
     CHECK(group.has_value());
     CHECK(containsDisk(group->next, DiskId("d-1")));
@@ -114,7 +155,8 @@
 TEST(GroupDecision, anIsolatedSpareStoreReplacesNoMember)
 {
     GroupView view = makeView("d");
-    view.unreachable = {StoreName("a"), StoreName("b")};
+    silence(view, "a-1");
+    silence(view, "b-1");
     CHECK_FALSE(proposeGroup(view, rule).has_value());
 }
 
@@ -159,6 +201,127 @@
 {
     GroupView view = makeView("d");
     view.retiring = {StoreName("d")};
-    view.unreachable = {StoreName("b")};
+    silence(view, "b-1");
+    CHECK_FALSE(proposeGroup(view, rule).has_value());
+}
+
+TEST(GroupDecision, aFirstGroupNeedsAsManyStoresAsMustKeepATurn)
+{
+    GroupView view = makeView("a");
+    view.group = {};
+    view.registered = {member("a")};
+    CHECK_FALSE(proposeGroup(view, rule).has_value());
+    view.registered = {member("a"), member("b")};
+    LONGS_EQUAL(2, proposeGroup(view, rule)->current.size());
+    view.retiring = {StoreName("b")};
+    CHECK_FALSE(proposeGroup(view, rule).has_value());
+}
+
+// Guards against a retirement that leaves a dead member which every write then needs.
+TEST(GroupDecision, aRetiringMemberStaysWhileAnotherOneIsSilent)
+{
+    GroupView view = makeView("a");
+    view.retiring = {StoreName("a")};
+    view.canShrink = true;
+    silence(view, "b-1");
     CHECK_FALSE(proposeGroup(view, rule).has_value());
+    CHECK(retirementObstacle(view, rule) == RetirementObstacle::MemberUnreachable);
+}
+
+// Guards against a group of one store, whose turns go with its disk.
+TEST(GroupDecision, aRetiringMemberStaysWhileTheOthersAreTooFew)
+{
+    GroupView view = makeView("a");
+    view.group.current = {member("a"), member("b")};
+    view.retiring = {StoreName("a")};
+    view.canShrink = true;
+    CHECK_FALSE(proposeGroup(view, rule).has_value());
+    CHECK(retirementObstacle(view, rule) == RetirementObstacle::TooFewStores);
+}
+
+// Guards against a change without way back once a member that has to remain has lost its disk.
+TEST(GroupDecision, aStoreThatLostItsDiskEndsARetirementThatNeedsIt)
+{
+    GroupView view = makeView("b", "2");
+    view.group.next = {member("b"), member("c")};
+    silence(view, "b-1");
+    const auto group = proposeGroup(view, rule);
+    CHECK(group.has_value());
+    CHECK(group->current == view.group.current);
+    CHECK(group->next == std::vector<StoreMember>({member("a"), member("b", "2"), member("c")}));
+}
+
+TEST(GroupDecision, aRetirementIsAbandonedWhileAMemberThatRemainsIsSilent)
+{
+    for (const std::string name : {"a", "c"}) {
+        GroupView view = makeView(name);
+        view.group.next = {member("b"), member("c")};
+        CHECK_FALSE(proposeGroup(view, rule).has_value());
+        silence(view, "b-1");
+        const auto group = proposeGroup(view, rule);
+        CHECK(group.has_value());
+        CHECK(group->current == view.group.current);
+        CHECK(group->next.empty());
+    }
+}
+
+TEST(GroupDecision, aJoinIsAbandonedOnceTheJoiningStoreIsLost)
+{
+    GroupView view = makeView("a");
+    view.group.next = {member("a"), member("b"), member("d")};
+    silence(view, "d-1");
+    CHECK_FALSE(proposeGroup(view, rule).has_value());
+    silence(view, "d-1", true);
+    const auto group = proposeGroup(view, rule);
+    CHECK(group.has_value());
+    CHECK(group->next.empty());
+}
+
+// Guards against a group that grows beside a dead member, which then stays in it.
+TEST(GroupDecision, aSpareStoreTakesThePlaceOfTheDeadMemberOfASmallGroup)
+{
+    GroupView view = makeView("d");
+    view.group.current = {member("a"), member("b")};
+    view.responding = {DiskId("a-1"), DiskId("d-1")};
+    CHECK_FALSE(proposeGroup(view, rule).has_value());
+    silence(view, "b-1");
+    const auto group = proposeGroup(view, rule);
+    CHECK(group.has_value());
+    CHECK(group->next == std::vector<StoreMember>({member("a"), member("d")}));
+}
+
+TEST(GroupDecision, membersRemoveALostOneAsLongAsEnoughAreLeft)
+{
+    GroupView view = makeView("a");
+    silence(view, "c-1");
+    CHECK_FALSE(proposeGroup(view, rule).has_value());
+    silence(view, "c-1", true);
+    CHECK(proposeGroup(view, rule)->next == std::vector<StoreMember>({member("a"), member("b")}));
+    view.group.current = {member("a"), member("c")};
+    CHECK_FALSE(proposeGroup(view, rule).has_value());
+}
+
+TEST(GroupDecision, aLeavingStorePushesWhatItHasAndARemainingOneSpreadsItIfTheLeavingOneIsGone)
+{
+    GroupView view = makeView("a");
+    view.group.next = {member("b"), member("c")};
+    CHECK(copyTask(view) == CopyTask::Push);
+    view = makeView("b");
+    view.group.next = {member("b"), member("c")};
+    CHECK(copyTask(view) == CopyTask::None);
+    silence(view, "a-1");
+    CHECK(copyTask(view) == CopyTask::Spread);
+    view.self = member("c");
+    CHECK(copyTask(view) == CopyTask::None);
+}
+
+// Guards against a change that ends although a turn is only on another one of the leaving disks.
+TEST(GroupDecision, noneOfSeveralLeavingStoresPushesAlone)
+{
+    GroupView view = makeView("a");
+    view.group.current = {member("a"), member("b"), member("c"), member("d"), member("e")};
+    view.group.next = {member("c"), member("d"), member("e")};
+    CHECK(copyTask(view) == CopyTask::None);
+    view.self = member("c");
+    CHECK(copyTask(view) == CopyTask::Spread);
 }
