Documents: Entries that are nested too deeply or hold figures out of range are not read

Report of other operators: an odd entry among those of the runners ended the machines that read the list. A deeply nested routing document overflowed the stack of turn stores, which write it anew without keys.

--- a/tests/test_platformdocuments.cpp
+++ b/tests/test_platformdocuments.cpp
@@ -176,6 +176,31 @@
     CHECK_FALSE(parseRunner("i", "[]").has_value());
 }
 
+// Guards against an odd entry of another writer that ends the processes which read it.
+TEST(RunnerDocument, entriesOutOfBoundsAreRejected)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    for (const std::string &odd :
+         {deep, replaced(runnerText, "\"slots\":24", "\"slots\":24,\"x\":" + deep),
+          replaced(runnerText, "\"slots\":24", "\"slots\":" + deep),
+          replaced(runnerText, "\"slots\":24", "\"slots\":18446744073709551615"),
+          replaced(runnerText, "\"slots\":24", "\"slots\":4294967320"),
+          replaced(runnerText, "\"slots\":24", "\"slots\":1e400"), replaced(runnerText, "\"slots\":24", "\"slots\":-1"),
+          replaced(runnerText, ":8080", ":0"), replaced(runnerText, ":8080", ":65536"),
+          replaced(runnerText, ":8080", ":-1"), replaced(runnerText, ":8080", ":99999999999999999999")}) {
+        CHECK_FALSE_TEXT(parseRunner("i", odd).has_value(), odd.substr(0, 200).c_str());
+    }
+}
+
+TEST(RoutingDocument, documentsOutOfBoundsAreRejected)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    const std::string odd = "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":" + deep + "}";
+    CHECK(parseRouting(odd) == nullptr);
+    STRCMP_EQUAL("", withoutKeys(odd).c_str());
+    STRCMP_EQUAL("", withoutKeys("{\"tenants\":[{\"name\":" + deep + "}]}").c_str());
+}
+
 TEST(RunnerDocument, noInputCrashesTheParsers)
 {
     CHECK(rc::check("any text", [] {
