--- a/tests/test_storewatches.cpp
+++ b/tests/test_storewatches.cpp
@@ -215,3 +215,29 @@
     runFor(std::chrono::milliseconds(6500));
     CHECK(store.reads() - before <= 5);
 }
+
+// Guards against requests that reach a removed runner because a watch was cut shortly before.
+TEST(StoreWatches, aCutWatchDelaysNoRemoval)
+{
+    removalGracePeriod = base::Milliseconds(-1);
+    store.setFault(StoreFault::Unavailable);
+    store.setFault(StoreFault::None);
+    runFor(std::chrono::milliseconds(10));
+    store.remove("servers/one");
+    CHECK(runUntil([this] {
+        return runner.empty();
+    }));
+    LONGS_EQUAL(0, removalGracePeriod.count());
+}
+
+TEST(StoreWatches, aRemovalThatIsFoundAfterAnOutageMayBeTemporary)
+{
+    store.setFault(StoreFault::Unavailable);
+    runFor(std::chrono::milliseconds(500));
+    store.setFault(StoreFault::None);
+    store.remove("servers/one");
+    CHECK(runUntil([this] {
+        return runner.empty();
+    }));
+    CHECK(removalGracePeriod.count() > 0);
+}
