Forwarding: Silence is not knowledge: crashes, routes and the end of a planned stop

- In a planned stop a request that can't end before the process does is refused as not run; one that may run once needs its whole time.
Others get an answer at the end instead of a closed channel.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -40,6 +40,8 @@
 constexpr std::size_t smallAnswerBytes = std::size_t{64} * 1024;
 /** Time before SIGKILL at which requests that are still running are aborted. */
 constexpr base::Milliseconds stopMargin{400};
+/** Time for the last answers to leave before the process ends. */
+constexpr base::Milliseconds answerMargin{100};
 
 /** @return the id of the runner that is registered under a key of the platform's store */
 dispatch::RunnerId runnerIdFromKey(const std::string &key)
@@ -110,6 +112,7 @@
                         m_exchangeLog,
                         m_retryDelay,
                         m_suspects,
+                        m_unanswered,
                         m_answerMemory,
                         [this](const forwarding::LostAttempt &lost) {
                             m_crashDetector.connectionLost(lost);
@@ -123,8 +126,17 @@
                         [this](const wire::Address &address, std::function<void(bool)> onResult) {
                             m_livenessCheck.check(address, std::move(onResult));
                         },
+                        {[this] {
+                             return m_routing;
+                         },
+                         [this] {
+                             return m_watch.isStoreAvailable();
+                         },
+                         [this] {
+                             m_isNewerRoutingWanted = true;
+                         }},
                         [this] {
-                            return m_routing;
+                            return m_isStopping ? std::optional(m_stopDeadline - answerMargin) : std::nullopt;
                         }}
     , m_checkTimer(context)
     , m_stopTimer(context)
@@ -249,6 +261,11 @@
         return;
     }
     m_removalTimers.erase(runner->id);
+    if (runner->isDraining) {
+        m_unanswered.runnerLeft(runner->id);
+    } else {
+        m_unanswered.runnerRegistered(*runner, std::chrono::steady_clock::now());
+    }
     if (!m_balancer.registerRunner(*runner)) {
         return;
     }
@@ -268,6 +285,7 @@
     if (!m_balancer.runnerLeaves(placement.id, placement.startedAt)) {
         return;
     }
+    m_unanswered.runnerLeft(placement.id);
     m_connectionPool.closeIdle(placement.id);
     m_metrics.runnerLeft();
     m_log.write(logging::events::runnerLeaving,
@@ -406,10 +424,20 @@
         const auto now = std::chrono::steady_clock::now();
         m_knowledge.setReadable(m_watch.isStoreAvailable());
         m_overloadDetector.recordTimerDelay(std::chrono::duration_cast<base::Milliseconds>(now - due), now);
+        for (const placement::CrashReport &report : m_unanswered.takeReports(now)) {
+            m_log.write(logging::events::runnerChecked,
+                        {{"runner", report.crash.runner},
+                         {"started", report.crash.startedAt},
+                         {"result", "crashed-silently"},
+                         {"requests", report.requests.size()}});
+            m_metrics.runnerChecked("crashed-silently");
+            m_crashSharing.publish(report);
+        }
         if (now - m_lastProbe > probeInterval) {
             m_lastProbe = now;
             m_turns.probe();
-            if (!m_routing && now - m_startTime > seedDelay) {
+            const bool isRoutingWanted = std::exchange(m_isNewerRoutingWanted, false) && !m_watch.isStoreAvailable();
+            if (isRoutingWanted || (!m_routing && now - m_startTime > seedDelay)) {
                 fetchDeploymentFromSeeds();
             }
         }
@@ -432,7 +460,14 @@
 {
     const auto *frame = std::get_if<wire::FrameT>(&reply);
     const auto *state = frame == nullptr ? nullptr : frame->message.AsDeploymentState();
-    if (state == nullptr || m_routing || state->items.empty()) {
+    if (state == nullptr || m_watch.isStoreAvailable() || state->items.empty()) {
+        return;
+    }
+    if (m_routing) {
+        // What this entry knows of the rest may be newer.
+        for (const auto &stored : state->items) {
+            applyRouting({stored->key, stored->value, {}});
+        }
         return;
     }
     applyGroup({std::string(turns::groupKey), state->group, {}});
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -13,6 +13,7 @@
 #include "forwarding/ratesharing.h"
 #include "forwarding/runnerconnectionpool.h"
 #include "forwarding/runnerprobe.h"
+#include "forwarding/unansweredattempts.h"
 #include "forwarding/usageclient.h"
 #include "http/listener.h"
 #include "metrics/exchangemetrics.h"
@@ -135,6 +136,7 @@
     forwarding::RunnerProbe m_runnerProbe;
     forwarding::CrashDetector<forwarding::RunnerProbe> m_crashDetector;
     forwarding::LivenessCheck<forwarding::RunnerProbe> m_livenessCheck;
+    forwarding::UnansweredAttempts m_unanswered;
     forwarding::BufferMemory m_answerMemory;
     turns::RelayServer m_relayServer;
     forwarding::ExchangeContext m_exchangeContext;
@@ -161,6 +163,8 @@
     std::chrono::steady_clock::time_point m_stopDeadline;
     bool m_wasReady = false;
     bool m_isStopping = false;
+    /** Whether a request has asked for a route that is not known. */
+    bool m_isNewerRoutingWanted = false;
 };
 
 }
--- a/src/libbriarhinge/forwarding/attempt.h
+++ b/src/libbriarhinge/forwarding/attempt.h
@@ -114,6 +114,7 @@
     void supersede()
     {
         m_hasHead = true;
+        m_isSuperseded = true;
         cancel();
     }
 
@@ -143,6 +144,12 @@
         return m_placement;
     }
 
+    /** @return whether the runner was sent the request and has not answered it whole */
+    bool isUnanswered() const
+    {
+        return m_connection && m_sentAt != Time() && !m_isSuperseded;
+    }
+
     /** @return the crash of the runner that a lost connection of this attempt would stand for */
     const placement::CrashId &crash() const
     {
@@ -246,6 +253,7 @@
         }
         m_response = std::move(response);
         m_hasHead = true;
+        m_shared.unanswered.runnerAnswered(m_placement.id, m_placement.startedAt, m_sentAt);
         m_shared.balancer.responseStarted(m_placement.id);
         if (m_response.load) {
             m_shared.balancer.loadReported(m_placement.id, *m_response.load, now());
@@ -462,6 +470,7 @@
     bool m_isPlaced = false;
     /** Whether the runner has started to respond. */
     bool m_hasHead = false;
+    bool m_isSuperseded = false;
     bool m_isStreaming = false;
 };
 
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -42,7 +42,7 @@
         : m_shared(context)
         , m_caller(std::move(caller))
         , m_state(std::chrono::steady_clock::now())
-        , m_routeStage(m_state, context.routing, context.retryDelay)
+        , m_routeStage(m_state, context.routing, context.retryDelay, context.stopDeadline)
         , m_deadlineStage(m_state, context.context,
                           [this] {
                               deadlineExpired();
@@ -399,6 +399,11 @@
     void cancelAttempt()
     {
         for (const auto &attempt : std::exchange(m_attempts, {})) {
+            if (attempt->isUnanswered()) {
+                m_shared.unanswered.record(
+                    {attempt->crash(), placement::crashedRequest(m_state.content()), attempt->placement().address},
+                    std::chrono::steady_clock::now());
+            }
             attempt->cancel();
         }
     }
--- a/src/libbriarhinge/forwarding/exchangecontext.h
+++ b/src/libbriarhinge/forwarding/exchangecontext.h
@@ -11,14 +11,17 @@
 #include "forwarding/exchangelog.h"
 #include "forwarding/permitclient.h"
 #include "forwarding/runnerconnectionpool.h"
+#include "forwarding/unansweredattempts.h"
 #include "forwarding/usageclient.h"
 #include "placement/suspecttable.h"
-#include "requests/routing.h"
+#include "stages/routestage.h"
 #include "turns/turnclient.h"
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/io_context.hpp>
 
@@ -50,6 +53,8 @@
     dispatch::RetryDelay &retryDelay;
     /** Requests under which runners have crashed. */
     placement::SuspectTable &suspects;
+    /** Attempts that ended in silence. */
+    UnansweredAttempts &unanswered;
     /** Memory for the answers that are being received. */
     BufferMemory &memory;
     /** Called with each attempt whose connection was lost. */
@@ -60,8 +65,10 @@
     std::function<void(const dispatch::Placement &, const dispatch::RateStatement &)> rateStated;
     /** Finds out whether the runner at an address lives, after it has closed a connection; see LivenessCheck. */
     std::function<void(const wire::Address &, std::function<void(bool)>)> checkLiveness;
-    /** Returns the routing in force; null while none is known. */
-    std::function<std::shared_ptr<const requests::Routing>()> routing;
+    /** The routing in force and how certain that is. */
+    stages::RoutingKnowledge routing;
+    /** Returns the time at which this process ends, once it has been told to stop. */
+    std::function<std::optional<std::chrono::steady_clock::time_point>()> stopDeadline;
 };
 
 }
--- a/src/libbriarhinge/stages/routestage.cpp
+++ b/src/libbriarhinge/stages/routestage.cpp
@@ -5,21 +5,29 @@
 namespace briarhinge::stages
 {
 
-RouteStage::RouteStage(RequestState &state, const RoutingSource &routing, dispatch::RetryDelay &retryDelay)
+RouteStage::RouteStage(RequestState &state, const RoutingKnowledge &routing, dispatch::RetryDelay &retryDelay,
+                       const StopDeadline &stopDeadline)
     : m_state(state)
     , m_routing(routing)
     , m_retryDelay(retryDelay)
+    , m_stopDeadline(stopDeadline)
 {
 }
 
 void RouteStage::enter(const StageHandler &onResult)
 {
-    m_state.routing = m_routing();
+    m_state.routing = m_routing.current();
     if (!m_state.routing) {
         onResult(refusal("no routing is known yet", m_retryDelay.recordFailure(std::chrono::steady_clock::now())));
         return;
     }
     m_state.route = m_state.routing->find(m_state.request.host, m_state.request.path);
+    if (m_state.route == nullptr && !m_routing.isCertain()) {
+        m_routing.askForNewer();
+        onResult(refusal("no route in a routing that may be old",
+                         m_retryDelay.recordFailure(std::chrono::steady_clock::now())));
+        return;
+    }
     if (m_state.route == nullptr) {
         onResult(Refusal{statusNotFound, requests::Outcome::Rejected, "no route", std::nullopt});
         return;
@@ -28,10 +36,27 @@
     m_state.record.route = route.name.value();
     m_state.record.routing = m_state.routing->version().value();
     m_state.deadline = m_state.arrivedAt + std::min(m_state.request.timeout.value_or(route.timeout), route.timeout);
+    if (!fitsBeforeStop()) {
+        onResult(refusal("this entry stops", base::Milliseconds(0)));
+        return;
+    }
     preparePlacement();
     onResult(Proceed{});
 }
 
+bool RouteStage::fitsBeforeStop()
+{
+    const std::optional<Time> end = m_stopDeadline();
+    if (!end) {
+        return true;
+    }
+    // A request that may run once only would end with an unknown outcome.
+    const bool isOnce = m_state.route->kind == requests::RouteKind::Once;
+    const Time needed = isOnce ? m_state.deadline : m_state.arrivedAt + m_state.route->latencyTarget;
+    m_state.deadline = std::min(m_state.deadline, *end);
+    return needed <= *end;
+}
+
 void RouteStage::preparePlacement()
 {
     const requests::CallerRequest &request = m_state.request;
--- a/src/libbriarhinge/stages/routestage.h
+++ b/src/libbriarhinge/stages/routestage.h
@@ -6,25 +6,43 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace briarhinge::stages
 {
 
+/** What an entry knows of the routing. */
+struct RoutingKnowledge
+{
+    /** Returns the newest known routing; null while none is known. */
+    std::function<std::shared_ptr<const requests::Routing>()> current;
+    /** Returns whether a newer routing would be known. */
+    std::function<bool()> isCertain;
+    /** Called when a request asks for a route that only a newer routing may have. */
+    std::function<void()> askForNewer;
+};
+
 /** Finds the route of a request and the service that it goes to. */
 class RouteStage
 {
 public:
-    /** Returns the routing in force; null while none is known. */
-    using RoutingSource = std::function<std::shared_ptr<const requests::Routing>()>;
+    using Time = RequestState::Time;
+    /** Returns the time at which this process ends, once it has been told to stop. */
+    using StopDeadline = std::function<std::optional<Time>()>;
 
     /**
      * @param state the request
-     * @param routing returns the routing in force
-     * @param retryDelay computes when callers should come back while no routing is known
+     * @param routing the known routing
+     * @param retryDelay computes when callers should come back while the routing is not known for certain
+     * @param stopDeadline returns when this process ends
      */
-    RouteStage(RequestState &state, const RoutingSource &routing, dispatch::RetryDelay &retryDelay);
+    RouteStage(RequestState &state, const RoutingKnowledge &routing, dispatch::RetryDelay &retryDelay,
+               const StopDeadline &stopDeadline);
 
-    /** @param onResult receives 404 when no route matches, 503 while no routing is known */
+    /**
+     * @param onResult receives 404 when no route matches, 503 while that may be for lack of knowledge, or when this
+     * process ends before the request could be answered
+     */
     void enter(const StageHandler &onResult);
 
     void leave()
@@ -33,10 +51,12 @@
 
 private:
     void preparePlacement();
+    bool fitsBeforeStop();
 
     RequestState &m_state;
-    const RoutingSource &m_routing;
+    const RoutingKnowledge &m_routing;
     dispatch::RetryDelay &m_retryDelay;
+    const StopDeadline &m_stopDeadline;
 };
 
 }
