--- a/tests/test_storegroup.cpp
+++ b/tests/test_storegroup.cpp
@@ -95,23 +95,41 @@
     const auto entry = [](const std::string &name, const std::string &address, const std::string &disk) {
         return R"({"name":")" + name + R"(","zone":"z","address":")" + address + R"(","disk":")" + disk + "\"}";
     };
+    const auto list = [](const std::vector<std::string> &entries) {
+        std::string joined;
+        for (const std::string &each : entries) {
+            joined += joined.empty() ? '[' : ',';
+            joined += each;
+        }
+        joined += ']';
+        return joined;
+    };
     const std::string a = entry("a", "127.0.0.1:7000", "a-1");
-    CHECK(parseStoreGroup(text("4", "[" + a + "]")).has_value());
-    std::string many = a;
+    CHECK(parseStoreGroup(text("4", list({a}))).has_value());
+    std::vector<std::string> many;
     for (int i = 0; i < 10'000; ++i) {
-        many += "," + entry("m" + std::to_string(i), "127.0.0.1:7000", "d" + std::to_string(i));
+        many.push_back(entry("m" + std::to_string(i), "127.0.0.1:7000", "d" + std::to_string(i)));
     }
     const std::string deep(100'000, '[');
-    for (const std::string &odd :
-         {text("-1", "[" + a + "]"), text("1.5", "[" + a + "]"), text("18446744073709551615", "[" + a + "]"),
-          text("1e400", "[" + a + "]"), text("\"4\"", "[" + a + "]"), text("4", "[]"), text("4", a), text("4", "null"),
-          text("4", "[" + a + "," + a + "]"), text("4", "[" + a + "," + entry("b", "127.0.0.1:7001", "a-1") + "]"),
-          text("4", "[" + entry("a", "127.0.0.1", "a-1") + "]"),
-          text("4", "[" + entry("a", "127.0.0.1:0", "a-1") + "]"),
-          text("4", "[" + entry("a", "127.0.0.1:65536", "a-1") + "]"),
-          text("4", "[" + entry("", "127.0.0.1:7000", "a-1") + "]"),
-          text("4", "[" + entry("a", "127.0.0.1:7000", "") + "]"), text("4", "[" + many + "]"), text("4", deep),
-          deep + std::string(deep.size(), ']')}) {
+    const std::vector<std::string> oddGroups{text("-1", list({a})),
+                                             text("1.5", list({a})),
+                                             text("18446744073709551615", list({a})),
+                                             text("1e400", list({a})),
+                                             text("\"4\"", list({a})),
+                                             text("4", "[]"),
+                                             text("4", a),
+                                             text("4", "null"),
+                                             text("4", list({a, a})),
+                                             text("4", list({a, entry("b", "127.0.0.1:7001", "a-1")})),
+                                             text("4", list({entry("a", "127.0.0.1", "a-1")})),
+                                             text("4", list({entry("a", "127.0.0.1:0", "a-1")})),
+                                             text("4", list({entry("a", "127.0.0.1:65536", "a-1")})),
+                                             text("4", list({entry("", "127.0.0.1:7000", "a-1")})),
+                                             text("4", list({entry("a", "127.0.0.1:7000", "")})),
+                                             text("4", list(many)),
+                                             text("4", deep),
+                                             deep + std::string(deep.size(), ']')};
+    for (const std::string &odd : oddGroups) {
         CHECK_FALSE_TEXT(parseStoreGroup(odd).has_value(), odd.substr(0, 200).c_str());
     }
 }
--- a/tests/test_storegroupmodel.cpp
+++ b/tests/test_storegroupmodel.cpp
@@ -54,10 +54,12 @@
             if (known.size() >= limit || !known.insert(reached.key()).second) {
                 continue;
             }
-            if (const std::string text = fault(reached); !text.empty()) {
-                return text + " after " + path + textOf(step) + " | " + reached.describe();
+            std::string longerPath = path;
+            longerPath += textOf(step);
+            if (std::string text = fault(reached); !text.empty()) {
+                return text.append(" after ").append(longerPath).append(" | ").append(reached.describe());
             }
-            open.emplace_back(std::move(reached), path + textOf(step));
+            open.emplace_back(std::move(reached), std::move(longerPath));
         }
     }
     return {};
@@ -96,9 +98,9 @@
             const Step step = list[*rc::gen::inRange<std::size_t>(0, list.size())];
             path += textOf(step);
             world.take(step);
-            const std::string text = i + 1 == length ? fault(world) : world.violation();
+            std::string text = i + 1 == length ? fault(world) : world.violation();
             if (!text.empty()) {
-                RC_FAIL(text + " after " + path + " | " + world.describe());
+                RC_FAIL(text.append(" after ").append(path).append(" | ").append(world.describe()));
             }
         }
     });
