--- a/tests/test_storegroup.cpp
+++ b/tests/test_storegroup.cpp
@@ -106,8 +106,10 @@
     };
     const std::string a = entry("a", "127.0.0.1:7000", "a-1");
     CHECK(parseStoreGroup(text("4", list({a}))).has_value());
+    constexpr int manyMembers = 10'000;
     std::vector<std::string> many;
-    for (int i = 0; i < 10'000; ++i) {
+    many.reserve(manyMembers);
+    for (int i = 0; i < manyMembers; ++i) {
         many.push_back(entry("m" + std::to_string(i), "127.0.0.1:7000", "d" + std::to_string(i)));
     }
     const std::string deep(100'000, '[');
