StoreGroup, UnansweredAttempts, RouteStage: Less state and fewer copies

GroupManager: one rule for silence, one line for a group that is too small. - Attempt: a superseded attempt is never asked whether it was answered. - UnansweredAttempts: the check each 50 ms no longer copies all attempts. - RouteStage: one branch for an unknown route. Checked: format, clang-tidy of the changed sources, unit groups StoreGroup*, GroupDecision, GroupManager, UnansweredAttempts, Stages, OddEntries, UnboundedAnswers, SecondTries passed.

--- a/src/libbriarhinge/forwarding/attempt.h
+++ b/src/libbriarhinge/forwarding/attempt.h
@@ -114,7 +114,6 @@
     void supersede()
     {
         m_hasHead = true;
-        m_isSuperseded = true;
         cancel();
     }
 
@@ -147,7 +146,7 @@
     /** @return whether the runner was sent the request and has not answered it whole */
     bool isUnanswered() const
     {
-        return m_connection && m_sentAt != Time() && !m_isSuperseded;
+        return m_connection && m_sentAt != Time();
     }
 
     /** @return the crash of the runner that a lost connection of this attempt would stand for */
@@ -470,7 +469,6 @@
     bool m_isPlaced = false;
     /** Whether the runner has started to respond. */
     bool m_hasHead = false;
-    bool m_isSuperseded = false;
     bool m_isStreaming = false;
 };
 
--- a/src/libbriarhinge/forwarding/exchangecontext.h
+++ b/src/libbriarhinge/forwarding/exchangecontext.h
@@ -17,11 +17,9 @@
 #include "stages/routestage.h"
 #include "turns/turnclient.h"
 
-#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
-#include <optional>
 
 #include <boost/asio/io_context.hpp>
 
@@ -68,7 +66,7 @@
     /** The routing in force and how certain that is. */
     stages::RoutingKnowledge routing;
     /** Returns the time at which this process ends, once it has been told to stop. */
-    std::function<std::optional<std::chrono::steady_clock::time_point>()> stopDeadline;
+    stages::RouteStage::StopDeadline stopDeadline;
 };
 
 }
--- a/src/libbriarhinge/forwarding/unansweredattempts.cpp
+++ b/src/libbriarhinge/forwarding/unansweredattempts.cpp
@@ -86,19 +86,23 @@
 std::vector<placement::CrashReport> UnansweredAttempts::takeReports(Time now)
 {
     std::vector<placement::CrashReport> reports;
-    std::deque<Pending> left;
     for (const Pending &pending : m_pending) {
-        if (pending.successorStart == 0 || now - pending.foundAt < simultaneity) {
-            left.push_back(pending);
-        } else if (!isExplainedByZone(pending)) {
+        if (isDue(pending, now) && !isExplainedByZone(pending)) {
             addTo(reports, pending.attempt);
         }
     }
-    m_pending = std::move(left);
+    std::erase_if(m_pending, [now](const Pending &pending) {
+        return isDue(pending, now);
+    });
     expire(now);
     return reports;
 }
 
+bool UnansweredAttempts::isDue(const Pending &pending, Time now)
+{
+    return pending.successorStart > 0 && now - pending.foundAt >= simultaneity;
+}
+
 bool UnansweredAttempts::isExplainedByZone(const Pending &pending) const
 {
     const auto distance = [](std::uint64_t left, std::uint64_t right) {
--- a/src/libbriarhinge/forwarding/unansweredattempts.h
+++ b/src/libbriarhinge/forwarding/unansweredattempts.h
@@ -98,11 +98,12 @@
         Time foundAt;
     };
 
+    static bool isDue(const Pending &pending, Time now);
     bool isExplainedByZone(const Pending &pending) const;
     void expire(Time now);
 
     std::deque<Pending> m_pending;
-    /** Runners that have started while they were known. */
+    /** Starts of runners that were registered lately. */
     std::deque<Restart> m_restarts;
 };
 
--- a/src/libbriarhinge/stages/routestage.cpp
+++ b/src/libbriarhinge/stages/routestage.cpp
@@ -22,14 +22,8 @@
         return;
     }
     m_state.route = m_state.routing->find(m_state.request.host, m_state.request.path);
-    if (m_state.route == nullptr && !m_routing.isCertain()) {
-        m_routing.askForNewer();
-        onResult(refusal("no route in a routing that may be old",
-                         m_retryDelay.recordFailure(std::chrono::steady_clock::now())));
-        return;
-    }
     if (m_state.route == nullptr) {
-        onResult(Refusal{statusNotFound, requests::Outcome::Rejected, "no route", std::nullopt});
+        onResult(refuseUnknownRoute());
         return;
     }
     const requests::Route &route = *m_state.route;
@@ -44,6 +38,16 @@
     onResult(Proceed{});
 }
 
+Refusal RouteStage::refuseUnknownRoute()
+{
+    if (m_routing.isCertain()) {
+        return {statusNotFound, requests::Outcome::Rejected, "no route", std::nullopt};
+    }
+    m_routing.askForNewer();
+    return refusal("no route in a routing that may be old",
+                   m_retryDelay.recordFailure(std::chrono::steady_clock::now()));
+}
+
 bool RouteStage::fitsBeforeStop()
 {
     const std::optional<Time> end = m_stopDeadline();
--- a/src/libbriarhinge/stages/routestage.h
+++ b/src/libbriarhinge/stages/routestage.h
@@ -51,6 +51,7 @@
 
 private:
     void preparePlacement();
+    Refusal refuseUnknownRoute();
     bool fitsBeforeStop();
 
     RequestState &m_state;
--- a/src/libbriarhinge/turns/groupdecision.cpp
+++ b/src/libbriarhinge/turns/groupdecision.cpp
@@ -19,6 +19,15 @@
     return found == members.end() ? nullptr : &*found;
 }
 
+/** @return the member with the lowest name, null if there is none */
+const StoreMember *firstByName(const Members &members)
+{
+    const auto first = std::min_element(members.begin(), members.end(), [](const auto &left, const auto &right) {
+        return left.name < right.name;
+    });
+    return first == members.end() ? nullptr : &*first;
+}
+
 Members replaceMember(Members members, const StoreName &name, const StoreMember &replacement)
 {
     std::replace_if(
@@ -98,9 +107,7 @@
             candidates.push_back(store);
         }
     }
-    const auto first = std::min_element(candidates.begin(), candidates.end(), [](const auto &left, const auto &right) {
-        return left.name < right.name;
-    });
+    const StoreMember *first = firstByName(candidates);
     // A smaller group could keep nothing; this store waits for more stores to register.
     const bool canKeepTurns = candidates.size() >= rule.copies();
     if (!view.canBootstrap || !canKeepTurns || first->name != view.self.name) {
@@ -150,8 +157,7 @@
 std::optional<Members> proposeShrink(const GroupView &view, const QuorumRule &rule)
 {
     const Members &current = view.group.current;
-    if (view.canShrink && view.retiring.contains(view.self.name)
-        && retirementObstacle(view, rule) == RetirementObstacle::None) {
+    if (view.canShrink && retirementObstacle(view, rule) == RetirementObstacle::None) {
         return withoutDisk(current, view.self.disk);
     }
     Members left = current;
@@ -175,13 +181,6 @@
     return proposeShrink(view, rule);
 }
 
-GroupView stableView(const GroupView &view)
-{
-    GroupView stable = view;
-    stable.group.next.clear();
-    return stable;
-}
-
 /** Next set, which is empty to abandon the change, proposed while a store joins. */
 std::optional<Members> proposeWhileJoining(const GroupView &view, const QuorumRule &rule, const Members &joining)
 {
@@ -191,7 +190,7 @@
                                            : std::optional(replaceMember(view.group.next, own->name, view.self));
     }
     if (!containsDisk(view.group.current, view.self.disk)) {
-        return isAnyIn(joining, view.unreachable) ? proposeWhileStable(stableView(view), rule) : std::nullopt;
+        return isAnyIn(joining, view.unreachable) ? proposeWhileStable(view, rule) : std::nullopt;
     }
     return isAnyIn(joining, view.lost) && reachesReadQuorum(view, rule) ? std::optional(Members()) : std::nullopt;
 }
@@ -208,7 +207,7 @@
         return std::nullopt;
     }
     if (!containsDisk(view.group.current, view.self.disk)) {
-        return proposeWhileStable(stableView(view), rule);
+        return proposeWhileStable(view, rule);
     }
     // The next set needs all its members, so it can't do without one that is gone.
     return reachesReadQuorum(view, rule) ? std::optional(Members()) : std::nullopt;
@@ -255,11 +254,8 @@
     if (!isInNext) {
         return isOnlyOneLeaving ? CopyTask::Push : CopyTask::None;
     }
-    const auto first = std::min_element(next.begin(), next.end(), [](const auto &left, const auto &right) {
-        return left.name < right.name;
-    });
     const bool isLeaverGone = !isOnlyOneLeaving || isEachIn(leaving, view.unreachable);
-    return first->disk == view.self.disk && isLeaverGone ? CopyTask::Spread : CopyTask::None;
+    return firstByName(next)->disk == view.self.disk && isLeaverGone ? CopyTask::Spread : CopyTask::None;
 }
 
 RetirementObstacle retirementObstacle(const GroupView &view, const QuorumRule &rule)
--- a/src/libbriarhinge/turns/groupmanager.h
+++ b/src/libbriarhinge/turns/groupmanager.h
@@ -125,8 +125,7 @@
                 logging::events::groupAdopted,
                 {{"epoch", group->epoch.value()}, {"members", group->current.size()}, {"next", group->next.size()}});
             if (group->current.size() < m_rule.copies()) {
-                m_log.write(logging::events::groupTooSmall,
-                            {{"members", group->current.size()}, {"needed", m_rule.copies()}});
+                reportTooSmall(group->current.size());
             }
         }
     }
@@ -261,11 +260,15 @@
         const bool isWaiting =
             m_group.epoch.value() == 0 && view.canBootstrap && view.registered.size() < m_rule.copies();
         if (isWaiting && !std::exchange(m_isMissingReported, true)) {
-            m_log.write(logging::events::groupTooSmall,
-                        {{"members", view.registered.size()}, {"needed", m_rule.copies()}});
+            reportTooSmall(view.registered.size());
         }
     }
 
+    void reportTooSmall(std::size_t members)
+    {
+        m_log.write(logging::events::groupTooSmall, {{"members", members}, {"needed", m_rule.copies()}});
+    }
+
     /** Members of both sets; a store whose disk is replaced occurs with either disk. */
     std::map<DiskId, StoreMember> contactedMembers(const StoreGroup &group) const
     {
@@ -280,6 +283,12 @@
         return members;
     }
 
+    /** Whether a disk has not responded for longer than the pause between two pings explains. */
+    bool isSilent(const Contact &contact, Time now) const
+    {
+        return now - contact.silentSince > m_timings.suspicionTimeout + m_timings.stablePingInterval;
+    }
+
     /** Forgets the disks that are not in @p group; the others are not suspected for a silence between two pings. */
     void resetContacts(const StoreGroup &group)
     {
@@ -289,7 +298,7 @@
             return !members.contains(item.first);
         });
         for (auto &[disk, contact] : m_contacts) {
-            if (now - contact.silentSince <= m_timings.suspicionTimeout + m_timings.stablePingInterval) {
+            if (!isSilent(contact, now)) {
                 contact.silentSince = now;
             }
         }
@@ -301,7 +310,7 @@
         const bool isStableMember =
             m_group.next.empty() && containsDisk(m_group.current, m_self.disk) && !m_retiring.contains(m_self.name);
         const bool isAnySilent = std::any_of(m_contacts.begin(), m_contacts.end(), [this, now](const auto &item) {
-            return now - item.second.silentSince > m_timings.suspicionTimeout + m_timings.stablePingInterval;
+            return isSilent(item.second, now);
         });
         if (isStableMember && !isAnySilent && now - m_lastPing < m_timings.stablePingInterval) {
             return;
--- a/src/libbriarhinge/turns/statetransfer.cpp
+++ b/src/libbriarhinge/turns/statetransfer.cpp
@@ -63,7 +63,6 @@
             others.push_back(member);
         }
     }
-    m_targetCount = members.size();
     m_pendingMembers = others.size();
     if (others.empty()) {
         finish();
@@ -154,7 +153,7 @@
 void StateTransfer::finish()
 {
     const bool isComplete =
-        m_isPush ? m_copiedDisks.size() == m_targetCount : hasReadQuorum(m_rule, m_group, m_copiedDisks);
+        m_isPush ? m_copiedDisks.size() == m_group.next.size() : hasReadQuorum(m_rule, m_group, m_copiedDisks);
     m_log.write(logging::events::stateFetched,
                 {{"epoch", m_group.epoch.value()},
                  {"members", m_copiedDisks.size()},
--- a/src/libbriarhinge/turns/statetransfer.h
+++ b/src/libbriarhinge/turns/statetransfer.h
@@ -52,7 +52,6 @@
     RespondingDisks m_copiedDisks;
     /** Members whose copy has not finished yet. */
     std::size_t m_pendingMembers = 0;
-    std::size_t m_targetCount = 0;
     std::size_t m_turnCount = 0;
     bool m_isPush = false;
     DoneHandler m_onDone;
