--- a/tests/system/platformstack.py
+++ b/tests/system/platformstack.py
@@ -122,8 +122,11 @@
 class PlatformStack(stack.Deployment):
     """A deployment on the users' platform: entries, turn stores, runners and the platform's store."""
 
-    def __init__(self, entries=3, runners=5):
+    def __init__(self, entries=3, runners=5, limits=None, request_limits=None):
+        """Starts the deployment; limits are those of the machine of each entry and turn store, as in the settings."""
         super().__init__()
+        self.limits = limits or {}
+        self.routing = {**ROUTING, "limits": {**ROUTING["limits"], **(request_limits or {})}}
         self.runners = []
         self.entries = {}
         self._is_store_paused = False
@@ -140,7 +143,7 @@
     def _start(self, entries, runners):
         self.run("store", [os.path.join(stack.BUILD, "standins", "standin-platformstore"), "--listen", self.store])
         stack.wait_until(lambda: is_listening(self.store), "the platform's store")
-        self.put("op/config", json.dumps(ROUTING))
+        self.put("op/config", json.dumps(self.routing))
         for service in ("chat", "tools"):
             for i in range(runners):
                 runner = Runner(self, f"{service}-{i}", service, ZONES[i % len(ZONES)])
@@ -176,11 +179,14 @@
                  f"seed_nodes = {json.dumps(self._seeds)}", "[listen_addrs]",
                  *(f'{key} = "{host}:{port}"' for key, port in listens.items()),
                  "[fault_tolerance]", f"machines = {DISK_LOSSES}", "[platform]", f'address = "{self.store}"']
+        if self.limits:
+            lines += ["[limits]", *(f"{key} = {value}" for key, value in self.limits.items())]
         with open(path, "w", encoding="utf-8") as settings:
             settings.write("\n".join(lines) + "\n")
         if role == "entry":
             self.entries[name] = host
-        self.run(name, [os.path.join(stack.BUILD, "briarhinge-node"), role, "--settings", path])
+        self.run(name, [os.path.join(stack.BUILD, "briarhinge-node"), role, "--settings", path],
+                 max_descriptors=self.limits.get("max_fds"))
 
     def wait_ready(self, name):
         """Waits until an entry is ready."""
--- a/tests/system/stack.py
+++ b/tests/system/stack.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import os
+import resource
 import shutil
 import signal
 import socket
@@ -83,16 +84,23 @@
 class Process:
     """One process that this stack started."""
 
-    def __init__(self, name, command, log):
+    def __init__(self, name, command, log, environment=None, max_descriptors=None):
         self.name = name
         self.command = command
         self.log = log
+        self.environment = environment or {}
+        self.max_descriptors = max_descriptors
         self.popen = None
 
+    def _limit_descriptors(self):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_descriptors, self.max_descriptors))
+
     def start(self):
         """Starts the process; its output is appended to its log."""
         with open(self.log, "ab") as output:
-            self.popen = subprocess.Popen(self.command, stdout=output, stderr=output)
+            self.popen = subprocess.Popen(self.command, stdout=output, stderr=output,
+                                          env={**os.environ, **self.environment},
+                                          preexec_fn=self._limit_descriptors if self.max_descriptors else None)
 
     def signal(self, number):
         """Sends a signal to the process."""
@@ -140,9 +148,9 @@
         """Returns the path of a file in the folder of this deployment."""
         return os.path.join(self.folder, name)
 
-    def run(self, name, command):
-        """Starts a process under a name."""
-        process = Process(name, command, self.path(name + ".log"))
+    def run(self, name, command, environment=None, max_descriptors=None):
+        """Starts a process under a name, with further variables and a limit on its descriptors where given."""
+        process = Process(name, command, self.path(name + ".log"), environment, max_descriptors)
         self.processes[name] = process
         process.start()
         return process
@@ -205,17 +213,17 @@
         with open(self.path(name + ".effects"), encoding="utf-8") as lines:
             return lines.read().splitlines()
 
-    def _start_daemon(self, role, name, zone, *flags):
+    def _start_daemon(self, role, name, zone, *flags, **limits):
         frames, http = free_port(), free_port()
         self.run(name, [os.path.join(BUILD, "src", "briarhinged"), "--role", role, "--name", name, "--zone", zone,
                         "--listen", f"127.0.0.1:{frames}", "--http-listen", f"127.0.0.1:{http}",
                         "--key-value", self.key_value, "--vm-list", self.vm_list, "--vm-list-interval", "100",
-                        *flags])
+                        *flags], **limits)
         return f"127.0.0.1:{frames}", f"http://127.0.0.1:{http}"
 
-    def entry(self, name, zone, *flags):
-        """Starts an entry and lists its VM."""
-        address, http = self._start_daemon("entry", name, zone, *flags)
+    def entry(self, name, zone, *flags, **limits):
+        """Starts an entry and lists its VM; see run() for the limits."""
+        address, http = self._start_daemon("entry", name, zone, *flags, **limits)
         self.entries[name] = http
         self.vms.append({"name": name, "zone": zone, "role": "entry", "address": address})
         return http
@@ -301,12 +309,12 @@
         self.history = None
         self.number = 1
 
-    def open(self):
+    def open(self, timeout=30):
         """Opens the program; returns status and reply."""
         body = {"id": self.program, "kind": self.kind, "account": self.account}
         if self.parent:
             body["parent"] = self.parent
-        status, reply = send_request("POST", self.entry + "/v1/programs", json.dumps(body))
+        status, reply = send_request("POST", self.entry + "/v1/programs", json.dumps(body), timeout)
         return status, json.loads(reply)
 
     def call(self, number=None, timeout=30, **body):
@@ -341,7 +349,7 @@
         return status, json.loads(reply)
 
 
-def small_stack(entries=2, engines=2, entry_flags=(), engine_flags=(), runner_flags=()):
+def small_stack(entries=2, engines=2, entry_flags=(), engine_flags=(), runner_flags=(), **entry_limits):
     """Starts a small deployment: entries and engines over two zones and one tool service."""
     stack = Stack()
     try:
@@ -351,7 +359,7 @@
         tool = stack.tool("orders")
         stack.runner("runner-orders", "rwc-a", tool, "tool", "orders", ["charge", "search"], *runner_flags)
         for i in range(entries):
-            stack.entry(f"entry-{i}", "rwc-" + "ab"[i % 2], *entry_flags)
+            stack.entry(f"entry-{i}", "rwc-" + "ab"[i % 2], *entry_flags, **entry_limits)
         stack.publish()
         stack.wait_ready()
     except BaseException:
