MemoryBudget: What an entry buffers for all callers stays within its machine's memory

Callers saw: an entry ended when many of them sent bodies at once and stopped just short of their end; so did all requests on it. Cause: every connection had limits of its own, and nobody counted what all of them hold together. `memory_mb` of the settings was read by nobody. Three more kept memory: a connection that was refused kept the body that it had received, a kept connection to a runner the request that it had sent, and glibc the large buffers that were freed, once one of them had raised its threshold. Now: one budget for the process, half of its machine's memory, of which every buffered byte is a part: input, bodies until their request ends, the text sent to runners, copies of a turn while it is stored, answers, and what callers do not read. A fifth of it is for small requests only. When it is used up, the largest unfinished request that has stopped growing gives way (503 with Retry-After, which is true: it has not arrived), for small requests also one that grows; without one, the request that needs more is refused at once. Requests in progress never give way. `UnboundedAnswers.answersShareABoundedMemoryAndSmallOnesAlwaysFit` tested `BufferMemory`, which this replaces: small answers were taken beyond any limit.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -34,10 +34,6 @@
 constexpr base::Milliseconds seedTimeout{500};
 /** Percentage of the time limit for revoked keys after which the accounts are confirmed again: two reads may be lost. */
 constexpr int confirmationShare = 40;
-/** Memory for all answers that are being received; an entry has some 100 MB in all. */
-constexpr std::size_t answerMemoryBytes = std::size_t{32} * 1024 * 1024;
-/** An answer of this size is received whatever the others use. */
-constexpr std::size_t smallAnswerBytes = std::size_t{64} * 1024;
 /** Time before SIGKILL at which requests that are still running are aborted. */
 constexpr base::Milliseconds stopMargin{400};
 /** Time for the last answers to leave before the process ends. */
@@ -55,6 +51,7 @@
     : m_context(context)
     , m_settings(settings)
     , m_log(log)
+    , m_memory(settings.machine.bufferBytes())
     , m_exchangeLog(log, m_metrics)
     , m_store(context, settings.storeAddress)
     , m_watch(context, m_store, log, settings.changeTimeLimit)
@@ -84,7 +81,6 @@
                           m_crashSharing.publish(report);
                       })
     , m_livenessCheck(m_runnerProbe)
-    , m_answerMemory(answerMemoryBytes, smallAnswerBytes)
     , m_relayServer(
           context, m_peers,
           [this](const wire::Address &address) {
@@ -113,7 +109,7 @@
                         m_retryDelay,
                         m_suspects,
                         m_unanswered,
-                        m_answerMemory,
+                        m_memory,
                         [this](const forwarding::LostAttempt &lost) {
                             m_crashDetector.connectionLost(lost);
                         },
@@ -148,21 +144,22 @@
     const auto limits = [this] {
         return m_routing ? m_routing->limits() : http::ServerLimits{};
     };
-    m_callerListener =
-        std::make_unique<http::Listener>(m_context, limits, [this](const auto &connection, auto request) {
+    m_callerListener = std::make_unique<http::Listener>(
+        m_context, limits, http::ListenerLimits{m_memory}, [this](const auto &connection, auto request) {
             std::make_shared<Exchange>(m_exchangeContext, connection)->start(std::move(request));
         });
+    const http::ListenerLimits checkResources{m_memory};
     const auto plainLimits = [] {
         return http::ServerLimits{};
     };
-    m_readinessListener =
-        std::make_unique<http::Listener>(m_context, plainLimits, [this](const auto &connection, const auto &) {
-            answerReadiness(connection);
-        });
-    m_metricsListener =
-        std::make_unique<http::Listener>(m_context, plainLimits, [this](const auto &connection, const auto &) {
-            connection->respond({statusOk, {}}, m_metrics.text());
-        });
+    m_readinessListener = std::make_unique<http::Listener>(m_context, plainLimits, checkResources,
+                                                           [this](const auto &connection, const auto &) {
+                                                               answerReadiness(connection);
+                                                           });
+    m_metricsListener = std::make_unique<http::Listener>(m_context, plainLimits, checkResources,
+                                                         [this](const auto &connection, const auto &) {
+                                                             connection->respond({statusOk, {}}, m_metrics.text());
+                                                         });
     if (!m_settings.callerAddress || !m_settings.readinessAddress) {
         return "an entry needs listen_addrs.front and listen_addrs.ready";
     }
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "base/memorybudget.h"
 #include "dispatch/loadbalancer.h"
 #include "dispatch/overloaddetector.h"
 #include "dispatch/retrydelay.h"
-#include "forwarding/buffermemory.h"
 #include "forwarding/crashdetector.h"
 #include "forwarding/crashsharing.h"
 #include "forwarding/exchange.h"
@@ -117,6 +117,7 @@
     platform::NodeSettings m_settings;
     logging::EventLog &m_log;
     metrics::ExchangeMetrics m_metrics;
+    const base::MemoryBudget m_memory;
     forwarding::ExchangeLog m_exchangeLog;
     platform::StoreClient m_store;
     platform::StoreWatch m_watch;
@@ -137,7 +138,6 @@
     forwarding::CrashDetector<forwarding::RunnerProbe> m_crashDetector;
     forwarding::LivenessCheck<forwarding::RunnerProbe> m_livenessCheck;
     forwarding::UnansweredAttempts m_unanswered;
-    forwarding::BufferMemory m_answerMemory;
     turns::RelayServer m_relayServer;
     forwarding::ExchangeContext m_exchangeContext;
     /** Relay addresses of other entries by the keys of their registrations. */
--- a/src/briarhingenode/main.cpp
+++ b/src/briarhingenode/main.cpp
@@ -157,6 +157,7 @@
 
 int main(int argc, char **argv)
 {
+    base::returnFreedMemory();
     const char *variable = std::getenv(settingsVariable);
     cxxopts::Options options("briarhinge-node", "A process of briarhinge on the users' platform");
     options.add_options()("role", "entry or turn-store", cxxopts::value<std::string>())(
--- a/src/libbriarhinge/forwarding/attempt.h
+++ b/src/libbriarhinge/forwarding/attempt.h
@@ -457,7 +457,7 @@
     requests::RunnerResponse m_response;
     std::string m_body;
     EventStream m_events;
-    BufferMemory::Share m_memory;
+    base::MemoryBudget::Share m_memory;
     std::size_t m_answerBytes = 0;
     Time m_sentAt;
     /** The crash that this attempt would cause. */
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -56,6 +56,7 @@
         , m_stages(m_routeStage, m_deadlineStage, m_accountStage, m_usageStage, m_turnStage, m_programStage,
                    m_suspectStage, m_placementStage)
         , m_secondTry(context, m_state)
+        , m_memory(context.memory)
     {
     }
 
@@ -115,6 +116,8 @@
             refuse(*refusal);
         } else if (std::holds_alternative<stages::OutOfTime>(result)) {
             deadlineExpired();
+        } else if (!reserveMemory()) {
+            giveUp("no memory for the request", stages::memoryRetryDelay);
         } else {
             const bool isFirstTry = m_state.record.attempts == 0;
             startAttempt(m_state.placement);
@@ -131,11 +134,21 @@
         if (m_isFinished || m_attempts.size() != 1 || !canRepeat()) {
             return;
         }
-        if (const auto second = m_secondTry.decide(m_attempts.front()->placement())) {
+        const auto second = m_secondTry.decide(m_attempts.front()->placement());
+        if (second && reserveMemory()) {
             startAttempt(*second);
         }
     }
 
+    /** Reserves the memory for another attempt and for what follows it. @return whether there is enough */
+    bool reserveMemory()
+    {
+        const std::size_t bodyBytes = m_state.request.body.size();
+        const std::size_t sentBytes = m_state.prompt.size() + bodyBytes;
+        const std::size_t storedCopies = m_state.isStoredTurn() ? m_shared.turns.copiesWhileStoring() : 0;
+        return m_memory.resize(m_state.prompt.size() + (m_attempts.size() + 1) * sentBytes + storedCopies * bodyBytes);
+    }
+
     void startAttempt(const dispatch::Placement &placement)
     {
         AttemptHandlers handlers;
@@ -417,6 +430,7 @@
         m_secondTry.cancel();
         m_attempts.clear();
         m_attempt.reset();
+        m_memory.clear();
         m_caller->setDisconnectHandler(nullptr);
         m_state.record.duration = m_state.elapsedTime();
         m_shared.log.ended(m_state.record, outcome, status);
@@ -437,6 +451,8 @@
                      stages::ProgramStage, stages::SuspectStage, PlacementStage>
         m_stages;
     SecondTry m_secondTry;
+    /** Memory for the chain, the requests to runners and the turn to be stored. */
+    base::MemoryBudget::Share m_memory;
     /** The attempts under way, in the order in which they began. */
     std::vector<std::shared_ptr<Attempt<Format>>> m_attempts;
     /** The attempt that ended last. */
--- a/src/libbriarhinge/forwarding/exchangecontext.h
+++ b/src/libbriarhinge/forwarding/exchangecontext.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "accounts/accountknowledge.h"
+#include "base/memorybudget.h"
 #include "dispatch/loadbalancer.h"
 #include "dispatch/programadmission.h"
 #include "dispatch/retrydelay.h"
 #include "dispatch/returnschedule.h"
 #include "dispatch/secondtries.h"
-#include "forwarding/buffermemory.h"
 #include "forwarding/crashdetector.h"
 #include "forwarding/exchangelog.h"
 #include "forwarding/permitclient.h"
@@ -53,8 +53,8 @@
     placement::SuspectTable &suspects;
     /** Attempts that ended in silence. */
     UnansweredAttempts &unanswered;
-    /** Memory for the answers that are being received. */
-    BufferMemory &memory;
+    /** Memory for what the exchanges hold besides the requests as they were received. */
+    const base::MemoryBudget &memory;
     /** Called with each attempt whose connection was lost. */
     std::function<void(const LostAttempt &)> connectionLost;
     /** Called with each attempt in whose answer the runner says that it leaves, and the time since it was sent. */
--- a/src/libbriarhinge/http/clientconnection.cpp
+++ b/src/libbriarhinge/http/clientconnection.cpp
@@ -116,6 +116,7 @@
     }
     asio::async_write(d->socket, asio::buffer(d->request), [self = shared_from_this()](error_code error, std::size_t) {
         self->d->isSending = false;
+        self->d->request = {};
         // The pending read reports the response or the end of the connection.
         if (error) {
             self->d->isReusable = false;
--- a/src/libbriarhinge/http/listener.cpp
+++ b/src/libbriarhinge/http/listener.cpp
@@ -1,5 +1,7 @@
 #include "http/listener.h"
 
+#include <utility>
+
 #include <boost/asio/ip/address.hpp>
 
 namespace briarhinge::http
@@ -9,10 +11,11 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-Listener::Listener(asio::io_context &context, std::function<ServerLimits()> limits,
+Listener::Listener(asio::io_context &context, std::function<ServerLimits()> limits, ListenerLimits resources,
                    ServerConnection::RequestHandler onRequest)
     : m_acceptor(context)
     , m_limits(std::move(limits))
+    , m_resources(resources)
     , m_onRequest(std::move(onRequest))
 {
 }
@@ -45,20 +48,26 @@
             return;
         }
         if (!error) {
-            const auto connection =
-                std::make_shared<ServerConnection>(std::move(socket), m_limits, m_onRequest, [this](const auto &ended) {
-                    m_connections.erase(ended);
-                });
-            m_connections.insert(connection);
-            if (m_isDraining) {
-                connection->closeAfterResponse();
-            }
-            connection->start();
+            handleAccepted(std::move(socket));
         }
         accept();
     });
 }
 
+void Listener::handleAccepted(tcp::socket socket)
+{
+    const auto connection =
+        std::make_shared<ServerConnection>(std::move(socket), m_limits, m_resources.memory, m_resources.refusalFormat,
+                                           m_onRequest, [this](const auto &ended) {
+                                               m_connections.erase(ended);
+                                           });
+    m_connections.insert(connection);
+    if (m_isDraining) {
+        connection->closeAfterResponse();
+    }
+    connection->start();
+}
+
 void Listener::stopAccepting()
 {
     error_code ignored;
--- a/src/libbriarhinge/http/listener.h
+++ b/src/libbriarhinge/http/listener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/memorybudget.h"
 #include "http/serverconnection.h"
 #include "wire/address.h"
 
@@ -15,6 +16,14 @@
 namespace briarhinge::http
 {
 
+/** What all connections of a listener together may use, and what those are told for which there is no room. */
+struct ListenerLimits
+{
+    /** Memory for what they receive and send. */
+    base::MemoryBudget memory;
+    RefusalFormat refusalFormat = plainRefusal;
+};
+
 /** Accepts HTTP connections on one address and owns them until they end. */
 class Listener
 {
@@ -22,9 +31,10 @@
     /**
      * @param context runs the connections
      * @param limits returns the current limits for requests
+     * @param resources the limits for all connections together
      * @param onRequest called for each request
      */
-    Listener(boost::asio::io_context &context, std::function<ServerLimits()> limits,
+    Listener(boost::asio::io_context &context, std::function<ServerLimits()> limits, ListenerLimits resources,
              ServerConnection::RequestHandler onRequest);
 
     /**
@@ -52,9 +62,11 @@
 
 private:
     void accept();
+    void handleAccepted(boost::asio::ip::tcp::socket socket);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::function<ServerLimits()> m_limits;
+    const ListenerLimits m_resources;
     ServerConnection::RequestHandler m_onRequest;
     std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
     bool m_isDraining = false;
--- a/src/libbriarhinge/http/serverconnection.cpp
+++ b/src/libbriarhinge/http/serverconnection.cpp
@@ -2,10 +2,13 @@
 
 #include "http/socketoptions.h"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <optional>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -33,14 +36,21 @@
 constexpr std::size_t readBytes = 4096;
 /** Time for the caller to read the last response before the connection is closed. */
 constexpr base::Milliseconds lingerTimeout{1000};
-/** Allows for a body of the maximum size over a slow link. */
-constexpr base::Milliseconds bodyTimeout{10'000};
 /** Largest line of a chunk, or block of trailers, that is received. */
 constexpr std::size_t maxFramingBytes = std::size_t{16} * 1024;
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusTimeout = 408;
 constexpr unsigned statusTooLarge = 413;
 constexpr unsigned statusHeadTooLarge = 431;
+constexpr unsigned statusUnavailable = 503;
+/** Memory of a connection besides its buffers. */
+constexpr std::size_t connectionBytes = 4096;
+/** Input buffer that a connection keeps while it is idle. */
+constexpr std::size_t idleInputBytes = std::size_t{8} * 1024;
+/** Unsent output from which a caller is taken not to read its response; a slow reader has less in transit. */
+constexpr std::size_t unreadOutputBytes = std::size_t{64} * 1024;
+/** Time after which a request that found no room may be repeated: stalled ones have given way by then. */
+constexpr std::chrono::seconds retryDelay{1};
 
 std::string encodeHead(const OutgoingResponseHead &head, bool isKeepAlive)
 {
@@ -60,6 +70,27 @@
     return text;
 }
 
+std::string_view toText(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/** @return the size of the body that a request announces, if it does */
+std::optional<std::uint64_t> announcedBytes(const Parser &parser)
+{
+    const std::string_view text = toText(parser.get()[beast::http::field::content_length]);
+    std::uint64_t bytes = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), bytes);
+    return text.empty() || error != std::errc() ? std::nullopt : std::optional(bytes);
+}
+
+/** @return memory of the part of a body that has arrived; what is only reserved has no pages yet */
+std::size_t bodyBytes(const Parser &parser)
+{
+    const std::string &body = parser.get().body();
+    return std::min(body.capacity(), 2 * body.size());
+}
+
 bool hasNoBody(unsigned status)
 {
     constexpr unsigned noContent = 204;
@@ -72,12 +103,14 @@
 class ServerConnection::Private
 {
 public:
-    Private(tcp::socket connected, std::function<ServerLimits()> readLimits, RequestHandler requestHandler,
-            CloseHandler closeHandler)
+    Private(tcp::socket connected, std::function<ServerLimits()> readLimits, const base::MemoryBudget &budget,
+            RefusalFormat format, RequestHandler requestHandler, CloseHandler closeHandler)
         : socket(std::move(connected))
         , timer(socket.get_executor())
+        , memory(budget)
         , input(inputBufferBytes)
         , currentLimits(std::move(readLimits))
+        , refusalFormat(std::move(format))
         , onRequest(std::move(requestHandler))
         , onClose(std::move(closeHandler))
     {
@@ -85,15 +118,21 @@
 
     tcp::socket socket;
     asio::steady_timer timer;
+    base::MemoryBudget::Share memory;
     beast::flat_buffer input;
     std::optional<Parser> parser;
     std::function<ServerLimits()> currentLimits;
     ServerLimits limits;
+    RefusalFormat refusalFormat;
     RequestHandler onRequest;
     CloseHandler onClose;
     std::function<void()> onDisconnect;
     std::string outgoing;
     std::string writing;
+    /** Size of the request that is being handled. */
+    std::size_t requestBytes = 0;
+    Time stateSince;
+    std::size_t requestCount = 0;
     bool isKeepAlive = true;
     bool isHeadRequest = false;
     bool isBusy = false;
@@ -104,12 +143,26 @@
     bool isCloseRequested = false;
     /** Whether the last response has been given; further input is read and discarded. */
     bool isDiscarding = false;
+    /** Whether the rest of the response is not sent since the caller does not read it. */
+    bool isAbandoned = false;
+    bool isReclaimable = false;
     bool isClosed = false;
 };
 
-ServerConnection::ServerConnection(tcp::socket socket, std::function<ServerLimits()> limits, RequestHandler onRequest,
-                                   CloseHandler onClose)
-    : d(std::make_unique<Private>(std::move(socket), std::move(limits), std::move(onRequest), std::move(onClose)))
+OutgoingResponse plainRefusal(const RefusedRequest &request)
+{
+    OutgoingResponse response{{request.status, {}}, {}};
+    if (request.retryDelay) {
+        response.head.headers.add("Retry-After", std::to_string(request.retryDelay->count()));
+    }
+    return response;
+}
+
+ServerConnection::ServerConnection(tcp::socket socket, std::function<ServerLimits()> limits,
+                                   const base::MemoryBudget &memory, RefusalFormat refusalFormat,
+                                   RequestHandler onRequest, CloseHandler onClose)
+    : d(std::make_unique<Private>(std::move(socket), std::move(limits), memory, std::move(refusalFormat),
+                                  std::move(onRequest), std::move(onClose)))
 {
 }
 
@@ -119,6 +172,10 @@
 {
     setConnectionOptions(d->socket, d->currentLimits().peerTimeout);
     awaitRequest();
+    if (!accountMemory()) {
+        closeNow();
+        return;
+    }
     readMore();
 }
 
@@ -132,6 +189,94 @@
     return d->isBusy;
 }
 
+ConnectionState ServerConnection::state() const
+{
+    if (d->isDiscarding) {
+        return ConnectionState::Closing;
+    }
+    if (d->isBusy) {
+        return hasUnreadOutput() ? ConnectionState::Unread : ConnectionState::Busy;
+    }
+    if (d->hasPartialRequest) {
+        return ConnectionState::Receiving;
+    }
+    return d->requestCount == 0 ? ConnectionState::Unused : ConnectionState::Idle;
+}
+
+ServerConnection::Executor ServerConnection::executor()
+{
+    return d->socket.get_executor();
+}
+
+ServerConnection::Time ServerConnection::stateSince() const
+{
+    return d->stateSince;
+}
+
+void ServerConnection::enterState()
+{
+    d->stateSince = std::chrono::steady_clock::now();
+    updateReclaimHandler();
+}
+
+void ServerConnection::giveWay()
+{
+    const auto self = shared_from_this();
+    switch (state()) {
+    case ConnectionState::Busy:
+        return;
+    case ConnectionState::Receiving:
+        refuse(statusUnavailable);
+        return;
+    case ConnectionState::Unread:
+        abandonResponse();
+        return;
+    case ConnectionState::Closing:
+    case ConnectionState::Unused:
+    case ConnectionState::Idle:
+        closeNow();
+        return;
+    }
+}
+
+void ServerConnection::abandonResponse()
+{
+    d->isAbandoned = true;
+    d->outgoing = {};
+    accountMemory();
+    // The sender of the response may be on the stack, and is told that the caller has disconnected.
+    asio::post(d->socket.get_executor(), [self = shared_from_this()] {
+        self->closeNow();
+    });
+}
+
+bool ServerConnection::hasUnreadOutput() const
+{
+    return d->writing.size() + d->outgoing.size() >= unreadOutputBytes;
+}
+
+bool ServerConnection::accountMemory()
+{
+    return d->memory.resize(connectionBytes + d->input.capacity() + (d->parser ? bodyBytes(*d->parser) : 0)
+                            + d->requestBytes + d->outgoing.size() + d->writing.size());
+}
+
+void ServerConnection::updateReclaimHandler()
+{
+    const bool isReclaimable = !d->isClosed && !d->isAbandoned && state() != ConnectionState::Busy;
+    if (isReclaimable == d->isReclaimable) {
+        return;
+    }
+    d->isReclaimable = isReclaimable;
+    if (isReclaimable) {
+        d->memory.setReclaimHandler([this] {
+            giveWay();
+        });
+    } else {
+        d->memory.clearReclaimHandler();
+    }
+}
+
 void ServerConnection::startTimer(base::Milliseconds limit)
 {
     d->timer.expires_after(limit);
@@ -164,6 +309,7 @@
     d->parser->body_limit(d->limits.maxBodyBytes);
     d->isResponseEnded = false;
     d->hasPartialRequest = false;
+    enterState();
     startTimer(d->limits.idleTimeout);
 }
 
@@ -173,6 +319,9 @@
     if (d->isReading || d->isClosed || isFull) {
         return;
     }
+    if (d->input.size() == 0 && d->input.capacity() > idleInputBytes) {
+        d->input.shrink_to_fit();
+    }
     d->isReading = true;
     d->socket.async_read_some(d->input.prepare(readBytes),
                               [self = shared_from_this()](error_code error, std::size_t size) {
@@ -198,17 +347,22 @@
     while (!d->isBusy && !d->isClosed && d->input.size() > 0) {
         if (!d->hasPartialRequest) {
             d->hasPartialRequest = true;
+            enterState();
             startTimer(d->limits.headTimeout);
         }
         error_code error;
         d->input.consume(d->parser->put(d->input.data(), error));
+        if (!accountMemory()) {
+            refuse(statusUnavailable);
+            return;
+        }
+        const bool isIncomplete = !error || error == beast::http::error::need_more;
+        if (isIncomplete && d->parser->is_header_done()) {
+            startTimer(d->limits.bodyTimeout);
+        }
         if (error == beast::http::error::need_more) {
             if (!isWithinBuffer()) {
                 refuse(d->parser->is_header_done() ? statusTooLarge : statusHeadTooLarge);
-                return;
-            }
-            if (d->parser->is_header_done()) {
-                startTimer(bodyTimeout);
             }
             return;
         }
@@ -220,8 +374,6 @@
             refuse(statusBadRequest);
         } else if (d->parser->is_done()) {
             requestReceived();
-        } else if (d->parser->is_header_done()) {
-            startTimer(bodyTimeout);
         }
     }
 }
@@ -237,6 +389,8 @@
 {
     d->timer.cancel();
     d->isBusy = true;
+    ++d->requestCount;
+    enterState();
     d->onDisconnect = nullptr;
     IncomingRequest request;
     auto message = d->parser->release();
@@ -250,14 +404,22 @@
         request.headers.add(std::string(field.name_string()), std::string(field.value()));
     }
     request.body = std::move(message.body());
+    d->requestBytes = request.body.capacity();
     d->onRequest(shared_from_this(), std::move(request));
 }
 
 void ServerConnection::refuse(unsigned status)
 {
+    RefusedRequest refused{status, announcedBytes(*d->parser), std::nullopt};
+    if (status == statusUnavailable) {
+        refused.retryDelay = retryDelay;
+    }
     d->isBusy = true;
     d->isKeepAlive = false;
-    respond({status, {}}, {});
+    d->parser.reset();
+    enterState();
+    const OutgoingResponse response = d->refusalFormat(refused);
+    respond(response.head, response.body);
 }
 
 void ServerConnection::respond(const OutgoingResponseHead &head, std::string_view body)
@@ -315,6 +477,9 @@
 
 void ServerConnection::write(std::string bytes)
 {
+    if (d->isAbandoned) {
+        return;
+    }
     if (d->outgoing.empty()) {
         d->outgoing = std::move(bytes);
     } else {
@@ -323,6 +488,10 @@
     if (d->writing.empty()) {
         writeNext();
     }
+    if (!accountMemory()) {
+        abandonResponse();
+    }
+    updateReclaimHandler();
 }
 
 void ServerConnection::writeNext()
@@ -337,6 +506,8 @@
             self->closeNow();
             return;
         }
+        self->accountMemory();
+        self->updateReclaimHandler();
         if (!self->d->outgoing.empty()) {
             self->writeNext();
         } else if (self->d->isResponseEnded) {
@@ -349,6 +520,8 @@
 {
     d->isBusy = false;
     d->onDisconnect = nullptr;
+    d->requestBytes = 0;
+    accountMemory();
     if (!d->isKeepAlive || d->isCloseRequested) {
         closeGracefully();
         return;
@@ -364,6 +537,7 @@
     d->isDiscarding = true;
     d->isCloseRequested = true;
     d->input.clear();
+    enterState();
     error_code ignored;
     d->socket.shutdown(tcp::socket::shutdown_send, ignored);
     d->timer.expires_after(lingerTimeout);
@@ -404,6 +578,8 @@
     error_code ignored;
     d->timer.cancel();
     d->socket.close(ignored);
+    d->memory.clearReclaimHandler();
+    d->memory.clear();
     if (const auto onDisconnect = std::exchange(d->onDisconnect, nullptr); onDisconnect && d->isBusy) {
         onDisconnect();
     }
--- a/src/libbriarhinge/stages/stage.h
+++ b/src/libbriarhinge/stages/stage.h
@@ -23,6 +23,8 @@
 
 /** Retry delay when turn stores or runners are unavailable because of a fault. */
 inline constexpr base::Milliseconds faultRetryDelay{250};
+/** Retry delay when memory has run out: requests that have stalled have given way by then. */
+inline constexpr base::Milliseconds memoryRetryDelay{1000};
 
 /** The request goes on to the next stage. */
 struct Proceed
--- a/src/libbriarhinge/turns/turnclient.cpp
+++ b/src/libbriarhinge/turns/turnclient.cpp
@@ -83,6 +83,12 @@
     return disks;
 }
 
+std::size_t TurnClient::copiesWhileStoring() const
+{
+    // A frame for each member, the turn itself and the record that the frames are made of.
+    return m_group.members().size() + 2;
+}
+
 bool TurnClient::isIsolated() const
 {
     RespondingDisks responding;
--- a/src/libbriarhinge/turns/turnclient.h
+++ b/src/libbriarhinge/turns/turnclient.h
@@ -113,6 +113,9 @@
     /** @param disk a disk @return the member of the group that has it, if there is one */
     std::optional<StoreMember> member(const DiskId &disk) const;
 
+    /** @return number of copies of a turn that are in memory while it is being stored */
+    std::size_t copiesWhileStoring() const;
+
     /** @return the disks of all members of the group */
     std::vector<DiskId> disks() const;
 
--- a/standins/platform/platformrunner.cpp
+++ b/standins/platform/platformrunner.cpp
@@ -1,5 +1,6 @@
 #include "platform/platformrunner.h"
 
+#include "platform/listenerresources.h"
 #include "platform/registration.h"
 
 #include <cstdlib>
@@ -70,6 +71,7 @@
         [] {
             return briarhinge::http::ServerLimits{};
         },
+        unlimitedResources(),
         [this](const Connection &connection, briarhinge::http::IncomingRequest request) {
             handle(connection, std::move(request));
         });
--- a/standins/platform/platformstore.cpp
+++ b/standins/platform/platformstore.cpp
@@ -1,5 +1,7 @@
 #include "platform/platformstore.h"
 
+#include "platform/listenerresources.h"
+
 #include <stdexcept>
 
 #include <nlohmann/json.hpp>
@@ -100,6 +102,7 @@
           [] {
               return briarhinge::http::ServerLimits{};
           },
+          unlimitedResources(),
           [this](const Connection &connection, const IncomingRequest &request) {
               handle(connection, request);
           })
--- /dev/null
+++ b/tests/test_crowdedlistener.cpp
@@ -0,0 +1,183 @@
+#include "http/listener.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace briarhinge;
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+constexpr std::uint16_t port = 18'473;
+constexpr std::size_t memoryBytes = std::size_t{512} * 1024;
+/** Less than an ordinary request takes. */
+constexpr std::size_t requestBytes = 4096;
+/** A share that is small enough for all of the memory. */
+constexpr std::size_t otherBytes = std::size_t{60} * 1024;
+constexpr std::chrono::milliseconds bodyTimeout{100};
+constexpr std::chrono::milliseconds shortTime{20};
+const std::string chunkedHead = "POST /charge HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+http::ServerLimits limits()
+{
+    http::ServerLimits limits;
+    limits.bodyTimeout = bodyTimeout;
+    return limits;
+}
+
+/** @return a chunk of 64 KB */
+std::string largeChunk()
+{
+    return "10000\r\n" + std::string(std::size_t{64} * 1024, 'x') + "\r\n";
+}
+
+}
+
+TEST_GROUP(CrowdedListener)
+{
+    using Caller = std::unique_ptr<tcp::socket>;
+
+    void setup() override
+    {
+        STRCMP_EQUAL("", listener.listen({"127.0.0.1", port}).c_str());
+    }
+
+    void teardown() override
+    {
+        listener.close();
+        context.restart();
+        context.poll();
+    }
+
+    std::size_t runFor(std::chrono::milliseconds time)
+    {
+        context.restart();
+        return context.run_for(time);
+    }
+
+    Caller connect()
+    {
+        auto caller = std::make_unique<tcp::socket>(callerContext);
+        caller->connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        caller->non_blocking(true);
+        runFor(shortTime);
+        return caller;
+    }
+
+    /** Sends @p bytes while the listener reads. */
+    void send(tcp::socket & caller, std::string_view bytes)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!bytes.empty() && std::chrono::steady_clock::now() < end) {
+            boost::system::error_code error;
+            const std::size_t sent = caller.write_some(boost::asio::buffer(bytes), error);
+            if (error && error != boost::asio::error::would_block) {
+                return;
+            }
+            bytes.remove_prefix(sent);
+            runFor(std::chrono::milliseconds(1));
+        }
+        runFor(shortTime);
+    }
+
+    /** @return what has come, followed by "(closed)" if the connection has ended */
+    std::string receive(tcp::socket & caller)
+    {
+        std::string bytes;
+        std::string piece(4096, '\0');
+        boost::system::error_code error;
+        while (!error) {
+            bytes.append(piece, 0, caller.read_some(boost::asio::buffer(piece), error));
+        }
+        return bytes + (error == boost::asio::error::would_block ? "" : "(closed)");
+    }
+
+    bool isServed(tcp::socket & caller)
+    {
+        send(caller, "GET /ordinary HTTP/1.1\r\nHost: x\r\n\r\n");
+        return receive(caller).starts_with("HTTP/1.1 200");
+    }
+
+    boost::asio::io_context context;
+    base::MemoryBudget memory{memoryBytes};
+    std::vector<std::string> paths;
+    /** The connections of requests below /held/, which are not answered. */
+    std::vector<std::shared_ptr<http::ServerConnection>> held;
+    http::Listener listener{context, limits, {memory}, [this](const auto &connection, const auto &request) {
+                                paths.push_back(request.target);
+                                if (request.target.starts_with("/held/")) {
+                                    held.push_back(connection);
+                                } else {
+                                    connection->respond({200, {}}, {});
+                                }
+                            }};
+    boost::asio::io_context callerContext;
+};
+
+TEST(CrowdedListener, aBodyWithoutMemoryIsRefusedAtOnceAndOrdinaryRequestsAreServed)
+{
+    const Caller large = connect();
+    send(*large, "POST /held/ HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n" + std::string(300'000, 'x'));
+    LONGS_EQUAL(1, held.size());
+    const Caller second = connect();
+    send(*second, chunkedHead + largeChunk() + largeChunk() + largeChunk());
+    const std::string answer = receive(*second);
+    STRNCMP_EQUAL("HTTP/1.1 503", answer.c_str(), 12);
+    STRCMP_CONTAINS("Retry-After: ", answer.c_str());
+    const Caller ordinary = connect();
+    CHECK(isServed(*ordinary));
+    CHECK(memory.usedBytes() <= memoryBytes);
+    held.front()->respond({200, {}}, {});
+    runFor(shortTime);
+    STRNCMP_EQUAL("HTTP/1.1 200", receive(*large).c_str(), 12);
+    LONGS_EQUAL(2, paths.size());
+}
+
+TEST(CrowdedListener, anUnfinishedBodyGivesWayToOrdinaryRequests)
+{
+    const Caller upload = connect();
+    send(*upload, chunkedHead + largeChunk() + largeChunk() + largeChunk() + largeChunk());
+    std::vector<std::unique_ptr<base::MemoryBudget::Share>> others;
+    while (memory.usedBytes() + requestBytes < memoryBytes) {
+        others.push_back(std::make_unique<base::MemoryBudget::Share>(memory));
+        CHECK(others.back()->grow(std::min(otherBytes, memoryBytes - memory.usedBytes() - requestBytes + 1)));
+    }
+    const Caller ordinary = connect();
+    CHECK(isServed(*ordinary));
+    STRNCMP_EQUAL("HTTP/1.1 503", receive(*upload).c_str(), 12);
+    LONGS_EQUAL(1, paths.size());
+}
+
+TEST(CrowdedListener, aResponseThatIsNotReadIsBrokenOffWhenItOutgrowsTheMemory)
+{
+    const Caller deaf = connect();
+    send(*deaf, "GET /held/ HTTP/1.1\r\nHost: x\r\n\r\n");
+    bool isDisconnected = false;
+    held.front()->setDisconnectHandler([&] {
+        isDisconnected = true;
+    });
+    held.front()->beginResponse({200, {}});
+    const std::string piece(std::size_t{64} * 1024, 'x');
+    for (int i = 0; i < 200 && !isDisconnected; ++i) {
+        held.front()->sendChunk(piece);
+        runFor(std::chrono::milliseconds(1));
+        CHECK(memory.usedBytes() <= memoryBytes);
+    }
+    CHECK(isDisconnected);
+    CHECK(receive(*deaf).ends_with("(closed)"));
+    const Caller ordinary = connect();
+    CHECK(isServed(*ordinary));
+}
--- a/tests/test_serverconnection.cpp
+++ b/tests/test_serverconnection.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint16_t port = 18'471;
 constexpr std::chrono::milliseconds headTimeout{60};
 constexpr std::chrono::milliseconds idleTimeout{200};
+constexpr std::size_t memoryBytes = std::size_t{16} * 1024 * 1024;
 /** More than any buffer of a connection holds. */
 constexpr std::size_t endlessBytes = std::size_t{500} * 1024;
 
@@ -86,10 +87,11 @@
 
     boost::asio::io_context context;
     std::vector<std::string> paths;
-    http::Listener listener{context, shortLimits, [this](const auto &connection, const auto &request) {
-                                paths.push_back(request.target);
-                                connection->respond({200, {}}, {});
-                            }};
+    http::Listener listener{
+        context, shortLimits, {base::MemoryBudget(memoryBytes)}, [this](const auto &connection, const auto &request) {
+            paths.push_back(request.target);
+            connection->respond({200, {}}, {});
+        }};
     boost::asio::io_context callerContext;
     tcp::socket caller{callerContext};
 };
--- a/tests/test_unboundedanswers.cpp
+++ b/tests/test_unboundedanswers.cpp
@@ -1,4 +1,3 @@
-#include "forwarding/buffermemory.h"
 #include "forwarding/eventstream.h"
 #include "platform/storeclient.h"
 #include "scripteddeployment.h"
@@ -232,26 +231,6 @@
     }
 }
 
-// Guards against several large answers at once that together fill the memory of the entry.
-TEST(UnboundedAnswers, answersShareABoundedMemoryAndSmallOnesAlwaysFit)
-{
-    forwarding::BufferMemory memory(1000, 10);
-    forwarding::BufferMemory::Share small(memory);
-    {
-        forwarding::BufferMemory::Share large(memory);
-        CHECK(large.grow(900));
-        CHECK_FALSE(large.grow(101));
-        CHECK(large.grow(100));
-        CHECK(small.grow(10));
-        CHECK_FALSE(small.grow(1));
-        LONGS_EQUAL(1010, memory.usedBytes());
-    }
-    LONGS_EQUAL(10, memory.usedBytes());
-    CHECK(small.grow(500));
-    small.clear();
-    LONGS_EQUAL(0, memory.usedBytes());
-}
-
 // Guards against an event without end being searched from its beginning with each piece.
 TEST(UnboundedAnswers, aLongEventIsReadInTimeProportionalToItsLength)
 {
