Listener: Connections beyond the limit take the place of ones without a request

Callers saw: with more open connections than an entry has descriptors, no caller was accepted, and the entry used a whole core. Cause: `Listener::accept()` asked again at once after each failed accept, and nothing bounded how many connections callers keep open without a request. Now: callers have half of the descriptors that the machine leaves, since each request may need a connection to a runner as well. A new connection beyond that takes the place of another one: of one that is closing, without a request yet, idle, or whose request is still arriving (503, it does not run), in this order, and among equals of the one that has waited longest. Where all have requests in progress the new one is closed unread. After a failed accept the listener, and the servers for other processes, wait 50 ms. Event 650 and `briarhinge_callers_turned_away_total` say who was turned away. `CrowdedListener.*` have the order, and the wait without descriptors.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -26,6 +26,8 @@
 constexpr base::Milliseconds checkInterval{50};
 /** Interval at which unresponsive turn stores are probed. */
 constexpr base::Milliseconds probeInterval{250};
+/** Interval at which callers that were turned away are reported; a crowd would otherwise fill the log. */
+constexpr base::Milliseconds callerReportInterval{1000};
 /**
  * Time after the start before the deployment is fetched from the seeds. An available platform store answers sooner: the
  * time covers a connection and several calls of 4 ms.
@@ -34,6 +36,8 @@
 constexpr base::Milliseconds seedTimeout{500};
 /** Percentage of the time limit for revoked keys after which the accounts are confirmed again: two reads may be lost. */
 constexpr int confirmationShare = 40;
+/** Connections for readiness checks or metrics; the platform opens one of each at a time. */
+constexpr std::size_t maxCheckConnections = 32;
 /** Time before SIGKILL at which requests that are still running are aborted. */
 constexpr base::Milliseconds stopMargin{400};
 /** Time for the last answers to leave before the process ends. */
@@ -145,10 +149,11 @@
         return m_routing ? m_routing->limits() : http::ServerLimits{};
     };
     m_callerListener = std::make_unique<http::Listener>(
-        m_context, limits, http::ListenerLimits{m_memory}, [this](const auto &connection, auto request) {
+        m_context, limits, http::ListenerLimits{m_memory, m_settings.machine.callerConnections()},
+        [this](const auto &connection, auto request) {
             std::make_shared<Exchange>(m_exchangeContext, connection)->start(std::move(request));
         });
-    const http::ListenerLimits checkResources{m_memory};
+    const http::ListenerLimits checkResources{m_memory, maxCheckConnections};
     const auto plainLimits = [] {
         return http::ServerLimits{};
     };
@@ -430,6 +435,7 @@
             m_metrics.runnerChecked("crashed-silently");
             m_crashSharing.publish(report);
         }
+        reportTurnedAwayCallers();
         if (now - m_lastProbe > probeInterval) {
             m_lastProbe = now;
             m_turns.probe();
@@ -442,6 +448,32 @@
     });
 }
 
+void EntryNode::reportTurnedAwayCallers()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const TurnedAwayCallers callers{m_memory.reclaimedShares(), m_memory.refusedGrowths(), m_callerListener->counts()};
+    if (callers == m_reportedCallers || now - m_lastCallerReport < callerReportInterval) {
+        return;
+    }
+    const TurnedAwayCallers before = std::exchange(m_reportedCallers, callers);
+    m_lastCallerReport = now;
+    const std::size_t reclaimed = callers.reclaimed - before.reclaimed;
+    const std::size_t refused = callers.refused - before.refused;
+    const std::size_t replaced = callers.connections.givenWay - before.connections.givenWay;
+    const std::size_t closed = callers.connections.turnedAway - before.connections.turnedAway;
+    m_log.write(logging::events::callersTurnedAway,
+                {{"reclaimed", reclaimed},
+                 {"refused", refused},
+                 {"replaced", replaced},
+                 {"closed", closed},
+                 {"failedAccepts", callers.connections.failedAccepts - before.connections.failedAccepts},
+                 {"used", m_memory.usedBytes()},
+                 {"limit", m_memory.limitBytes()},
+                 {"connections", m_callerListener->connectionCount()}});
+    m_metrics.callersTurnedAway("memory", reclaimed + refused);
+    m_metrics.callersTurnedAway("connections", replaced + closed);
+}
+
 void EntryNode::fetchDeploymentFromSeeds()
 {
     for (const wire::Address &seed : m_settings.seedAddresses) {
--- a/src/briarhingenode/entrynode.h
+++ b/src/briarhingenode/entrynode.h
@@ -34,6 +34,16 @@
 namespace briarhinge::node
 {
 
+/** Callers without room for their connection or request, since the start. */
+struct TurnedAwayCallers
+{
+    std::size_t reclaimed = 0;
+    std::size_t refused = 0;
+    http::ListenerCounts connections;
+
+    bool operator==(const TurnedAwayCallers &) const = default;
+};
+
 /** An entry on the users' platform: accepts callers' requests and forwards them to runners. */
 class EntryNode
 {
@@ -112,6 +122,8 @@
     bool isReady() const;
     void answerReadiness(const std::shared_ptr<http::ServerConnection> &connection);
     void finishStop();
+    /** Logs and counts the callers that were turned away since the last time. */
+    void reportTurnedAwayCallers();
 
     boost::asio::io_context &m_context;
     platform::NodeSettings m_settings;
@@ -158,6 +170,9 @@
     boost::asio::steady_timer m_checkTimer;
     std::chrono::steady_clock::time_point m_startTime;
     std::chrono::steady_clock::time_point m_lastProbe;
+    /** What was reported of callers that were turned away. */
+    TurnedAwayCallers m_reportedCallers;
+    std::chrono::steady_clock::time_point m_lastCallerReport;
     boost::asio::steady_timer m_stopTimer;
     std::function<void()> m_onStopped;
     std::chrono::steady_clock::time_point m_stopDeadline;
--- a/src/libbriarhinge/base/machinelimits.h
+++ b/src/libbriarhinge/base/machinelimits.h
@@ -10,9 +10,14 @@
 {
     /** Memory in bytes; 0 if it is not known. */
     std::size_t memoryBytes = 0;
+    /** Open descriptors; 0 if their number is not known. */
+    std::size_t descriptors = 0;
 
     /** @return the limit for the buffers of the process, in bytes; the rest is for its own state and the allocator */
     std::size_t bufferBytes() const;
+
+    /** @return maximum number of callers' connections; each request may need a connection to a runner as well */
+    std::size_t callerConnections() const;
 };
 
 /**
--- a/src/libbriarhinge/http/listener.h
+++ b/src/libbriarhinge/http/listener.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace briarhinge::http
 {
@@ -21,10 +22,30 @@
 {
     /** Memory for what they receive and send. */
     base::MemoryBudget memory;
+    /** Maximum number of open connections, those that are closing aside. */
+    std::size_t maxConnections = 0;
     RefusalFormat refusalFormat = plainRefusal;
 };
 
-/** Accepts HTTP connections on one address and owns them until they end. */
+/** What became of connections for which there was no room. */
+struct ListenerCounts
+{
+    /** Connections that were closed for newer ones. */
+    std::size_t givenWay = 0;
+    /** Connections that were closed at once, since all others had requests in progress. */
+    std::size_t turnedAway = 0;
+    /** Failed accepts, mostly for lack of descriptors. */
+    std::size_t failedAccepts = 0;
+
+    bool operator==(const ListenerCounts &) const = default;
+};
+
+/**
+ * Accepts HTTP connections on one address and owns them until they end.
+ *
+ * A new connection beyond the limit takes the place of another one: of one without a request before one whose request is
+ * still arriving, and among these the one that has been waiting longest. Requests in progress are never ended for it.
+ */
 class Listener
 {
 public:
@@ -60,15 +81,26 @@
     /** @return number of connections with a request that has not been answered completely */
     std::size_t busyConnections() const;
 
+    /** @return number of open connections */
+    std::size_t connectionCount() const;
+
+    /** @return what became of connections for which there was no room, since the start */
+    const ListenerCounts &counts() const;
+
 private:
     void accept();
     void handleAccepted(boost::asio::ip::tcp::socket socket);
+    void handleAcceptError();
+    /** Lets the connection give way that does so first. @param minTime time that it must have been in its state */
+    bool makeRoom(base::Milliseconds minTime);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptTimer;
     std::function<ServerLimits()> m_limits;
     const ListenerLimits m_resources;
     ServerConnection::RequestHandler m_onRequest;
     std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
+    ListenerCounts m_counts;
     bool m_isDraining = false;
 };
 
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -88,6 +88,7 @@
 inline constexpr EventKind runnerLeaving{647, "runner-leaving", Level::Info};
 inline constexpr EventKind runnerLimited{648, "runner-limited", Level::Warning};
 inline constexpr EventKind secondTry{649, "second-try", Level::Info};
+inline constexpr EventKind callersTurnedAway{650, "callers-turned-away", Level::Warning};
 inline constexpr EventKind invariantViolated{900, "invariant-violated", Level::Error};
 
 // clang-format off
@@ -154,6 +155,7 @@
     runnerLeaving,
     runnerLimited,
     secondTry,
+    callersTurnedAway,
     invariantViolated,
 };
 // clang-format on
--- a/src/libbriarhinge/metrics/exchangemetrics.cpp
+++ b/src/libbriarhinge/metrics/exchangemetrics.cpp
@@ -58,6 +58,11 @@
                                                                 .Name("briarhinge_cap_exceeded_total")
                                                                 .Help("Requests beyond their account's quota")
                                                                 .Register(registry);
+    prometheus::Family<prometheus::Counter> &turnedAway =
+        prometheus::BuildCounter()
+            .Name("briarhinge_callers_turned_away_total")
+            .Help("Callers without room for their connection or request")
+            .Register(registry);
     std::map<std::string, prometheus::Counter *, std::less<>> capCounters;
     prometheus::Family<prometheus::Histogram> &latencies = prometheus::BuildHistogram()
                                                                .Name("briarhinge_request_seconds")
@@ -130,6 +135,11 @@
     counter->second->Increment();
 }
 
+void ExchangeMetrics::callersTurnedAway(std::string_view reason, std::size_t count)
+{
+    d->turnedAway.Add({{"reason", std::string(reason)}}).Increment(static_cast<double>(count));
+}
+
 std::string ExchangeMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(d->registry.Collect());
--- a/src/libbriarhinge/metrics/exchangemetrics.h
+++ b/src/libbriarhinge/metrics/exchangemetrics.h
@@ -2,6 +2,7 @@
 
 #include "base/units.h"
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -60,6 +61,14 @@
      */
     void capExceeded(std::string_view account);
 
+    /**
+     * Counts callers for whom there was no room.
+     *
+     * @param reason what was lacking, a label with few distinct values
+     * @param count number of callers
+     */
+    void callersTurnedAway(std::string_view reason, std::size_t count);
+
     /** @return the metrics in the Prometheus text format */
     std::string text() const;
 
--- a/src/libbriarhinge/wire/frameserver.cpp
+++ b/src/libbriarhinge/wire/frameserver.cpp
@@ -9,6 +9,14 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+namespace
+{
+
+/** Time after a failed accept until the next one; a descriptor is free once some connection has ended. */
+constexpr std::chrono::milliseconds acceptRetryDelay{50};
+
+}
+
 FrameServer::FrameServer(asio::io_context &context, logging::EventLog &log, FrameSession::FrameHandler onFrame,
                          FrameSession::CloseHandler onClose)
     : m_context(context)
@@ -16,6 +24,7 @@
     , m_onFrame(std::move(onFrame))
     , m_onClose(std::move(onClose))
     , m_acceptor(context)
+    , m_acceptTimer(context)
 {
 }
 
@@ -58,6 +67,7 @@
 {
     error_code ignored;
     m_acceptor.close(ignored);
+    m_acceptTimer.cancel();
     std::set<std::shared_ptr<FrameSession>> sessions;
     {
         const std::lock_guard lock(m_mutex);
@@ -74,6 +84,16 @@
         if (error == asio::error::operation_aborted) {
             return;
         }
+        if (error && error != asio::error::connection_aborted) {
+            // Without a free descriptor each further attempt fails at once.
+            m_acceptTimer.expires_after(acceptRetryDelay);
+            m_acceptTimer.async_wait([this](error_code cancelled) {
+                if (!cancelled) {
+                    accept();
+                }
+            });
+            return;
+        }
         if (!error) {
             auto session = std::make_shared<FrameSession>(std::move(socket), m_onFrame,
                                                           [this](const auto &ended, const std::string &reason) {
--- a/src/libbriarhinge/wire/frameserver.h
+++ b/src/libbriarhinge/wire/frameserver.h
@@ -3,6 +3,7 @@
 #include "wire/address.h"
 #include "wire/framesession.h"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -12,6 +13,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace briarhinge::logging
 {
@@ -67,6 +69,7 @@
     FrameSession::FrameHandler m_onFrame;
     FrameSession::CloseHandler m_onClose;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptTimer;
     mutable std::mutex m_mutex;
     std::set<std::shared_ptr<FrameSession>> m_sessions;
 };
--- a/standins/platform/listenerresources.h
+++ b/standins/platform/listenerresources.h
@@ -11,7 +11,7 @@
 inline briarhinge::http::ListenerLimits unlimitedResources()
 {
     constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max() / 2;
-    return {briarhinge::base::MemoryBudget(unlimited)};
+    return {briarhinge::base::MemoryBudget(unlimited), unlimited};
 }
 
 }
--- a/tests/test_crowdedlistener.cpp
+++ b/tests/test_crowdedlistener.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <fcntl.h>
+#include <sys/resource.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -23,6 +25,7 @@
 
 constexpr std::uint16_t port = 18'473;
 constexpr std::size_t memoryBytes = std::size_t{512} * 1024;
+constexpr std::size_t maxConnections = 4;
 /** Less than an ordinary request takes. */
 constexpr std::size_t requestBytes = 4096;
 /** A share that is small enough for all of the memory. */
@@ -116,17 +119,102 @@
     std::vector<std::string> paths;
     /** The connections of requests below /held/, which are not answered. */
     std::vector<std::shared_ptr<http::ServerConnection>> held;
-    http::Listener listener{context, limits, {memory}, [this](const auto &connection, const auto &request) {
-                                paths.push_back(request.target);
-                                if (request.target.starts_with("/held/")) {
-                                    held.push_back(connection);
-                                } else {
-                                    connection->respond({200, {}}, {});
-                                }
-                            }};
+    http::Listener listener{
+        context, limits, {memory, maxConnections}, [this](const auto &connection, const auto &request) {
+            paths.push_back(request.target);
+            if (request.target.starts_with("/held/")) {
+                held.push_back(connection);
+            } else {
+                connection->respond({200, {}}, {});
+            }
+        }};
     boost::asio::io_context callerContext;
 };
 
+TEST(CrowdedListener, aNewConnectionTakesThePlaceOfTheOneThatHasBeenUnusedLongest)
+{
+    std::vector<Caller> callers;
+    for (std::size_t i = 0; i < maxConnections + 1; ++i) {
+        callers.push_back(connect());
+    }
+    LONGS_EQUAL(maxConnections, listener.connectionCount());
+    STRCMP_EQUAL("(closed)", receive(*callers[0]).c_str());
+    STRCMP_EQUAL("", receive(*callers[1]).c_str());
+    CHECK(isServed(*callers.back()));
+    LONGS_EQUAL(1, listener.counts().givenWay);
+}
+
+TEST(CrowdedListener, anUnusedConnectionGivesWayBeforeOneThatWasServed)
+{
+    const Caller served = connect();
+    CHECK(isServed(*served));
+    std::vector<Caller> callers;
+    for (std::size_t i = 0; i < maxConnections; ++i) {
+        callers.push_back(connect());
+    }
+    STRCMP_EQUAL("(closed)", receive(*callers[0]).c_str());
+    CHECK(isServed(*served));
+}
+
+TEST(CrowdedListener, anUnfinishedRequestGivesWayWithThePromiseThatItDoesNotRun)
+{
+    std::vector<Caller> callers;
+    for (std::size_t i = 0; i < maxConnections; ++i) {
+        callers.push_back(connect());
+        send(*callers.back(), "POST /charge HTTP/1.1\r\nHost: x\r\n");
+    }
+    const Caller ordinary = connect();
+    CHECK(isServed(*ordinary));
+    const std::string answer = receive(*callers[0]);
+    STRNCMP_EQUAL("HTTP/1.1 503", answer.c_str(), 12);
+    STRCMP_CONTAINS("Retry-After: ", answer.c_str());
+    send(*callers[0], "Content-Length: 0\r\n\r\n");
+    LONGS_EQUAL(1, paths.size());
+}
+
+TEST(CrowdedListener, requestsInProgressDoNotGiveWay)
+{
+    std::vector<Caller> callers;
+    for (std::size_t i = 0; i < maxConnections; ++i) {
+        callers.push_back(connect());
+        send(*callers.back(), "GET /held/ HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    const Caller late = connect();
+    STRCMP_EQUAL("(closed)", receive(*late).c_str());
+    LONGS_EQUAL(1, listener.counts().turnedAway);
+    for (const auto &connection : held) {
+        connection->respond({200, {}}, {});
+    }
+    runFor(shortTime);
+    for (const Caller &caller : callers) {
+        STRNCMP_EQUAL("HTTP/1.1 200", receive(*caller).c_str(), 12);
+    }
+}
+
+// Guards against a failed accept that is repeated at once, which uses a whole core.
+TEST(CrowdedListener, waitsWithoutWorkWhileThereIsNoDescriptorAndAcceptsAfterwards)
+{
+    const Caller idle = connect();
+    tcp::socket waiting(callerContext);
+    waiting.open(tcp::v4());
+    rlimit before{};
+    getrlimit(RLIMIT_NOFILE, &before);
+    const int next = dup(0);
+    close(next);
+    const rlimit none{static_cast<rlim_t>(next), before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &none);
+    waiting.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    const std::size_t handlers = runFor(std::chrono::milliseconds(200));
+    setrlimit(RLIMIT_NOFILE, &before);
+    constexpr std::size_t fewHandlers = 30;
+    CHECK(handlers < fewHandlers);
+    CHECK(listener.counts().failedAccepts > 0);
+    runFor(std::chrono::milliseconds(100));
+    waiting.non_blocking(true);
+    CHECK(isServed(waiting));
+    CHECK(isServed(*idle));
+}
+
 TEST(CrowdedListener, aBodyWithoutMemoryIsRefusedAtOnceAndOrdinaryRequestsAreServed)
 {
     const Caller large = connect();
--- a/tests/test_serverconnection.cpp
+++ b/tests/test_serverconnection.cpp
@@ -24,6 +24,7 @@
 constexpr std::chrono::milliseconds headTimeout{60};
 constexpr std::chrono::milliseconds idleTimeout{200};
 constexpr std::size_t memoryBytes = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t maxConnections = 100;
 /** More than any buffer of a connection holds. */
 constexpr std::size_t endlessBytes = std::size_t{500} * 1024;
 
@@ -87,11 +88,13 @@
 
     boost::asio::io_context context;
     std::vector<std::string> paths;
-    http::Listener listener{
-        context, shortLimits, {base::MemoryBudget(memoryBytes)}, [this](const auto &connection, const auto &request) {
-            paths.push_back(request.target);
-            connection->respond({200, {}}, {});
-        }};
+    http::Listener listener{context,
+                            shortLimits,
+                            {base::MemoryBudget(memoryBytes), maxConnections},
+                            [this](const auto &connection, const auto &request) {
+                                paths.push_back(request.target);
+                                connection->respond({200, {}}, {});
+                            }};
     boost::asio::io_context callerContext;
     tcp::socket caller{callerContext};
 };
