ServerConnection: A body has one time from the end of its head

Callers saw: a caller that sent a byte now and then kept its connection and what it had sent for as long as it liked. Cause: the timer of a body began anew with each read, and any timer began anew whenever unread bytes were there as it expired. A time that expires while bytes wait is extended once, for a process that was too late to read them.

--- a/src/libbriarhinge/http/serverconnection.cpp
+++ b/src/libbriarhinge/http/serverconnection.cpp
@@ -139,6 +139,7 @@
     bool isReading = false;
     /** Whether a part of the next request has been received. */
     bool hasPartialRequest = false;
+    bool hasHead = false;
     bool isResponseEnded = false;
     bool isCloseRequested = false;
     /** Whether the last response has been given; further input is read and discarded. */
@@ -277,19 +278,19 @@
     }
 }
 
-void ServerConnection::startTimer(base::Milliseconds limit)
+void ServerConnection::startTimer(base::Milliseconds limit, bool isExtension)
 {
     d->timer.expires_after(limit);
-    d->timer.async_wait([self = shared_from_this(), limit](error_code error) {
+    d->timer.async_wait([self = shared_from_this(), limit, isExtension](error_code error) {
         // When the timer is restarted, its previous expiry may already be queued.
         const bool isStale = self->d->timer.expiry() > std::chrono::steady_clock::now();
         if (error || isStale || self->d->isClosed || self->d->isBusy) {
             return;
         }
         error_code ignored;
-        if (self->d->socket.available(ignored) > 0) {
-            // The caller has sent in time; this process was too late to read it.
-            self->startTimer(limit);
+        if (!isExtension && self->d->socket.available(ignored) > 0) {
+            // The caller may have sent in time; this process was too late to read it.
+            self->startTimer(limit, true);
             return;
         }
         if (self->d->hasPartialRequest) {
@@ -309,6 +310,7 @@
     d->parser->body_limit(d->limits.maxBodyBytes);
     d->isResponseEnded = false;
     d->hasPartialRequest = false;
+    d->hasHead = false;
     enterState();
     startTimer(d->limits.idleTimeout);
 }
@@ -357,7 +359,7 @@
             return;
         }
         const bool isIncomplete = !error || error == beast::http::error::need_more;
-        if (isIncomplete && d->parser->is_header_done()) {
+        if (isIncomplete && d->parser->is_header_done() && !std::exchange(d->hasHead, true)) {
             startTimer(d->limits.bodyTimeout);
         }
         if (error == beast::http::error::need_more) {
--- a/src/libbriarhinge/http/serverconnection.h
+++ b/src/libbriarhinge/http/serverconnection.h
@@ -183,7 +183,7 @@
     void responseSent();
     void closeGracefully();
     void closeNow();
-    void startTimer(base::Milliseconds limit);
+    void startTimer(base::Milliseconds limit, bool isExtension = false);
 
     std::unique_ptr<Private> d;
 };
--- a/tests/test_crowdedlistener.cpp
+++ b/tests/test_crowdedlistener.cpp
@@ -215,6 +215,20 @@
     CHECK(isServed(*idle));
 }
 
+// Guards against a body that never ends since each byte begins its time anew.
+TEST(CrowdedListener, aBodyThatTricklesEndsWithItsTime)
+{
+    const Caller caller = connect();
+    send(*caller, "POST /charge HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n");
+    std::string answer;
+    for (int i = 0; i < 40 && answer.empty(); ++i) {
+        send(*caller, "x");
+        answer = receive(*caller);
+    }
+    STRNCMP_EQUAL("HTTP/1.1 408", answer.c_str(), 12);
+    LONGS_EQUAL(0, paths.size());
+}
+
 TEST(CrowdedListener, aBodyWithoutMemoryIsRefusedAtOnceAndOrdinaryRequestsAreServed)
 {
     const Caller large = connect();
