TurnStore: Turns beyond the store's memory are not begun

Callers saw: a turn store ended, and with enough of them all turns were refused, when callers sent large turns one after the other; each was well within `max_body_bytes`. Cause: a turn store kept every turn for 90 s, whatever its size, and each connection to it kept buffers of the largest frame that it had received. The request to begin a turn names the size of its input; a store without room answers `Full` and reserves nothing, and the caller gets 503 with Retry-After: the turn has not run. A turn that no longer fits when it ends is settled but not acknowledged, so its answer is broken off; no turn that was acknowledged is given up. Buffers of large frames are released once they have been processed.

--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -24,6 +24,8 @@
 constexpr base::Milliseconds saveDelay{500};
 /** Longer than the 60 s for which the users' routes retain turns, so that a late turn still finds its chain. */
 constexpr base::Milliseconds retention{90'000};
+/** Part of the memory for turns: a snapshot of all turns for the journal takes as much again. */
+constexpr std::size_t keptTurnsPart = 3;
 
 std::string newDiskId(const std::string &name)
 {
@@ -82,7 +84,8 @@
     if (const auto *error = std::get_if<turns::DiskError>(&disk)) {
         return error->reason;
     }
-    m_store = std::make_unique<turns::TurnStore>(std::get<turns::DiskId>(disk), m_journal, retention);
+    m_store = std::make_unique<turns::TurnStore>(std::get<turns::DiskId>(disk), m_journal, retention,
+                                                 m_settings.machine.memoryBytes / keptTurnsPart);
     const auto now = std::chrono::steady_clock::now();
     const auto opened = m_journal.open([this, now](std::span<const std::uint8_t> record) {
         m_store->replay(record, now);
--- a/src/libbriarhinge/stages/turnstage.h
+++ b/src/libbriarhinge/stages/turnstage.h
@@ -59,6 +59,7 @@
             start.budget = m_state.request.programBudget;
         }
         if (m_state.isStoredTurn()) {
+            start.inputBytes = m_state.request.body.size();
             start.previous = scoped<turns::TurnId>(m_state.request.previousTurn.value());
         }
         m_turns.begin(start, [this, onResult](turns::TurnStartResult result) {
@@ -100,6 +101,8 @@
 
     /** Maximum wait for the turn stores at the end of a turn; callers wait two seconds for the next bytes. */
     static constexpr base::Milliseconds storeTurnTimeout{1900};
+    /** Turn stores get room as turns expire. */
+    static constexpr base::Milliseconds fullStoreRetryDelay{1000};
 
     void handleResult(turns::TurnStartResult result, const StageHandler &onResult)
     {
@@ -126,6 +129,8 @@
             onResult(Refusal{statusBudgetSpent, requests::Outcome::BudgetSpent, "", std::nullopt});
         } else if (std::holds_alternative<turns::NoSuchTurn>(result)) {
             onResult(Refusal{statusNotFound, requests::Outcome::Rejected, "no such turn", std::nullopt});
+        } else if (std::holds_alternative<turns::TurnStoresFull>(result)) {
+            onResult(refusal("turn stores are full", fullStoreRetryDelay));
         } else {
             onResult(refusal(std::get<turns::TurnsUnavailable>(result).reason,
                              m_retryDelay.recordFailure(std::chrono::steady_clock::now())));
--- a/src/libbriarhinge/turns/beginoperation.cpp
+++ b/src/libbriarhinge/turns/beginoperation.cpp
@@ -24,6 +24,8 @@
 /** Retries of a reservation on a contended budget, each after a random delay of up to maxContentionDelay. */
 constexpr int maxContentionRetries = 3;
 constexpr base::Milliseconds maxContentionDelay{40};
+/** Input from which the turn stores are asked for room although nothing else is wanted of them. */
+constexpr std::size_t largeInputBytes = std::size_t{64} * 1024;
 /** Maximum number of group changes during one begin request; the request fails if there are more. */
 constexpr int maxGroupChanges = 4;
 
@@ -90,7 +92,9 @@
         m_openChainRequests = 0;
         m_reservation =
             m_start.budget ? AttemptId(m_start.attempt.value() + "/" + std::to_string(m_round)) : AttemptId();
-        if (!m_start.budget && m_missingTurn.value().empty()) {
+        m_disksWithRoom.clear();
+        m_disksWithoutRoom.clear();
+        if (!m_start.budget && m_missingTurn.value().empty() && m_start.inputBytes < largeInputBytes) {
             finish(granted());
             return;
         }
@@ -128,6 +132,9 @@
             request.attempt = m_reservation.value();
             request.most = static_cast<std::uint32_t>(m_start.maxTokens.value());
         }
+        if (isReserving) {
+            request.input_bytes = static_cast<std::uint32_t>(m_start.inputBytes);
+        }
         request.previous = m_missingTurn.value();
         request.want_chain = wantsChain;
         if (wantsChain) {
@@ -167,6 +174,14 @@
             return;
         }
         const DiskId disk(begun->disk);
+        if (begun->status == wire::StoreStatus::Full) {
+            m_disksWithoutRoom.insert(disk);
+            evaluate();
+            return;
+        }
+        if (begun->status == wire::StoreStatus::Done) {
+            m_disksWithRoom.insert(disk);
+        }
         if (begun->status == wire::StoreStatus::Done && isReserving) {
             m_reservedDisks.insert(disk);
             BudgetEntries entries;
@@ -271,7 +286,13 @@
             return;
         }
         if (!m_start.budget) {
-            finish(granted());
+            const bool isRoomKnown = m_start.inputBytes < largeInputBytes
+                || hasWriteQuorum(m_client.m_rule, m_client.m_group, m_disksWithRoom);
+            if (isRoomKnown) {
+                finish(granted());
+            } else if (m_openRequests == 0) {
+                retryOrFail();
+            }
             return;
         }
         if (!hasWriteQuorum(m_client.m_rule, m_client.m_group, m_reservedDisks)) {
@@ -286,6 +307,10 @@
     /** Retries once through a relay if this process can't reach a quorum itself; otherwise the begin request fails. */
     void retryOrFail()
     {
+        if (!m_disksWithoutRoom.empty()) {
+            finish(TurnStoresFull{});
+            return;
+        }
         const bool canUseRelay = m_client.isIsolated() && m_client.m_peers.hasRelays();
         if (!canUseRelay || std::exchange(m_hasRetried, true)) {
             finish(TurnsUnavailable{"too few turn stores answered"});
@@ -359,6 +384,8 @@
     std::size_t m_openChainRequests = 0;
     AttemptId m_reservation;
     RespondingDisks m_reservedDisks;
+    RespondingDisks m_disksWithRoom;
+    RespondingDisks m_disksWithoutRoom;
     BudgetEntries m_budgetEntries;
     std::string m_prompt;
     std::string m_engine;
--- a/src/libbriarhinge/turns/endoperation.cpp
+++ b/src/libbriarhinge/turns/endoperation.cpp
@@ -54,7 +54,8 @@
     void sendRequests()
     {
         for (const StoreMember &member : m_client.m_group.members()) {
-            if (!m_acknowledged.contains(member.disk) && !m_pendingMembers.contains(member.name)) {
+            if (!m_acknowledged.contains(member.disk) && !m_full.contains(member.disk)
+                && !m_pendingMembers.contains(member.name)) {
                 sendRequest(member, false);
             }
         }
@@ -104,6 +105,19 @@
             sendRequest(member, true);
             return;
         }
+        if (ended->status == wire::StoreStatus::Full) {
+            m_full.insert(DiskId(ended->disk));
+            RespondingDisks others;
+            for (const StoreMember &other : m_client.m_group.members()) {
+                if (!m_full.contains(other.disk)) {
+                    others.insert(other.disk);
+                }
+            }
+            if (!hasWriteQuorum(m_client.m_rule, m_client.m_group, others)) {
+                finish(false);
+            }
+            return;
+        }
         if (epoch != m_client.m_group.epoch && epoch != m_epoch) {
             return;
         }
@@ -138,6 +152,8 @@
     boost::asio::steady_timer m_retryTimer;
     GroupEpoch m_epoch;
     RespondingDisks m_acknowledged;
+    /** Disks of members that have no room for the turn. */
+    RespondingDisks m_full;
     std::unordered_set<StoreName> m_pendingMembers;
 };
 
--- a/src/libbriarhinge/turns/turnclient.h
+++ b/src/libbriarhinge/turns/turnclient.h
@@ -32,6 +32,8 @@
     std::optional<base::Tokens> budget;
     /** The turn that this one continues; empty for the first turn of a chain. */
     TurnId previous;
+    /** Size of the input if the turn will be stored, otherwise 0. */
+    std::size_t inputBytes = 0;
 };
 
 /** The turn may run. */
@@ -57,6 +59,11 @@
 {
 };
 
+/** The turn stores have no room for the turn; it must not run. */
+struct TurnStoresFull
+{
+};
+
 /** The turn stores could not decide; the turn must not run. */
 struct TurnsUnavailable
 {
@@ -64,7 +71,7 @@
 };
 
 /** Outcome of TurnClient::begin(). */
-using TurnStartResult = std::variant<TurnGranted, BudgetSpent, NoSuchTurn, TurnsUnavailable>;
+using TurnStartResult = std::variant<TurnGranted, BudgetSpent, NoSuchTurn, TurnStoresFull, TurnsUnavailable>;
 
 /** The end of an attempt at a turn. */
 struct TurnEnd
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -16,6 +16,10 @@
 constexpr std::size_t pageBytes = std::size_t{512} * 1024;
 /** Journal size in bytes below which a snapshot isn't worth the write load. */
 constexpr std::size_t minSnapshotBytes = std::size_t{32} * 1024 * 1024;
+/** Input of a turn from which it counts as large. */
+constexpr std::size_t largeTurnBytes = std::size_t{64} * 1024;
+/** Part of the memory that only smaller turns may use, so that large ones don't keep them out: one in this many bytes. */
+constexpr std::size_t smallTurnPart = 4;
 /** Ratio of journal size to live data beyond which a snapshot is written. */
 constexpr std::size_t snapshotSizeRatio = 3;
 
@@ -36,9 +40,10 @@
 
 }
 
-TurnStore::TurnStore(DiskId disk, Journal &journal, base::Milliseconds retention)
+TurnStore::TurnStore(DiskId disk, Journal &journal, base::Milliseconds retention, std::size_t maxBytes)
     : m_disk(std::move(disk))
     , m_journal(journal)
+    , m_maxBytes(maxBytes)
     , m_budgets(retention)
     , m_turns(retention, 0)
 {
@@ -129,6 +134,10 @@
     if (!checkEpoch(request, answer)) {
         return answer;
     }
+    if (request.input_bytes > 0 && !hasRoom(request.input_bytes)) {
+        answer.status = wire::StoreStatus::Full;
+        return answer;
+    }
     const base::ProgramId program(request.program);
     if (request.most > 0) {
         const BudgetEntry entry{AttemptId(request.attempt), base::Tokens(request.most), false, base::Tokens(0)};
@@ -169,8 +178,13 @@
             state.budgets.push_back(budgetRecord(program, {entry}));
         }
     }
-    if (request.turn && m_turns.add(fromWire(*request.turn), now)) {
-        state.turns.push_back(std::make_unique<wire::TurnRecordT>(*request.turn));
+    if (request.turn) {
+        Turn turn = fromWire(*request.turn);
+        if (!m_turns.contains(turn.id) && m_turns.bytes() + textBytes(turn) > m_maxBytes) {
+            answer.status = wire::StoreStatus::Full;
+        } else if (m_turns.add(std::move(turn), now)) {
+            state.turns.push_back(std::make_unique<wire::TurnRecordT>(*request.turn));
+        }
     }
     if (!state.budgets.empty() || !state.turns.empty()) {
         journalState(std::move(state));
@@ -268,6 +282,12 @@
     m_isRewriteNeeded = false;
 }
 
+bool TurnStore::hasRoom(std::size_t textBytes) const
+{
+    const std::size_t allowed = textBytes < largeTurnBytes ? m_maxBytes : m_maxBytes - m_maxBytes / smallTurnPart;
+    return m_turns.bytes() + textBytes <= allowed;
+}
+
 bool TurnStore::isRewriteNeeded() const
 {
     return m_isRewriteNeeded;
--- a/src/libbriarhinge/turns/turnstore.h
+++ b/src/libbriarhinge/turns/turnstore.h
@@ -31,8 +31,9 @@
      * @param disk incarnation of this store's disk
      * @param journal persists the state
      * @param retention how long turns and budgets are retained
+     * @param maxBytes limit for the memory of all turns in bytes, beyond which turns of callers are not accepted
      */
-    TurnStore(DiskId disk, Journal &journal, base::Milliseconds retention);
+    TurnStore(DiskId disk, Journal &journal, base::Milliseconds retention, std::size_t maxBytes);
 
     /**
      * Applies a record that was read from the journal. Ignores records that can't be decoded.
@@ -52,7 +53,8 @@
     const DiskId &disk() const;
 
     /**
-     * Reserves the budget of a turn and looks up the chain that it continues.
+     * Reserves the budget of a turn and looks up the chain that it continues. A turn that could not be stored is not
+     * begun.
      *
      * @param request the request
      * @param now the current time
@@ -61,7 +63,7 @@
     wire::TurnBegunT begin(const wire::BeginTurnT &request, Time now);
 
     /**
-     * Settles the budget of an attempt and stores its turn, if there is one.
+     * Settles the budget of an attempt and stores its turn, if there is one and there is room.
      *
      * @param request the request
      * @param now the current time
@@ -121,12 +123,14 @@
     bool checkEpoch(const Request &request, Answer &answer);
     void mergeRecords(const std::vector<std::unique_ptr<wire::TurnRecordT>> &turns,
                       const std::vector<std::unique_ptr<wire::ProgramBudgetT>> &budgets, Time now);
+    bool hasRoom(std::size_t textBytes) const;
     void journalState(wire::StoreStateT state);
     void writeSnapshot();
 
     const DiskId m_disk;
     Journal &m_journal;
     StoreGroup m_group;
+    const std::size_t m_maxBytes;
     BudgetLedger m_budgets;
     TurnTree m_turns;
     /** Buffer for the record being replayed; a member to reuse its allocation. */
--- a/src/libbriarhinge/turns/turntree.cpp
+++ b/src/libbriarhinge/turns/turntree.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/** Memory of a turn besides its input and output. */
+constexpr std::size_t turnBytes = 512;
+
 std::size_t textBytes(const Turn &turn)
 {
     return turn.input.size() + turn.output.size();
@@ -99,6 +102,11 @@
     return m_turns.size();
 }
 
+std::size_t TurnTree::bytes() const
+{
+    return m_bytes + m_turns.size() * turnBytes;
+}
+
 void TurnTree::expire(Time now)
 {
     std::erase_if(m_turns, [this, now](const auto &item) {
--- a/src/libbriarhinge/turns/turntree.h
+++ b/src/libbriarhinge/turns/turntree.h
@@ -71,6 +71,9 @@
     /** @return the number of stored turns */
     std::size_t size() const;
 
+    /** @return memory of the stored turns in bytes, with what each needs besides its input and output */
+    std::size_t bytes() const;
+
     /** Removes the turns whose retention has passed at the time @p now. */
     void expire(Time now);
 
--- a/src/libbriarhinge/wire/framesession.cpp
+++ b/src/libbriarhinge/wire/framesession.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t initialInputBytes = std::size_t{8} * 1024;
 /** Minimum free space for a read; reading less is not worth the system call. */
 constexpr std::size_t minReadBytes = std::size_t{2} * 1024;
+/** Size from which a buffer is given back once its frame has been processed. */
+constexpr std::size_t largeBufferBytes = std::size_t{64} * 1024;
 
 }
 
@@ -71,6 +73,10 @@
               m_input.begin() + static_cast<std::ptrdiff_t>(m_filled), m_input.begin());
     m_filled -= m_consumed;
     m_consumed = 0;
+    if (m_filled == 0 && m_input.size() > largeBufferBytes) {
+        m_input = {};
+        m_frameBytes = {};
+    }
     if (m_input.size() - m_filled < minReadBytes) {
         m_input.resize(std::max(initialInputBytes, m_input.size() * 2));
     }
--- a/tests/system/test_crowd.py
+++ b/tests/system/test_crowd.py
@@ -102,6 +102,13 @@
         fields = (f"Content-Length: {BODY_BYTES}", "X-Token-Usage: 100,40", "X-Program-Id: p")
         self.assert_holds_beside(self.crowd(CALLERS, b"x" * BODY_BYTES, "/turn/x", fields))
 
+    def test_turns_that_fill_the_turn_stores(self):
+        for i in range(CALLERS):
+            status, _ = self.stack.send("entry-0", f"/turn/{i}", "x" * BODY_BYTES)
+            self.assertIn(status, (200, 503))
+        self.assert_served("/turn/ordinary", "hello")
+        self.assert_bounded()
+
     def test_idle_connections_beyond_the_descriptors(self):
         payloads = (b"" for _ in range(IDLE_CALLERS))
         self.assert_holds_beside(crowd.Crowd.pressing(self.host, platformstack.CALLER_PORT, payloads))
--- a/tests/test_groupmanager.cpp
+++ b/tests/test_groupmanager.cpp
@@ -26,6 +26,7 @@
 
 const base::ZoneName zone("z");
 constexpr base::Milliseconds retention{60'000};
+constexpr std::size_t maxBytes = std::size_t{1024} * 1024;
 
 /** Key-value service that accepts every write and records the last value of each key. */
 struct RecordingService
@@ -56,7 +57,7 @@
 {
     RunningStore(boost::asio::io_context &context, logging::EventLog &log, const std::string &name)
         : journal(folder.path())
-        , store(DiskId(name), journal, retention)
+        , store(DiskId(name), journal, retention, maxBytes)
         , server(
               context, store, journal, log,
               [] {
--- a/tests/test_turnstore.cpp
+++ b/tests/test_turnstore.cpp
@@ -29,6 +29,8 @@
 
 const TurnStore::Time start{};
 constexpr base::Milliseconds retention{60'000};
+constexpr std::size_t maxBytes = std::size_t{1024} * 1024;
+constexpr std::size_t ampleBytes = std::size_t{256} * 1024 * 1024;
 
 StoreGroup makeGroup(std::uint64_t epoch)
 {
@@ -66,9 +68,9 @@
 /** A turn store that has replayed its journal, as after a process start. */
 struct StartedStore
 {
-    explicit StartedStore(const std::string &folder)
+    explicit StartedStore(const std::string &folder, std::size_t bytes = ampleBytes)
         : journal(folder)
-        , store(DiskId("d"), journal, retention)
+        , store(DiskId("d"), journal, retention, bytes)
     {
         const auto opened = journal.open([this](std::span<const std::uint8_t> record) {
             store.replay(record, start);
@@ -120,6 +122,42 @@
     LONGS_EQUAL(20, answer.entries[0]->spent);
 }
 
+// Guards against callers whose turns fill the memory of the turn stores.
+TEST(TurnStore, turnsWithoutRoomAreNotBegunAndNoStoredTurnIsGivenUpForThem)
+{
+    StartedStore started(folder.path(), maxBytes);
+    started.store.adopt(makeGroup(3));
+    auto large = end(3, "large", "");
+    large.turn->input = std::string(maxBytes / 4 * 3 - 4096, 'x');
+    CHECK(started.store.end(large, start).status == wire::StoreStatus::Done);
+    auto next = begin(3, "b");
+    next.input_bytes = 100'000;
+    const auto refused = started.store.begin(next, start);
+    CHECK(refused.status == wire::StoreStatus::Full);
+    CHECK(refused.entries.empty());
+    next.input_bytes = 1000;
+    CHECK(started.store.begin(next, start).status == wire::StoreStatus::Done);
+    CHECK(started.store.begin(begin(3, "c", "large"), start).known);
+    started.store.compact(start + 2 * retention);
+    next.input_bytes = 100'000;
+    CHECK(started.store.begin(next, start + 2 * retention).status == wire::StoreStatus::Done);
+}
+
+TEST(TurnStore, aTurnThatNoLongerFitsIsSettledButNotAcknowledged)
+{
+    StartedStore started(folder.path(), maxBytes);
+    started.store.adopt(makeGroup(3));
+    CHECK(started.store.begin(begin(3, "a"), start).status == wire::StoreStatus::Done);
+    auto ended = end(3, "a", "");
+    ended.turn->output = std::string(maxBytes, 'x');
+    CHECK(started.store.end(ended, start).status == wire::StoreStatus::Full);
+    LONGS_EQUAL(0, started.store.turnCount());
+    const auto answer = started.store.begin(begin(3, "b"), start);
+    CHECK(std::any_of(answer.entries.begin(), answer.entries.end(), [](const auto &entry) {
+        return entry->settled;
+    }));
+}
+
 TEST(TurnStore, aTornRecordEndsItsSegmentAndNothingElse)
 {
     {
