TurnClient: Chains are read in parts, and their memory is counted

Callers saw: an entry ended when many small turns continued one long chain; and an entry that had to read a chain of over 8 MB lost its connection to the turn store, and with it the turns of all other callers that were waiting there. Cause: an input of a few bytes stands for a whole chain, which nobody counted; and a turn store sent each chain in one frame, whatever frames may hold. Now: a store sends the newest 512 KB of a chain and names the turn before them, which is then asked for; each part is counted in the budget of the entry before it is kept, and a chain without memory is refused (503 with Retry-After, not run). A turn that does not fit into a frame is not sent to the stores: it can't be stored, and its answer is broken off.

--- a/src/briarhingenode/entrynode.cpp
+++ b/src/briarhingenode/entrynode.cpp
@@ -62,7 +62,7 @@
     , m_balancer(settings.zone)
     , m_connectionPool(context)
     , m_peers(context)
-    , m_turns(context, m_peers, turns::QuorumRule{settings.toleratedDiskLosses}, settings.zone, log)
+    , m_turns(context, m_peers, turns::QuorumRule{settings.toleratedDiskLosses}, m_memory, settings.zone, log)
     , m_suspects(placement::SuspectLimits{})
     , m_crashSharing(context, m_peers, m_store, settings.name, m_suspects, log)
     , m_rateSharing(context, m_peers,
--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -146,7 +146,7 @@
         const std::size_t bodyBytes = m_state.request.body.size();
         const std::size_t sentBytes = m_state.prompt.size() + bodyBytes;
         const std::size_t storedCopies = m_state.isStoredTurn() ? m_shared.turns.copiesWhileStoring() : 0;
-        return m_memory.resize(m_state.prompt.size() + (m_attempts.size() + 1) * sentBytes + storedCopies * bodyBytes);
+        return m_memory.resize((m_attempts.size() + 1) * sentBytes + storedCopies * bodyBytes);
     }
 
     void startAttempt(const dispatch::Placement &placement)
@@ -451,7 +451,7 @@
                      stages::ProgramStage, stages::SuspectStage, PlacementStage>
         m_stages;
     SecondTry m_secondTry;
-    /** Memory for the chain, the requests to runners and the turn to be stored. */
+    /** Memory for the requests to runners and the turn to be stored. */
     base::MemoryBudget::Share m_memory;
     /** The attempts under way, in the order in which they began. */
     std::vector<std::shared_ptr<Attempt<Format>>> m_attempts;
--- a/src/libbriarhinge/stages/requeststate.h
+++ b/src/libbriarhinge/stages/requeststate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/digest.h"
+#include "base/memorybudget.h"
 #include "base/units.h"
 #include "dispatch/loadbalancer.h"
 #include "dispatch/permitwait.h"
@@ -83,6 +84,8 @@
     std::optional<double> relativeUse;
     /** Inputs and outputs of the preceding turns of the chain. */
     std::string prompt;
+    /** The memory of the prompt. */
+    std::shared_ptr<base::MemoryBudget::Share> promptMemory;
     /** Number of tokens that the caller was sent. */
     base::Tokens deliveredTokens;
     dispatch::PlacementRequest placementRequest;
--- a/src/libbriarhinge/stages/turnstage.h
+++ b/src/libbriarhinge/stages/turnstage.h
@@ -101,8 +101,6 @@
 
     /** Maximum wait for the turn stores at the end of a turn; callers wait two seconds for the next bytes. */
     static constexpr base::Milliseconds storeTurnTimeout{1900};
-    /** Turn stores get room as turns expire. */
-    static constexpr base::Milliseconds fullStoreRetryDelay{1000};
 
     void handleResult(turns::TurnStartResult result, const StageHandler &onResult)
     {
@@ -115,6 +113,7 @@
                 return;
             }
             m_state.prompt = std::move(granted->prompt);
+            m_state.promptMemory = std::move(granted->memory);
             if (m_state.hasBudget()) {
                 m_state.beginsProgram = !granted->isProgramUnderWay;
             }
@@ -129,8 +128,8 @@
             onResult(Refusal{statusBudgetSpent, requests::Outcome::BudgetSpent, "", std::nullopt});
         } else if (std::holds_alternative<turns::NoSuchTurn>(result)) {
             onResult(Refusal{statusNotFound, requests::Outcome::Rejected, "no such turn", std::nullopt});
-        } else if (std::holds_alternative<turns::TurnStoresFull>(result)) {
-            onResult(refusal("turn stores are full", fullStoreRetryDelay));
+        } else if (const auto *noRoom = std::get_if<turns::NoRoom>(&result)) {
+            onResult(refusal(noRoom->reason, memoryRetryDelay));
         } else {
             onResult(refusal(std::get<turns::TurnsUnavailable>(result).reason,
                              m_retryDelay.recordFailure(std::chrono::steady_clock::now())));
--- a/src/libbriarhinge/turns/beginoperation.cpp
+++ b/src/libbriarhinge/turns/beginoperation.cpp
@@ -47,6 +47,7 @@
         , m_onDone(std::move(onDone))
         , m_timeoutTimer(client.m_context)
         , m_delayTimer(client.m_context)
+        , m_memory(std::make_shared<base::MemoryBudget::Share>(client.m_memory))
     {
     }
 
@@ -60,7 +61,9 @@
         });
         m_missingTurn = m_start.previous;
         prependCachedTurns();
-        sendRequests();
+        if (m_onDone) {
+            sendRequests();
+        }
     }
 
 private:
@@ -73,11 +76,22 @@
         if (!cached.isNewestKnown) {
             return;
         }
-        m_prompt = cached.prompt + m_prompt;
+        prepend(cached.prompt, cached.engine, TurnId(cached.missingTurn));
+    }
+
+    /** Puts older turns before the known part of the chain. */
+    void prepend(const std::string &turns, const std::string &engine, TurnId missingTurn)
+    {
+        // The buffer of the prompt is copied when it grows.
+        if (!m_memory->resize(2 * (m_prompt.size() + turns.size()))) {
+            finish(NoRoom{"no memory for the chain"});
+            return;
+        }
+        m_prompt.insert(0, turns);
         if (m_engine.empty()) {
-            m_engine = cached.engine;
+            m_engine = engine;
         }
-        m_missingTurn = cached.missingTurn;
+        m_missingTurn = std::move(missingTurn);
     }
 
     void sendRequests()
@@ -194,19 +208,22 @@
             if (!begun->known) {
                 m_disksWithoutTurn.insert(disk);
             } else if (wantsChain) {
-                m_prompt = begun->chain + m_prompt;
-                if (m_engine.empty()) {
-                    m_engine = begun->engine;
+                prepend(begun->chain, begun->engine, TurnId(begun->missing));
+                if (!m_onDone) {
+                    return;
                 }
-                m_missingTurn = TurnId(begun->missing);
                 m_membersWithTurn.clear();
                 m_disksWithoutTurn.clear();
                 m_chainRequested.clear();
                 m_isTurnKnown = true;
-                if (!m_missingTurn.value().empty()) {
-                    prependCachedTurns();
-                    requestChain();
+                if (begun->missing_known) {
+                    m_membersWithTurn.push_back(member);
                 }
+                prependCachedTurns();
+                if (!m_onDone) {
+                    return;
+                }
+                requestChain();
             } else {
                 m_membersWithTurn.push_back(member);
                 m_isTurnKnown = true;
@@ -308,7 +325,7 @@
     void retryOrFail()
     {
         if (!m_disksWithoutRoom.empty()) {
-            finish(TurnStoresFull{});
+            finish(NoRoom{"turn stores are full"});
             return;
         }
         const bool canUseRelay = m_client.isIsolated() && m_client.m_peers.hasRelays();
@@ -348,7 +365,8 @@
 
     TurnGranted granted()
     {
-        return {m_prompt, m_engine, m_reservation, isUnderWay(m_budgetEntries, m_reservation)};
+        m_memory->resize(m_prompt.size());
+        return {std::move(m_prompt), m_engine, m_reservation, isUnderWay(m_budgetEntries, m_reservation), m_memory};
     }
 
     void abandonReservation()
@@ -387,6 +405,8 @@
     RespondingDisks m_disksWithRoom;
     RespondingDisks m_disksWithoutRoom;
     BudgetEntries m_budgetEntries;
+    /** The memory of the prompt. */
+    std::shared_ptr<base::MemoryBudget::Share> m_memory;
     std::string m_prompt;
     std::string m_engine;
     /** The newest turn of the chain that is still missing; empty once the chain is complete. */
--- a/src/libbriarhinge/turns/endoperation.cpp
+++ b/src/libbriarhinge/turns/endoperation.cpp
@@ -1,6 +1,7 @@
 #include "turns/turnclient.h"
 
 #include "turns/turnmessages.h"
+#include "wire/framecodec.h"
 
 #include <chrono>
 #include <unordered_set>
@@ -18,6 +19,8 @@
 
 /** Interval at which an end request is resent to members that have not acknowledged it. */
 constexpr base::Milliseconds endRetryInterval{150};
+/** Largest turn that fits into a frame; the rest is for its ids. */
+constexpr std::size_t maxTurnBytes = wire::maxFrameBytes - std::size_t{64} * 1024;
 
 }
 
@@ -164,6 +167,12 @@
         return;
     }
     EndHandler handler = std::move(onDone);
+    if (end.turn && end.turn->input.size() + end.turn->output.size() > maxTurnBytes) {
+        m_log.write(logging::events::turnNotKept, {{"request", end.turn->id.value()}});
+        releaseReservation(end.program, end.reservation, end.spent);
+        handler(false);
+        return;
+    }
     if (end.turn) {
         handler = [this, turn = *end.turn, inner = std::move(handler)](bool isDurable) {
             if (isDurable) {
--- a/src/libbriarhinge/turns/turnclient.cpp
+++ b/src/libbriarhinge/turns/turnclient.cpp
@@ -28,11 +28,12 @@
 
 }
 
-TurnClient::TurnClient(boost::asio::io_context &context, StorePeers &peers, QuorumRule rule, base::ZoneName zone,
-                       logging::EventLog &log)
+TurnClient::TurnClient(boost::asio::io_context &context, StorePeers &peers, QuorumRule rule,
+                       const base::MemoryBudget &memory, base::ZoneName zone, logging::EventLog &log)
     : m_context(context)
     , m_peers(peers)
     , m_rule(rule)
+    , m_memory(memory)
     , m_zone(std::move(zone))
     , m_log(log)
     , m_cache(cacheRetention, maxCacheBytes)
@@ -184,9 +185,9 @@
     }
 }
 
-void TurnClient::releaseReservation(const base::ProgramId &program, const AttemptId &reservation)
+void TurnClient::releaseReservation(const base::ProgramId &program, const AttemptId &reservation, base::Tokens spent)
 {
-    end({program, reservation, base::Tokens(0), std::nullopt}, settlementTimeout, [](bool) {});
+    end({program, reservation, spent, std::nullopt}, settlementTimeout, [](bool) {});
 }
 
 }
--- a/src/libbriarhinge/turns/turnclient.h
+++ b/src/libbriarhinge/turns/turnclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/memorybudget.h"
 #include "base/units.h"
 #include "logging/eventlog.h"
 #include "turns/budgetledger.h"
@@ -47,6 +48,8 @@
     AttemptId reservation;
     /** Whether another attempt of the program runs, or has generated tokens; only known with a reservation. */
     bool isProgramUnderWay = false;
+    /** The memory of the prompt. */
+    std::shared_ptr<base::MemoryBudget::Share> memory = nullptr;
 };
 
 /** The program's remaining budget does not cover the turn. */
@@ -59,9 +62,10 @@
 {
 };
 
-/** The turn stores have no room for the turn; it must not run. */
-struct TurnStoresFull
+/** There is no room for the turn or for its chain; the turn must not run. */
+struct NoRoom
 {
+    std::string reason;
 };
 
 /** The turn stores could not decide; the turn must not run. */
@@ -71,7 +75,7 @@
 };
 
 /** Outcome of TurnClient::begin(). */
-using TurnStartResult = std::variant<TurnGranted, BudgetSpent, NoSuchTurn, TurnStoresFull, TurnsUnavailable>;
+using TurnStartResult = std::variant<TurnGranted, BudgetSpent, NoSuchTurn, NoRoom, TurnsUnavailable>;
 
 /** The end of an attempt at a turn. */
 struct TurnEnd
@@ -101,11 +105,12 @@
      * @param context runs the timers and connections
      * @param peers connections to the turn stores
      * @param rule quorum sizes
+     * @param memory the memory for chains
      * @param zone availability zone of this process; chains are requested from the turn store in this zone first
      * @param log receives adopted groups, unreachable turn stores and turns that could not be stored
      */
-    TurnClient(boost::asio::io_context &context, StorePeers &peers, QuorumRule rule, base::ZoneName zone,
-               logging::EventLog &log);
+    TurnClient(boost::asio::io_context &context, StorePeers &peers, QuorumRule rule, const base::MemoryBudget &memory,
+               base::ZoneName zone, logging::EventLog &log);
     ~TurnClient();
 
     /** Adopts @p group if its epoch is newer than that of the present group. */
@@ -169,11 +174,14 @@
     /** Whether fewer members than a write quorum respond to this process directly. */
     bool isIsolated() const;
     void recordReply(const StoreMember &member, const wire::ChannelReply &reply);
-    void releaseReservation(const base::ProgramId &program, const AttemptId &reservation);
+    /** Settles a reservation in the background. */
+    void releaseReservation(const base::ProgramId &program, const AttemptId &reservation,
+                            base::Tokens spent = base::Tokens(0));
 
     boost::asio::io_context &m_context;
     StorePeers &m_peers;
     const QuorumRule m_rule;
+    const base::MemoryBudget m_memory;
     const base::ZoneName m_zone;
     logging::EventLog &m_log;
     StoreGroup m_group;
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-/** Size of the turns in one state page in bytes; small enough to let other frames through between the pages. */
+/** Size of the turns in one state page or one part of a chain in bytes; small enough to let other frames through between the pages. */
 constexpr std::size_t pageBytes = std::size_t{512} * 1024;
 /** Journal size in bytes below which a snapshot isn't worth the write load. */
 constexpr std::size_t minSnapshotBytes = std::size_t{32} * 1024 * 1024;
@@ -156,9 +156,10 @@
     const TurnId previous(request.previous);
     answer.known = m_turns.contains(previous);
     if (answer.known && request.want_chain) {
-        KnownChain known = m_turns.chain(previous);
+        KnownChain known = m_turns.chain(previous, pageBytes);
         answer.chain = std::move(known.prompt);
         answer.missing = known.missingTurn.value();
+        answer.missing_known = known.isMissingTurnKnown;
         answer.engine = std::move(known.engine);
     }
     return answer;
--- a/src/libbriarhinge/turns/turntree.cpp
+++ b/src/libbriarhinge/turns/turntree.cpp
@@ -58,7 +58,7 @@
     return m_turns.contains(id);
 }
 
-KnownChain TurnTree::chain(const TurnId &id) const
+KnownChain TurnTree::chain(const TurnId &id, std::size_t maxBytes) const
 {
     std::vector<const Turn *> newestFirst;
     KnownChain known;
@@ -70,6 +70,10 @@
         if (found == m_turns.end() || newestFirst.size() > m_turns.size()) {
             break;
         }
+        if (!newestFirst.empty() && bytes + textBytes(found->second.turn) > maxBytes) {
+            known.isMissingTurnKnown = true;
+            break;
+        }
         newestFirst.push_back(&found->second.turn);
         bytes += textBytes(found->second.turn);
         known.missingTurn = found->second.turn.parent;
--- a/src/libbriarhinge/turns/turntree.h
+++ b/src/libbriarhinge/turns/turntree.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -18,8 +19,10 @@
 {
     /** Inputs and outputs of the known turns, oldest first. */
     std::string prompt;
-    /** Parent of the oldest known turn, which is not known itself; empty if the chain is complete. */
+    /** Parent of the oldest turn of the prompt; empty if the chain is complete. */
     TurnId missingTurn;
+    /** Whether that turn is known but did not fit. */
+    bool isMissingTurnKnown = false;
     /** Id of the runner whose engine ran the newest turn. */
     std::string engine;
     /** Whether the newest turn is known. */
@@ -61,9 +64,11 @@
      * Collects a chain from its newest turn back to the first one or to a gap.
      *
      * @param id the newest turn of the chain
+     * @param maxBytes limit for the size of the known turns, beyond which the older ones count as missing; the newest one
+     * is always included
      * @return the known end of the chain
      */
-    KnownChain chain(const TurnId &id) const;
+    KnownChain chain(const TurnId &id, std::size_t maxBytes = std::numeric_limits<std::size_t>::max()) const;
 
     /** @return all turns in unspecified order; the pointers are valid until the tree is modified */
     std::vector<const Turn *> turns() const;
--- a/standins/platform/platformrunner.cpp
+++ b/standins/platform/platformrunner.cpp
@@ -12,6 +12,9 @@
 
 using briarhinge::http::OutgoingResponseHead;
 
+/** Holds the longest chain of a test. */
+constexpr std::uint64_t maxBodyBytes = std::uint64_t{64} * 1024 * 1024;
+
 namespace
 {
 
@@ -69,7 +72,9 @@
     m_listener = std::make_unique<briarhinge::http::Listener>(
         m_context,
         [] {
-            return briarhinge::http::ServerLimits{};
+            briarhinge::http::ServerLimits limits;
+            limits.maxBodyBytes = maxBodyBytes;
+            return limits;
         },
         unlimitedResources(),
         [this](const Connection &connection, briarhinge::http::IncomingRequest request) {
--- a/tests/system/test_crowd.py
+++ b/tests/system/test_crowd.py
@@ -18,6 +18,8 @@
 # More connections than the machine has descriptors.
 IDLE_CALLERS = 600
 MANY_CALLERS = 380
+# A chain of more than one frame of the turn stores holds.
+CHAIN_TURNS = 9
 LARGE_CHUNK_BYTES = 65_536
 TINY_CHUNK_BYTES = 16
 ORDINARY_TRIES = 5
@@ -109,6 +111,19 @@
         self.assert_served("/turn/ordinary", "hello")
         self.assert_bounded()
 
+    def test_many_turns_that_continue_a_long_chain(self):
+        fields = {}
+        for i in range(CHAIN_TURNS):
+            name = f"chain-{i}"
+            status, _ = self.stack.send("entry-0", "/turn/x", "x" * BODY_BYTES, {**fields, "X-Request-Id": name})
+            self.assertEqual(status, 200)
+            fields = {"X-Previous-Turn": name}
+        status, _ = self.stack.send("entry-0", "/turn/x", "in calm", fields)
+        self.assertEqual(status, 200)
+        previous = [f"{key}: {value}" for key, value in fields.items()]
+        fields = ("Content-Length: 5", "X-Token-Usage: 100,40", "X-Program-Id: p", *previous)
+        self.assert_holds_beside(self.crowd(CALLERS, b"hello", "/turn/x", fields))
+
     def test_idle_connections_beyond_the_descriptors(self):
         payloads = (b"" for _ in range(IDLE_CALLERS))
         self.assert_holds_beside(crowd.Crowd.pressing(self.host, platformstack.CALLER_PORT, payloads))
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -20,6 +20,8 @@
 namespace
 {
 
+constexpr std::size_t memoryBytes = std::size_t{16} * 1024 * 1024;
+
 const base::ZoneName zone("z");
 
 wire::Address addressAt(int offset)
@@ -106,7 +108,7 @@
 {
     CHECK(std::holds_alternative<std::uint16_t>(standIn.listen(relayAddress)));
     StorePeers peers(context);
-    TurnClient client(context, peers, QuorumRule{0}, zone, log);
+    TurnClient client(context, peers, QuorumRule{0}, base::MemoryBudget(memoryBytes), zone, log);
     client.setGroup(groupAt(cutAddress));
     peers.setRelays({relayAddress});
     CHECK(std::holds_alternative<TurnGranted>(begin(client)));
@@ -126,7 +128,7 @@
 TEST(Relay, anIsolatedEntryWithoutARelayReportsTheTurnStoresUnavailable)
 {
     StorePeers peers(context);
-    TurnClient client(context, peers, QuorumRule{0}, zone, log);
+    TurnClient client(context, peers, QuorumRule{0}, base::MemoryBudget(memoryBytes), zone, log);
     client.setGroup(groupAt(cutAddress));
     CHECK(std::holds_alternative<TurnsUnavailable>(begin(client)));
     CHECK_FALSE(client.isReady());
@@ -147,7 +149,7 @@
     CHECK(std::holds_alternative<std::uint16_t>(relay.listen(relayAddress)));
     CHECK(std::holds_alternative<std::uint16_t>(standIn.listen(storeAddress)));
     StorePeers peers(context);
-    TurnClient client(context, peers, QuorumRule{0}, zone, log);
+    TurnClient client(context, peers, QuorumRule{0}, base::MemoryBudget(memoryBytes), zone, log);
     client.setGroup(groupAt(cutAddress));
     peers.setRelays({relayAddress, storeAddress});
     CHECK(std::holds_alternative<TurnsUnavailable>(begin(client)));
@@ -159,7 +161,7 @@
 TEST(Relay, aRecoveredStoreIsReachedDirectlyWhileNoRelayResponds)
 {
     StorePeers peers(context);
-    TurnClient client(context, peers, QuorumRule{0}, zone, log);
+    TurnClient client(context, peers, QuorumRule{0}, base::MemoryBudget(memoryBytes), zone, log);
     client.setGroup(groupAt(storeAddress));
     CHECK(std::holds_alternative<TurnsUnavailable>(begin(client)));
     peers.setRelays({cutAddress});
--- a/tests/test_turnstore.cpp
+++ b/tests/test_turnstore.cpp
@@ -143,6 +143,37 @@
     CHECK(started.store.begin(next, start + 2 * retention).status == wire::StoreStatus::Done);
 }
 
+// Guards against a chain that does not fit into a frame, which would end the connection of the entry that asks for it.
+TEST(TurnStore, aLongChainIsReadInParts)
+{
+    StartedStore started(folder.path());
+    started.store.adopt(makeGroup(3));
+    constexpr int turns = 12;
+    std::string expected;
+    std::string parent;
+    for (int i = 0; i < turns; ++i) {
+        const std::string id = "long-" + std::to_string(i);
+        auto ended = end(3, id, parent);
+        ended.turn->input = std::string(maxBytes, static_cast<char>('a' + i));
+        CHECK(started.store.end(ended, start).status == wire::StoreStatus::Done);
+        expected += ended.turn->input + ended.turn->output;
+        parent = id;
+    }
+    std::string chain;
+    int parts = 0;
+    while (!parent.empty()) {
+        const auto answer = started.store.begin(begin(3, "x" + std::to_string(parts), parent), start);
+        CHECK(answer.known);
+        CHECK(answer.chain.size() < 2 * maxBytes);
+        chain = answer.chain + chain;
+        CHECK_EQUAL(!answer.missing.empty(), answer.missing_known);
+        parent = answer.missing;
+        ++parts;
+    }
+    LONGS_EQUAL(turns, parts);
+    CHECK(chain == expected);
+}
+
 TEST(TurnStore, aTurnThatNoLongerFitsIsSettledButNotAcknowledged)
 {
     StartedStore started(folder.path(), maxBytes);
