CallerEndpoint: Callers of briarhinged share the budget of their process

Callers saw: an entry of our own interface grew with everything that callers sent, also far beyond the limit for bodies, and accepted nobody once idle connections had used up its descriptors. Cause: cpprest's listener reads a body without a limit before its size can be checked, and bounds neither connections nor what they hold. Now: `http::Listener`, which also serves the users' platform, reads the requests within one budget, on one thread; `--http-threads` threads handle them as before. `--memory-mb` and `--max-descriptors` name what the process may use, by default what the operating system states. Refusals keep the form of the interface: 400 `body-size`, and 503 `no-room` where there is no room.

--- a/src/briarhinged/entryprocess.cpp
+++ b/src/briarhinged/entryprocess.cpp
@@ -138,7 +138,7 @@
           },
           [](const std::shared_ptr<wire::FrameSession> &, const std::string &) {})
     , m_endpoint(
-          settings.httpListen,
+          settings.httpListen, {settings.httpThreads, settings.machine},
           {[this] {
                return m_hasVmList && m_hasPartitionTable && !m_draining
                    && m_configuration.activeConfiguration().current() != nullptr;
--- a/src/briarhinged/main.cpp
+++ b/src/briarhinged/main.cpp
@@ -89,7 +89,6 @@
 int runRole(const settings::Settings &settings)
 {
     logging::EventLog log(settings.name);
-    http::setHttpThreads(settings.httpThreads);
     if (settings.role == settings::Role::Entry) {
         daemon::EntryProcess process(settings, log);
         return run(process, settings, log);
@@ -114,6 +113,7 @@
 
 int main(int argc, char **argv)
 {
+    base::returnFreedMemory();
     const auto signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     const auto read = settings::readSettings({argv + 1, argv + argc}, environmentVariable);
--- a/src/briarhinged/runnerprocess.h
+++ b/src/briarhinged/runnerprocess.h
@@ -66,7 +66,7 @@
               [this](const std::shared_ptr<wire::FrameSession> &session, const std::string &) {
                   m_service.handleSessionClosed(session);
               })
-        , m_endpoint(settings.httpListen,
+        , m_endpoint(settings.httpListen, {settings.httpThreads, settings.machine},
                      {[this] {
                           return !m_draining;
                       },
--- a/src/libbriarhinge/api/json.cpp
+++ b/src/libbriarhinge/api/json.cpp
@@ -296,6 +296,13 @@
     return request;
 }
 
+ClientReply unavailableReply(std::string_view code, const std::string &text, base::Milliseconds retryAfter)
+{
+    ClientReply reply = errorReply(statusNotRun, std::string(code), text);
+    reply.retryAfter = retryAfter;
+    return reply;
+}
+
 ClientReply toReply(const BadRequest &bad)
 {
     return errorReply(statusBadRequest, bad.code, bad.text);
--- a/src/libbriarhinge/api/json.h
+++ b/src/libbriarhinge/api/json.h
@@ -73,6 +73,14 @@
 /** @return the reply to a malformed request */
 ClientReply toReply(const BadRequest &bad);
 
+/**
+ * @param code stable machine-readable code
+ * @param text description of what is missing
+ * @param retryAfter delay after which a retry makes sense
+ * @return the reply to a request that was not run for lack of something
+ */
+ClientReply unavailableReply(std::string_view code, const std::string &text, base::Milliseconds retryAfter);
+
 /** @return the reply to a refused request */
 ClientReply toReply(const core::Refuse &refuse);
 
--- a/src/libbriarhinge/http/callerendpoint.cpp
+++ b/src/libbriarhinge/http/callerendpoint.cpp
@@ -1,17 +1,24 @@
 #include "http/callerendpoint.h"
 
 #include "api/json.h"
+#include "http/listener.h"
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
 #include <map>
-#include <mutex>
-
-#include <cpprest/http_listener.h>
-#include <cpprest/producerconsumerstream.h>
+#include <optional>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <pplx/threadpool.h>
 
 namespace briarhinge::http
 {
@@ -19,15 +26,29 @@
 namespace
 {
 
-using web::http::http_request;
-using web::http::http_response;
-using web::http::methods;
-using web::http::status_codes;
-using web::http::experimental::listener::http_listener;
-using StreamBuffer = concurrency::streams::producer_consumer_buffer<std::uint8_t>;
+namespace asio = boost::asio;
+
+using Connection = std::shared_ptr<ServerConnection>;
 
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusTooLarge = 413;
+constexpr unsigned statusUnavailable = 503;
 constexpr std::int64_t msPerSecond = 1000;
 constexpr std::string_view operatorPath = "/v1/operator/";
+constexpr std::string_view callersPath = "/v1/programs";
+constexpr base::Milliseconds headTimeout{10'000};
+constexpr base::Milliseconds bodyTimeout{30'000};
+constexpr base::Milliseconds idleTimeout{120'000};
+
+ServerLimits callerLimits()
+{
+    ServerLimits limits;
+    limits.maxBodyBytes = api::maxBodyBytes;
+    limits.headTimeout = headTimeout;
+    limits.bodyTimeout = bodyTimeout;
+    limits.idleTimeout = idleTimeout;
+    return limits;
+}
 
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
@@ -39,59 +60,143 @@
     return number;
 }
 
-http_response toResponse(const api::ClientReply &reply)
+std::vector<std::string> splitPath(std::string_view path)
+{
+    std::vector<std::string> parts;
+    while (!path.empty()) {
+        const std::size_t end = std::min(path.find('/'), path.size());
+        if (end > 0) {
+            parts.emplace_back(path.substr(0, end));
+        }
+        path.remove_prefix(std::min(end + 1, path.size()));
+    }
+    return parts;
+}
+
+std::map<std::string, std::string> splitQuery(std::string_view query)
+{
+    std::map<std::string, std::string> values;
+    while (!query.empty()) {
+        const std::size_t end = std::min(query.find('&'), query.size());
+        const std::string_view item = query.substr(0, end);
+        const std::size_t equals = std::min(item.find('='), item.size());
+        values[std::string(item.substr(0, equals))] = item.substr(std::min(equals + 1, item.size()));
+        query.remove_prefix(std::min(end + 1, query.size()));
+    }
+    return values;
+}
+
+OutgoingResponse toResponse(const api::ClientReply &reply)
 {
-    http_response response(reply.status);
-    response.set_body(reply.body, "application/json");
+    OutgoingResponse response{{reply.status, {}}, reply.body};
+    response.head.headers.add("Content-Type", "application/json");
     if (reply.retryAfter) {
         const std::int64_t seconds = (reply.retryAfter->count() + msPerSecond - 1) / msPerSecond;
-        response.headers().add("Retry-After", std::to_string(seconds));
+        response.head.headers.add("Retry-After", std::to_string(seconds));
     }
     return response;
 }
 
-/** Sends one response as server-sent events: "chunk" events, then one "end" event. */
-class EventStream
+OutgoingResponse toResponse(const api::BadRequest &bad)
+{
+    return toResponse(api::toReply(bad));
+}
+
+OutgoingResponse refusalResponse(const RefusedRequest &request)
+{
+    if (request.status == statusTooLarge) {
+        const std::string size = request.announcedBytes ? std::to_string(*request.announcedBytes) : std::string("more");
+        return toResponse(api::BadRequest{
+            "body-size", fmt::format("the body has {} bytes, must be at most {}", size, api::maxBodyBytes)});
+    }
+    if (request.retryDelay) {
+        return toResponse(
+            api::unavailableReply("no-room", "there is no room for the request; it was not run", *request.retryDelay));
+    }
+    return plainRefusal(request);
+}
+
+/** Sends the response to one request, from any thread. The methods must not be called concurrently. */
+class Responder
 {
 public:
-    explicit EventStream(const http_request &request)
+    /**
+     * @param owner keeps the thread of the connection alive
+     * @param connection the connection of the request
+     */
+    Responder(std::shared_ptr<void> owner, Connection connection)
+        : m_owner(std::move(owner))
+        , m_connection(std::move(connection))
     {
-        http_response response(status_codes::OK);
-        response.headers().set_content_type("text/event-stream");
-        response.headers().add("Cache-Control", "no-store");
-        response.set_body(m_buffer.create_istream());
-        request.reply(response).then([](const pplx::task<void> &sent) {
-            try {
-                sent.get();
-            } catch (const std::exception &) {
-                // The caller disconnected; it may resume from an offset.
-            }
+    }
+
+    void respond(OutgoingResponse response) const
+    {
+        post([response = std::move(response)](ServerConnection &connection) {
+            connection.respond(response.head, response.body);
         });
     }
 
-    void chunk(std::uint64_t offset, const std::string &text)
+    /** Sends a "chunk" event; the first one starts the response. */
+    void sendChunk(std::uint64_t offset, const std::string &text)
     {
+        if (!std::exchange(m_isStreaming, true)) {
+            post([](ServerConnection &connection) {
+                OutgoingResponseHead head{statusOk, {}};
+                head.headers.add("Content-Type", "text/event-stream");
+                head.headers.add("Cache-Control", "no-store");
+                connection.beginResponse(head);
+            });
+        }
         const nlohmann::json data{{"offset", offset}, {"text", text}};
-        write("chunk", data.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+        sendEvent("chunk", data.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
     }
 
-    void end(const api::ClientReply &reply)
+    /** Sends the final reply: as an "end" event if the response has started. */
+    void reply(const api::ClientReply &reply) const
     {
-        write("end", fmt::format("{{\"status\":{},\"body\":{}}}", reply.status, reply.body));
-        m_buffer.close(std::ios_base::out);
+        if (!m_isStreaming) {
+            respond(toResponse(reply));
+            return;
+        }
+        sendEvent("end", fmt::format("{{\"status\":{},\"body\":{}}}", reply.status, reply.body));
+        post([](ServerConnection &connection) {
+            connection.endResponse();
+        });
     }
 
 private:
-    void write(std::string_view event, const std::string &data)
+    template <class Action>
+    void post(Action action) const
+    {
+        asio::post(m_connection->executor(), [connection = m_connection, action = std::move(action)] {
+            action(*connection);
+        });
+    }
+
+    void sendEvent(std::string_view event, const std::string &data) const
     {
-        const std::string text = fmt::format("event: {}\ndata: {}\n\n", event, data);
-        m_buffer.putn_nocopy(reinterpret_cast<const std::uint8_t *>(text.data()), text.size()).wait();
-        m_buffer.sync().wait();
+        post([text = fmt::format("event: {}\ndata: {}\n\n", event, data)](ServerConnection &connection) {
+            connection.sendChunk(text);
+        });
     }
 
-    StreamBuffer m_buffer;
+    const std::shared_ptr<void> m_owner;
+    const Connection m_connection;
+    bool m_isStreaming = false;
 };
 
+std::string_view pathOf(const IncomingRequest &request)
+{
+    return std::string_view(request.target).substr(0, request.target.find('?'));
+}
+
+/** @return whether a request belongs to the interface for callers */
+bool isForCallers(const IncomingRequest &request)
+{
+    return pathOf(request).starts_with(callersPath);
+}
+
 /** A request decoded from its path and query. */
 struct Route
 {
@@ -99,15 +204,16 @@
     bool stream = false;
 };
 
-std::variant<Route, api::BadRequest> parseRoute(const http_request &request)
+std::variant<Route, api::BadRequest> parseRoute(const IncomingRequest &request)
 {
-    const std::vector<std::string> parts = web::uri::split_path(request.relative_uri().path());
-    const auto query = web::uri::split_query(request.relative_uri().query());
-    const bool isPost = request.method() == methods::POST;
-    const bool isGet = request.method() == methods::GET;
-    const api::BadRequest noSuchPath{
-        "path-unknown",
-        fmt::format("{} {} is not part of the interface", request.method(), request.relative_uri().path())};
+    const std::string_view path = pathOf(request);
+    const std::vector<std::string> parts = splitPath(path);
+    const auto query =
+        splitQuery(std::string_view(request.target).substr(std::min(path.size() + 1, request.target.size())));
+    const bool isPost = request.method == "POST";
+    const bool isGet = request.method == "GET";
+    const api::BadRequest noSuchPath{"path-unknown",
+                                     fmt::format("{} {} is not part of the interface", request.method, path)};
     Route route;
     if (parts.size() < 2 || parts[0] != "v1" || parts[1] != "programs") {
         return noSuchPath;
@@ -120,7 +226,7 @@
         return noSuchPath;
     }
     route.request.program = base::ProgramId(parts[2]);
-    if (parts.size() == 3 && (isGet || request.method() == methods::DEL)) {
+    if (parts.size() == 3 && (isGet || request.method == "DELETE")) {
         route.request.verb = isGet ? api::Verb::ReadProgram : api::Verb::EndProgram;
         return route;
     }
@@ -151,34 +257,43 @@
 class CallerEndpoint::Private : public std::enable_shared_from_this<CallerEndpoint::Private>
 {
 public:
-    Private(const wire::Address &address, ProcessStatus status, api::ClientHandler handler, OperatorHandler operators)
-        : m_status(std::move(status))
+    Private(const wire::Address &address, const EndpointResources &resources, ProcessStatus status,
+            api::ClientHandler handler, OperatorHandler operators)
+        : m_address(address)
+        , m_status(std::move(status))
         , m_handler(std::move(handler))
         , m_operators(std::move(operators))
-        , m_listener("http://" + wire::toString(address))
+        , m_memory(resources.machine.bufferBytes())
+        , m_work(m_context.get_executor())
+        , m_handlers(resources.threads)
+        , m_listener(m_context, callerLimits, {m_memory, resources.machine.callerConnections(), refusalResponse},
+                     [this](const Connection &connection, IncomingRequest request) {
+                         receive(connection, std::move(request));
+                     })
     {
     }
 
     std::string start()
     {
-        m_listener.support([this](const http_request &request) {
-            handleRequest(request);
-        });
-        try {
-            m_listener.open().get();
-        } catch (const std::exception &error) {
-            return error.what();
+        std::string error = m_listener.listen(m_address);
+        if (error.empty()) {
+            m_thread = std::thread([this] {
+                m_context.run();
+            });
         }
-        return {};
+        return error;
     }
 
     void stop()
     {
-        try {
-            m_listener.close().get();
-        } catch (const std::exception &) {
-            // The listener was never opened.
+        if (m_thread.joinable()) {
+            asio::post(m_context, [this] {
+                m_listener.close();
+                m_context.stop();
+            });
+            m_thread.join();
         }
+        m_handlers.join();
     }
 
     std::size_t inProgress() const
@@ -187,116 +302,96 @@
     }
 
 private:
-    void handleRequest(const http_request &request)
+    void receive(const Connection &connection, IncomingRequest request)
     {
-        const std::string path = request.relative_uri().path();
-        if (request.method() == methods::GET && path == "/metrics") {
-            request.reply(status_codes::OK, m_status.metrics(), "text/plain; version=0.0.4");
-        } else if (request.method() == methods::GET && path == "/healthz") {
-            request.reply(status_codes::OK, "ok\n", "text/plain");
-        } else if (request.method() == methods::GET && path == "/readyz") {
-            const bool ready = m_status.isReady();
-            request.reply(ready ? status_codes::OK : status_codes::ServiceUnavailable,
-                          ready ? "ready\n" : "not ready\n", "text/plain");
+        // Counted here, so that a stopping process waits for requests that no thread has taken yet.
+        m_inProgress += isForCallers(request) ? 1 : 0;
+        asio::post(m_handlers,
+                   [self = shared_from_this(), responder = std::make_shared<Responder>(shared_from_this(), connection),
+                    request = std::move(request)]() mutable {
+                       self->handleRequest(responder, std::move(request));
+                   });
+    }
+
+    void handleRequest(const std::shared_ptr<Responder> &responder, IncomingRequest request)
+    {
+        const std::string_view path = pathOf(request);
+        const bool isGet = request.method == "GET";
+        if (isGet && path == "/metrics") {
+            respondWithText(*responder, statusOk, m_status.metrics(), "text/plain; version=0.0.4");
+        } else if (isGet && path == "/healthz") {
+            respondWithText(*responder, statusOk, "ok\n", "text/plain");
+        } else if (isGet && path == "/readyz") {
+            const bool isReady = m_status.isReady();
+            respondWithText(*responder, isReady ? statusOk : statusUnavailable, isReady ? "ready\n" : "not ready\n",
+                            "text/plain");
         } else if (m_operators && path.starts_with(operatorPath)) {
-            handleOperatorRequest(request, path);
+            handleOperatorRequest(responder, request);
         } else {
-            handleClientRequest(request);
+            handleClientRequest(responder, std::move(request));
         }
     }
 
-    void handleOperatorRequest(const http_request &request, const std::string &path)
+    static void respondWithText(const Responder &responder, unsigned status, std::string text, const char *type)
     {
-        OperatorRequest operatorRequest;
-        operatorRequest.isPost = request.method() == methods::POST;
-        operatorRequest.path = web::uri::split_path(path.substr(operatorPath.size()));
-        m_operators(std::move(operatorRequest), [request](const api::ClientReply &reply) {
-            request.reply(toResponse(reply));
-        });
+        OutgoingResponse response{{status, {}}, std::move(text)};
+        response.head.headers.add("Content-Type", type);
+        responder.respond(std::move(response));
     }
 
-    void handleClientRequest(http_request request)
+    void handleOperatorRequest(const std::shared_ptr<Responder> &responder, const IncomingRequest &request)
     {
-        auto parsed = parseRoute(request);
-        if (const auto *bad = std::get_if<api::BadRequest>(&parsed)) {
-            request.reply(toResponse(api::toReply(*bad)));
-            return;
-        }
-        if (!m_handler) {
-            request.reply(toResponse(api::toReply(api::BadRequest{"no-callers", "this process takes no callers"})));
-            return;
-        }
-        if (request.headers().content_length() > api::maxBodyBytes) {
-            refuseBody(request, request.headers().content_length());
-            return;
-        }
-        auto self = shared_from_this();
-        ++m_inProgress;
-        request.extract_utf8string(true).then(
-            [self, request, route = std::get<Route>(parsed)](const pplx::task<std::string> &body) mutable {
-                try {
-                    route.request.body = body.get();
-                    self->handle(request, std::move(route));
-                } catch (const std::exception &error) {
-                    --self->m_inProgress;
-                    request.reply(toResponse(api::toReply(api::BadRequest{"body-unread", error.what()})));
-                }
-            });
-    }
-
-    static void refuseBody(const http_request &request, std::uint64_t bytes)
-    {
-        request.reply(toResponse(api::toReply(api::BadRequest{
-            "body-size", fmt::format("the body has {} bytes, must be at most {}", bytes, api::maxBodyBytes)})));
+        OperatorRequest operatorRequest;
+        operatorRequest.isPost = request.method == "POST";
+        operatorRequest.path = splitPath(pathOf(request).substr(operatorPath.size()));
+        m_operators(std::move(operatorRequest), [responder](const api::ClientReply &reply) {
+            responder->reply(reply);
+        });
     }
 
-    void handle(const http_request &request, Route route)
+    void handleClientRequest(const std::shared_ptr<Responder> &responder, IncomingRequest request)
     {
-        // The size of a chunked body is not known in advance.
-        if (route.request.body.size() > api::maxBodyBytes) {
-            refuseBody(request, route.request.body.size());
-            --m_inProgress;
+        const std::size_t counted = isForCallers(request) ? 1 : 0;
+        auto parsed = parseRoute(request);
+        const auto *bad = std::get_if<api::BadRequest>(&parsed);
+        const api::BadRequest noCallers{"no-callers", "this process takes no callers"};
+        if (bad != nullptr || !m_handler) {
+            responder->respond(toResponse(bad != nullptr ? *bad : noCallers));
+            m_inProgress -= counted;
             return;
         }
+        Route &route = std::get<Route>(parsed);
+        route.request.body = std::move(request.body);
         api::ClientSink sink;
-        auto self = shared_from_this();
-        if (route.stream) {
+        sink.chunk = [responder, isStream = route.stream](std::uint64_t offset, const std::string &text) {
             // The response starts with the first chunk, so that a refusal keeps its own HTTP status.
-            auto events = std::make_shared<std::shared_ptr<EventStream>>();
-            sink.chunk = [request, events](std::uint64_t offset, const std::string &text) {
-                if (!*events) {
-                    *events = std::make_shared<EventStream>(request);
-                }
-                (*events)->chunk(offset, text);
-            };
-            sink.reply = [self, request, events](const api::ClientReply &reply) {
-                if (*events) {
-                    (*events)->end(reply);
-                } else {
-                    request.reply(toResponse(reply));
-                }
-                --self->m_inProgress;
-            };
-        } else {
-            sink.chunk = [](std::uint64_t, const std::string &) {};
-            sink.reply = [self, request](const api::ClientReply &reply) {
-                request.reply(toResponse(reply));
-                --self->m_inProgress;
-            };
-        }
+            if (isStream) {
+                responder->sendChunk(offset, text);
+            }
+        };
+        sink.reply = [self = shared_from_this(), responder, counted](const api::ClientReply &reply) {
+            responder->reply(reply);
+            self->m_inProgress -= counted;
+        };
         m_handler(std::move(route.request), std::move(sink));
     }
 
+    const wire::Address m_address;
     ProcessStatus m_status;
     api::ClientHandler m_handler;
     OperatorHandler m_operators;
-    http_listener m_listener;
+    base::MemoryBudget m_memory;
+    asio::io_context m_context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    asio::thread_pool m_handlers;
+    Listener m_listener;
+    std::thread m_thread;
     std::atomic<std::size_t> m_inProgress{0};
 };
 
-CallerEndpoint::CallerEndpoint(const wire::Address &address, ProcessStatus status, api::ClientHandler handler,
-                               OperatorHandler operators)
-    : d(std::make_shared<Private>(address, std::move(status), std::move(handler), std::move(operators)))
+CallerEndpoint::CallerEndpoint(const wire::Address &address, const EndpointResources &resources, ProcessStatus status,
+                               api::ClientHandler handler, OperatorHandler operators)
+    : d(std::make_shared<Private>(address, resources, std::move(status), std::move(handler), std::move(operators)))
 {
 }
 
@@ -320,9 +415,4 @@
     return d->inProgress();
 }
 
-void setHttpThreads(std::size_t count)
-{
-    crossplat::threadpool::initialize_with_threads(count);
-}
-
 }
--- a/src/libbriarhinge/http/callerendpoint.h
+++ b/src/libbriarhinge/http/callerendpoint.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "api/clientrequest.h"
+#include "base/machinelimits.h"
 #include "wire/address.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -32,18 +34,30 @@
 /** Answers an operator's request, possibly after it has returned. */
 using OperatorHandler = std::function<void(OperatorRequest, std::function<void(const api::ClientReply &)>)>;
 
-/** HTTP server of a process: callers' requests (entries only), metrics and health checks. */
+/** What the HTTP server of a process may use. */
+struct EndpointResources
+{
+    /** Number of threads that handle requests. */
+    std::size_t threads = 1;
+    base::MachineLimits machine;
+};
+
+/**
+ * HTTP server of a process: callers' requests (entries only), metrics and health checks. One thread runs all connections,
+ * further ones handle the requests.
+ */
 class CallerEndpoint
 {
 public:
     /**
      * @param address address to listen on
+     * @param resources what the connections and requests may use
      * @param status backs /metrics, /healthz and /readyz
      * @param handler answers callers' requests; empty if the process accepts none
      * @param operators answers operators' requests; empty if the process accepts none
      */
-    CallerEndpoint(const wire::Address &address, ProcessStatus status, api::ClientHandler handler,
-                   OperatorHandler operators = nullptr);
+    CallerEndpoint(const wire::Address &address, const EndpointResources &resources, ProcessStatus status,
+                   api::ClientHandler handler, OperatorHandler operators = nullptr);
     ~CallerEndpoint();
 
     /**
@@ -53,6 +67,7 @@
      */
     std::string start();
 
+    /** Closes all connections and waits for the requests that are being handled. */
     void stop();
 
     /** @return number of callers' requests without a final response */
@@ -63,11 +78,4 @@
     std::shared_ptr<Private> d;
 };
 
-/**
- * Sets the size of the thread pool for HTTP. Must be called before any other use of HTTP.
- *
- * @param count number of threads
- */
-void setHttpThreads(std::size_t count);
-
 }
--- a/src/libbriarhinge/http/serverconnection.cpp
+++ b/src/libbriarhinge/http/serverconnection.cpp
@@ -361,6 +361,7 @@
         const bool isIncomplete = !error || error == beast::http::error::need_more;
         if (isIncomplete && d->parser->is_header_done() && !std::exchange(d->hasHead, true)) {
             startTimer(d->limits.bodyTimeout);
+            sendContinue();
         }
         if (error == beast::http::error::need_more) {
             if (!isWithinBuffer()) {
@@ -424,6 +425,14 @@
     respond(response.head, response.body);
 }
 
+void ServerConnection::sendContinue()
+{
+    if (!d->parser->is_done()
+        && isSameFieldName(toText(d->parser->get()[beast::http::field::expect]), "100-continue")) {
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
 void ServerConnection::respond(const OutgoingResponseHead &head, std::string_view body)
 {
     if (d->isClosed) {
--- a/src/libbriarhinge/http/serverconnection.h
+++ b/src/libbriarhinge/http/serverconnection.h
@@ -173,6 +173,7 @@
     bool isWithinBuffer() const;
     void requestReceived();
     void refuse(unsigned status);
+    void sendContinue();
     void abandonResponse();
     bool hasUnreadOutput() const;
     bool accountMemory();
--- a/src/libbriarhinge/settings/settings.cpp
+++ b/src/libbriarhinge/settings/settings.cpp
@@ -33,6 +33,9 @@
     {"vm-list-interval", "1000", "milliseconds between two reads of the VM list"},
     {"io-threads", "2", "threads for the connections between processes"},
     {"http-threads", "8", "threads for HTTP"},
+    {"memory-mb", "0",
+     "megabytes that the process may use, half of them for requests and answers; 0 for all of the VM's"},
+    {"max-descriptors", "0", "descriptors that the process may open; 0 for what the operating system allows"},
     {"drain-limit", "60000", "milliseconds that a stopping process waits for requests in progress"},
     {"flush-interval", "2000", "milliseconds that a finished turn may wait to become durable"},
     {"lease-time", "3000", "milliseconds after which a silent entry is taken over"},
@@ -218,6 +221,9 @@
 std::variant<Settings, SettingsErrors> parseValues(const Values &values)
 {
     constexpr std::uint64_t maxThreads = 256;
+    constexpr std::uint64_t maxMemoryMegabytes = 16 * 1024 * 1024;
+    constexpr std::uint64_t bytesPerMegabyte = 1024 * 1024;
+    constexpr std::uint64_t maxDescriptors = 1024 * 1024 * 1024;
     constexpr std::uint64_t maxConcurrency = 4096;
     constexpr std::uint64_t maxCacheTokens = 1'000'000'000;
     ValueParser parser(values);
@@ -232,6 +238,8 @@
     settings.vmListInterval = parser.milliseconds("vm-list-interval");
     settings.ioThreads = parser.number("io-threads", 1, maxThreads);
     settings.httpThreads = parser.number("http-threads", 1, maxThreads);
+    settings.machine = base::machineLimits({parser.number("memory-mb", 0, maxMemoryMegabytes) * bytesPerMegabyte,
+                                            parser.number("max-descriptors", 0, maxDescriptors)});
     settings.drainLimit = parser.milliseconds("drain-limit");
     settings.flushInterval = parser.milliseconds("flush-interval");
     settings.leaseTime = parser.milliseconds("lease-time");
--- a/src/libbriarhinge/settings/settings.h
+++ b/src/libbriarhinge/settings/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/machinelimits.h"
 #include "base/units.h"
 #include "core/retention.h"
 #include "wire/address.h"
@@ -65,6 +66,8 @@
     base::Milliseconds vmListInterval{0};
     std::size_t ioThreads = 0;
     std::size_t httpThreads = 0;
+    /** What the process may use of its VM. */
+    base::MachineLimits machine;
     base::Milliseconds drainLimit{0};
     base::Milliseconds flushInterval{0};
     base::Milliseconds leaseTime{0};
--- a/tests/test_crowdedlistener.cpp
+++ b/tests/test_crowdedlistener.cpp
@@ -283,3 +283,12 @@
     const Caller ordinary = connect();
     CHECK(isServed(*ordinary));
 }
+
+TEST(CrowdedListener, aCallerThatAsksIsToldToSendItsBody)
+{
+    const Caller caller = connect();
+    send(*caller, "POST /charge HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    STRCMP_EQUAL("HTTP/1.1 100 Continue\r\n\r\n", receive(*caller).c_str());
+    send(*caller, "ab");
+    STRNCMP_EQUAL("HTTP/1.1 200", receive(*caller).c_str(), 12);
+}
