MemoryBudget: An answer that its caller reads is not broken off for others

Found by reading again: while memory is short, a large answer on its way to a caller that reads it could be reclaimed for any small request, and a small answer was broken off when no memory was left for the few bytes of it. Now output is reclaimed only when it has stalled, and after everything that can be refused with a promise; a write that finds no memory ends its connection only if the caller has 64 KB unread. A refusal on a connection whose last request was HEAD has its body. Constants of the settings have the type that they are used in. `MemoryBudget.whatMayOnlyBeReclaimedWhenStalledIsTheLastResort`, `CrowdedListener.anAnswerThatStaysUnreadGivesWayAndOneThatIsReadDoesNot`.

--- a/src/libbriarhinge/base/memorybudget.cpp
+++ b/src/libbriarhinge/base/memorybudget.cpp
@@ -33,23 +33,25 @@
     bool reclaimFor(const Share &share, std::size_t bytes, Time now)
     {
         const Share *stalled = nullptr;
-        const Share *largest = nullptr;
+        const Share *growing = nullptr;
+        const Share *lastResort = nullptr;
         for (const Share *candidate : reclaimable) {
             if (candidate == &share) {
                 continue;
             }
             const bool isStalled = now - candidate->m_lastGrowth >= stallTimeout;
-            if (isStalled && (stalled == nullptr || candidate->m_bytes > stalled->m_bytes)) {
-                stalled = candidate;
-            }
-            if (largest == nullptr || candidate->m_bytes > largest->m_bytes) {
-                largest = candidate;
+            if (candidate->m_reclaim == Reclaim::Anytime) {
+                chooseLarger(isStalled ? stalled : growing, candidate);
+            } else if (isStalled) {
+                chooseLarger(lastResort, candidate);
             }
         }
-        const bool mayTakeFromGrowing = bytes <= smallShareBytes && largest != nullptr && largest->m_bytes > bytes;
-        const Share *chosen = mayTakeFromGrowing ? largest : nullptr;
+        const bool mayTakeFromGrowing = bytes <= smallShareBytes && growing != nullptr && growing->m_bytes > bytes;
+        const Share *chosen = lastResort;
         if (stalled != nullptr) {
             chosen = stalled;
+        } else if (mayTakeFromGrowing) {
+            chosen = growing;
         }
         if (chosen == nullptr) {
             return false;
@@ -67,6 +69,14 @@
     std::size_t reclaimedShares = 0;
     std::size_t refusedGrowths = 0;
     std::unordered_set<const Share *> reclaimable;
+
+private:
+    static void chooseLarger(const Share *&chosen, const Share *candidate)
+    {
+        if (chosen == nullptr || candidate->m_bytes > chosen->m_bytes) {
+            chosen = candidate;
+        }
+    }
 };
 
 MemoryBudget::MemoryBudget(std::size_t limitBytes)
@@ -137,8 +147,14 @@
     return m_bytes;
 }
 
-void MemoryBudget::Share::setReclaimHandler(std::function<void()> onReclaim)
+bool MemoryBudget::Share::isStalled() const
+{
+    return std::chrono::steady_clock::now() - m_lastGrowth >= stallTimeout;
+}
+
+void MemoryBudget::Share::setReclaimHandler(Reclaim reclaim, std::function<void()> onReclaim)
 {
+    m_reclaim = reclaim;
     m_onReclaim = std::move(onReclaim);
     m_budget->reclaimable.insert(this);
 }
--- a/src/libbriarhinge/base/memorybudget.h
+++ b/src/libbriarhinge/base/memorybudget.h
@@ -15,8 +15,8 @@
  * a share, which may outlive the budget. Must be used on one thread.
  *
  * The last part of the budget is kept for small shares, so that large ones can't keep ordinary requests out. When memory
- * runs out, the owner of a reclaimable share gives its own back: the largest one that has stopped growing, and for a
- * small share also a larger one that grows. A share for which none gives way does not grow.
+ * runs out, the owner of a reclaimable share gives its own back: the largest one that has stalled, that is, has stopped
+ * growing; for a small share also a larger one that grows. A share for which none gives way does not grow.
  */
 class MemoryBudget
 {
@@ -33,6 +33,14 @@
     /** @param limitBytes maximum number of bytes of all shares together */
     explicit MemoryBudget(std::size_t limitBytes);
 
+    /** When the memory of a share may be taken back. */
+    enum class Reclaim {
+        /** When it has stalled; while it grows, by small shares. */
+        Anytime,
+        /** When it has stalled and no other share gives way. */
+        OnlyStalled,
+    };
+
     /** The bytes of one owner; gives them back when it is destroyed. */
     class Share
     {
@@ -60,15 +68,19 @@
         /** Gives all bytes back. */
         void clear();
 
+        /** @return whether the share has not grown for the stall timeout */
+        bool isStalled() const;
+
         /** @return size in bytes */
         std::size_t bytes() const;
 
         /**
          * Allows the budget to take the memory back, until clearReclaimHandler() is called.
          *
+         * @param reclaim when it may do so
          * @param onReclaim called when others need the memory; must shrink the share
          */
-        void setReclaimHandler(std::function<void()> onReclaim);
+        void setReclaimHandler(Reclaim reclaim, std::function<void()> onReclaim);
 
         /** Keeps the budget from taking the memory back. */
         void clearReclaimHandler();
@@ -77,6 +89,7 @@
         friend class MemoryBudget;
 
         const std::shared_ptr<State> m_budget;
+        Reclaim m_reclaim = Reclaim::Anytime;
         std::function<void()> m_onReclaim;
         std::size_t m_bytes = 0;
         Time m_lastGrowth;
--- a/src/libbriarhinge/http/serverconnection.cpp
+++ b/src/libbriarhinge/http/serverconnection.cpp
@@ -47,7 +47,7 @@
 constexpr std::size_t connectionBytes = 4096;
 /** Input buffer that a connection keeps while it is idle. */
 constexpr std::size_t idleInputBytes = std::size_t{8} * 1024;
-/** Unsent output from which a caller is taken not to read its response; a slow reader has less in transit. */
+/** Unsent output from which a caller that has stalled is taken not to read its response. */
 constexpr std::size_t unreadOutputBytes = std::size_t{64} * 1024;
 /** Time after which a request that found no room may be repeated: stalled ones have given way by then. */
 constexpr std::chrono::seconds retryDelay{1};
@@ -146,7 +146,8 @@
     bool isDiscarding = false;
     /** Whether the rest of the response is not sent since the caller does not read it. */
     bool isAbandoned = false;
-    bool isReclaimable = false;
+    /** When others may take the memory of the connection back; empty for never. */
+    std::optional<base::MemoryBudget::Reclaim> reclaim;
     bool isClosed = false;
 };
 
@@ -196,7 +197,8 @@
         return ConnectionState::Closing;
     }
     if (d->isBusy) {
-        return hasUnreadOutput() ? ConnectionState::Unread : ConnectionState::Busy;
+        const bool isUnread = unsentBytes() >= unreadOutputBytes && d->memory.isStalled();
+        return isUnread ? ConnectionState::Unread : ConnectionState::Busy;
     }
     if (d->hasPartialRequest) {
         return ConnectionState::Receiving;
@@ -225,6 +227,9 @@
     const auto self = shared_from_this();
     switch (state()) {
     case ConnectionState::Busy:
+        if (!d->writing.empty()) {
+            abandonResponse();
+        }
         return;
     case ConnectionState::Receiving:
         refuse(statusUnavailable);
@@ -244,33 +249,43 @@
 {
     d->isAbandoned = true;
     d->outgoing = {};
-    accountMemory();
+    d->memory.clearReclaimHandler();
+    d->memory.clear();
     // The sender of the response may be on the stack, and is told that the caller has disconnected.
     asio::post(d->socket.get_executor(), [self = shared_from_this()] {
         self->closeNow();
     });
 }
 
-bool ServerConnection::hasUnreadOutput() const
+std::size_t ServerConnection::unsentBytes() const
 {
-    return d->writing.size() + d->outgoing.size() >= unreadOutputBytes;
+    return d->writing.size() + d->outgoing.size();
 }
 
 bool ServerConnection::accountMemory()
 {
-    return d->memory.resize(connectionBytes + d->input.capacity() + (d->parser ? bodyBytes(*d->parser) : 0)
+    return d->isAbandoned
+        || d->memory.resize(connectionBytes + d->input.capacity() + (d->parser ? bodyBytes(*d->parser) : 0)
                             + d->requestBytes + d->outgoing.size() + d->writing.size());
 }
 
 void ServerConnection::updateReclaimHandler()
 {
-    const bool isReclaimable = !d->isClosed && !d->isAbandoned && state() != ConnectionState::Busy;
-    if (isReclaimable == d->isReclaimable) {
+    if (d->isClosed || d->isAbandoned) {
         return;
     }
-    d->isReclaimable = isReclaimable;
-    if (isReclaimable) {
-        d->memory.setReclaimHandler([this] {
+    std::optional<base::MemoryBudget::Reclaim> reclaim;
+    if (!d->isBusy) {
+        reclaim = base::MemoryBudget::Reclaim::Anytime;
+    } else if (unsentBytes() > 0) {
+        reclaim = base::MemoryBudget::Reclaim::OnlyStalled;
+    }
+    if (reclaim == d->reclaim) {
+        return;
+    }
+    d->reclaim = reclaim;
+    if (reclaim) {
+        d->memory.setReclaimHandler(*reclaim, [this] {
             giveWay();
         });
     } else {
@@ -419,6 +434,7 @@
     }
     d->isBusy = true;
     d->isKeepAlive = false;
+    d->isHeadRequest = false;
     d->parser.reset();
     enterState();
     const OutgoingResponse response = d->refusalFormat(refused);
@@ -499,7 +515,7 @@
     if (d->writing.empty()) {
         writeNext();
     }
-    if (!accountMemory()) {
+    if (!accountMemory() && unsentBytes() >= unreadOutputBytes) {
         abandonResponse();
     }
     updateReclaimHandler();
--- a/src/libbriarhinge/http/serverconnection.h
+++ b/src/libbriarhinge/http/serverconnection.h
@@ -160,7 +160,7 @@
 
     /**
      * Ends the connection in favour of others, unless a request is being handled: a request that has not arrived whole is
-     * answered with 503, which promises that it does not run, and a response that is not read is broken off.
+     * answered with 503, which promises that it does not run, and a response that has not been read is broken off.
      */
     void giveWay();
 
@@ -175,7 +175,7 @@
     void refuse(unsigned status);
     void sendContinue();
     void abandonResponse();
-    bool hasUnreadOutput() const;
+    std::size_t unsentBytes() const;
     bool accountMemory();
     void updateReclaimHandler();
     void enterState();
--- a/src/libbriarhinge/settings/settings.cpp
+++ b/src/libbriarhinge/settings/settings.cpp
@@ -221,9 +221,9 @@
 std::variant<Settings, SettingsErrors> parseValues(const Values &values)
 {
     constexpr std::uint64_t maxThreads = 256;
-    constexpr std::uint64_t maxMemoryMegabytes = 16 * 1024 * 1024;
-    constexpr std::uint64_t bytesPerMegabyte = 1024 * 1024;
-    constexpr std::uint64_t maxDescriptors = 1024 * 1024 * 1024;
+    constexpr std::uint64_t maxMemoryMegabytes = 16'777'216;
+    constexpr std::uint64_t bytesPerMegabyte = 1'048'576;
+    constexpr std::uint64_t maxDescriptors = 1'073'741'824;
     constexpr std::uint64_t maxConcurrency = 4096;
     constexpr std::uint64_t maxCacheTokens = 1'000'000'000;
     ValueParser parser(values);
--- a/tests/test_crowdedlistener.cpp
+++ b/tests/test_crowdedlistener.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -284,6 +285,35 @@
     CHECK(isServed(*ordinary));
 }
 
+// Guards against many callers that each leave a part of a small answer unread.
+TEST(CrowdedListener, anAnswerThatStaysUnreadGivesWayAndOneThatIsReadDoesNot)
+{
+    const Caller deaf = connect();
+    const Caller reader = connect();
+    for (const Caller *caller : {&deaf, &reader}) {
+        send(**caller, "GET /held/ HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    held[0]->beginResponse({200, {}});
+    held[1]->beginResponse({200, {}});
+    const std::string piece(std::size_t{16} * 1024, 'x');
+    bool isDisconnected = false;
+    held[0]->setDisconnectHandler([&] {
+        isDisconnected = true;
+    });
+    // Fills what the kernel holds, and some of the memory.
+    while (memory.usedBytes() < memoryBytes / 4) {
+        held[0]->sendChunk(piece);
+        runFor(std::chrono::milliseconds(1));
+    }
+    std::this_thread::sleep_for(base::MemoryBudget::stallTimeout);
+    base::MemoryBudget::Share other(memory);
+    CHECK(other.grow(memoryBytes - memoryBytes / 4));
+    held[1]->sendChunk(piece);
+    runFor(shortTime);
+    CHECK(isDisconnected);
+    CHECK(receive(*reader).find(piece) != std::string::npos);
+}
+
 TEST(CrowdedListener, aCallerThatAsksIsToldToSendItsBody)
 {
     const Caller caller = connect();
--- a/tests/test_memorybudget.cpp
+++ b/tests/test_memorybudget.cpp
@@ -21,10 +21,10 @@
 /** A share that gives everything back when it is asked to. */
 struct Upload
 {
-    explicit Upload(const MemoryBudget &budget)
+    explicit Upload(const MemoryBudget &budget, MemoryBudget::Reclaim reclaim = MemoryBudget::Reclaim::Anytime)
         : share(budget)
     {
-        share.setReclaimHandler([this] {
+        share.setReclaimHandler(reclaim, [this] {
             share.clear();
             share.clearReclaimHandler();
             hasGivenWay = true;
@@ -105,6 +105,23 @@
     CHECK_FALSE(growing.hasGivenWay);
 }
 
+TEST(MemoryBudget, whatMayOnlyBeReclaimedWhenStalledIsTheLastResort)
+{
+    Upload response(budget, MemoryBudget::Reclaim::OnlyStalled);
+    Upload upload(budget);
+    CHECK(response.share.grow(500 * kilobyte));
+    MemoryBudget::Share large(budget);
+    CHECK(upload.share.grow(100 * kilobyte));
+    CHECK_FALSE(large.grow(600 * kilobyte));
+    CHECK_FALSE(response.hasGivenWay);
+    std::this_thread::sleep_for(MemoryBudget::stallTimeout);
+    CHECK(large.grow(300 * kilobyte));
+    CHECK(upload.hasGivenWay);
+    CHECK_FALSE(response.hasGivenWay);
+    CHECK(large.grow(100 * kilobyte));
+    CHECK(response.hasGivenWay);
+}
+
 TEST(MemoryBudget, aShareMayOutliveItsBudget)
 {
     auto shortLived = std::make_unique<MemoryBudget>(limit);
