Node: A SIGHUP while the process starts does not end it

Operators saw: an entry that was told of changed settings right after its start ended (exit by signal 1), and its callers' connections with it. Cause: until the handler was installed, SIGHUP had its default effect. Now: SIGHUP is blocked from the first line of main() until the handler is there, which then reads the settings. What comes before main() still ends the process.

--- a/src/briarhingenode/main.cpp
+++ b/src/briarhingenode/main.cpp
@@ -3,6 +3,7 @@
 #include "platform/nodesettings.h"
 #include "storenode.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -109,6 +110,19 @@
     boost::asio::signal_set m_signals;
 };
 
+/**
+ * Delays or admits SIGHUP, which would end a process that has no handler for it yet.
+ *
+ * @param isBlocked whether the signal waits
+ */
+void setReloadSignalBlocked(bool isBlocked)
+{
+    sigset_t reload;
+    sigemptyset(&reload);
+    sigaddset(&reload, SIGHUP);
+    pthread_sigmask(isBlocked ? SIG_BLOCK : SIG_UNBLOCK, &reload, nullptr);
+}
+
 template <class Node>
 int run(const platform::NodeSettings &settings, const std::string &settingsPath, const std::string &role)
 {
@@ -123,6 +137,7 @@
     log.write(logging::events::processStarted, {{"role", role}, {"zone", settings.zone.value()}});
     const LogFlusher flusher(context, log);
     const SignalHandler<Node> signals(context, node, log, settingsPath);
+    setReloadSignalBlocked(false);
     context.run();
     return exitOk;
 }
@@ -157,6 +172,7 @@
 
 int main(int argc, char **argv)
 {
+    setReloadSignalBlocked(true);
     base::returnFreedMemory();
     const char *variable = std::getenv(settingsVariable);
     cxxopts::Options options("briarhinge-node", "A process of briarhinge on the users' platform");
--- a/tests/system/crowd.py
+++ b/tests/system/crowd.py
@@ -33,12 +33,17 @@
     def __init__(self, host, port, payloads):
         self.selector = selectors.DefaultSelector()
         self.sockets = []
-        # Number of closed connections by the status that they were given; "none" without an answer.
-        self.statuses = {}
-        for payload in payloads:
-            self._open(host, port, payload)
+        # The status that each closed connection was given, by the number of its payload; "none" without an answer.
+        self.answers = {}
+        for number, payload in enumerate(payloads):
+            self._open(host, port, number, payload)
 
-    def _open(self, host, port, payload):
+    @property
+    def statuses(self):
+        """Returns the statuses that closed connections were given."""
+        return set(self.answers.values())
+
+    def _open(self, host, port, number, payload):
         connection = socket.socket()
         connection.settimeout(CONNECT_TIMEOUT_S)
         try:
@@ -48,7 +53,7 @@
             return
         connection.setblocking(False)
         self.sockets.append(connection)
-        self.selector.register(connection, selectors.EVENT_READ | selectors.EVENT_WRITE, [memoryview(payload), b""])
+        self.selector.register(connection, selectors.EVENT_READ | selectors.EVENT_WRITE, [memoryview(payload), b"", number])
 
     def _receive(self, key):
         """Reads what has come; returns whether the connection is still open."""
@@ -76,11 +81,11 @@
             self.selector.modify(key.fileobj, selectors.EVENT_READ, key.data)
         return True
 
-    def press(self):
+    def press(self, limit=PRESS_LIMIT_S, settle=SETTLE_S):
         """Sends until every connection has sent its bytes, was closed, or nothing has moved for a while."""
-        end = time.monotonic() + PRESS_LIMIT_S
+        end = time.monotonic() + limit
         while time.monotonic() < end and self.selector.get_map():
-            ready = self.selector.select(SETTLE_S)
+            ready = self.selector.select(settle)
             if not ready:
                 return
             for key, events in ready:
@@ -89,12 +94,13 @@
                     is_open = self._send(key)
                 if not is_open:
                     self.selector.unregister(key.fileobj)
-                    self._record_status(key.data[1])
+                    self._record_answer(key)
 
-    def _record_status(self, beginning):
-        """Records the status of the answer that a closed connection was given."""
-        status = beginning[9:12].decode(errors="replace") if beginning.startswith(b"HTTP/1.1 ") else "none"
-        self.statuses[status] = self.statuses.get(status, 0) + 1
+    def _record_answer(self, key):
+        """Records what a closed connection was given."""
+        _, beginning, number = key.data
+        is_answer = beginning.startswith(b"HTTP/1.1 ")
+        self.answers[number] = beginning[9:12].decode(errors="replace") if is_answer else "none"
 
     def close(self):
         """Closes every connection."""
--- a/tests/system/test_crowd.py
+++ b/tests/system/test_crowd.py
@@ -72,7 +72,7 @@
             self.assert_served("/turn/ordinary", "hello")
             self.assert_bounded()
             # Each of these says that the request does not run, as a connection that closes without an answer does.
-            self.assertLessEqual(set(open_crowd.statuses), {"none", "400", "408", "413", "431", "503"})
+            self.assertLessEqual(open_crowd.statuses, {"none", "400", "408", "413", "431", "503"})
         self.assert_served("/safe/after")
         self.assert_bounded()
 
@@ -189,7 +189,7 @@
             self.assert_served("beside")
             self.assert_bounded()
             # Each of these says that the request does not run, as a connection that closes without an answer does.
-            self.assertLessEqual(set(open_crowd.statuses), {"none", "400", "408", "413", "431", "503"})
+            self.assertLessEqual(open_crowd.statuses, {"none", "400", "408", "413", "431", "503"})
         self.assert_served("after")
         self.assert_bounded()
 
