--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -69,7 +69,7 @@
     }
     if (state->turns() != nullptr) {
         for (const wire::TurnRecord *turn : *state->turns()) {
-            m_turns.add(fromWire(*turn), now);
+            m_turns.add(fromWire(*turn), now, TurnOrigin::Restored);
         }
     }
     if (state->budgets() == nullptr) {
@@ -181,7 +181,7 @@
     }
     if (request.turn) {
         Turn turn = fromWire(*request.turn);
-        if (!m_turns.contains(turn.id) && m_turns.bytes() + textBytes(turn) > m_maxBytes) {
+        if (!m_turns.contains(turn.id) && m_turns.callerBytes() + textBytes(turn) > m_maxBytes) {
             answer.status = wire::StoreStatus::Full;
         } else if (m_turns.add(std::move(turn), now)) {
             state.turns.push_back(std::make_unique<wire::TurnRecordT>(*request.turn));
@@ -239,7 +239,7 @@
 {
     wire::StoreStateT state;
     for (const auto &turn : turns) {
-        if (m_turns.add(fromWire(*turn), now)) {
+        if (m_turns.add(fromWire(*turn), now, TurnOrigin::Restored)) {
             state.turns.push_back(std::make_unique<wire::TurnRecordT>(*turn));
         }
     }
@@ -268,7 +268,10 @@
     for (const Turn *turn : m_turns.turns()) {
         storedBytes += textBytes(*turn);
     }
-    if (m_isRewriteNeeded || m_journal.bytes() > minSnapshotBytes + snapshotSizeRatio * storedBytes) {
+    // What the journal holds is in memory after a start.
+    const std::size_t maxJournalBytes =
+        std::min(minSnapshotBytes + snapshotSizeRatio * storedBytes, storedBytes + m_maxBytes);
+    if (m_isRewriteNeeded || m_journal.bytes() > maxJournalBytes) {
         writeSnapshot();
     }
 }
@@ -285,8 +288,11 @@
 
 bool TurnStore::hasRoom(std::size_t textBytes) const
 {
-    const std::size_t allowed = textBytes < largeTurnBytes ? m_maxBytes : m_maxBytes - m_maxBytes / smallTurnPart;
-    return m_turns.bytes() + textBytes <= allowed;
+    // After a start the journal's turns are here as well, also those that have expired. They don't keep ordinary turns out.
+    if (textBytes < largeTurnBytes) {
+        return m_turns.callerBytes() + textBytes <= m_maxBytes;
+    }
+    return m_turns.bytes() + textBytes <= m_maxBytes - m_maxBytes / smallTurnPart;
 }
 
 bool TurnStore::isRewriteNeeded() const
--- a/src/libbriarhinge/turns/turntree.cpp
+++ b/src/libbriarhinge/turns/turntree.cpp
@@ -24,15 +24,16 @@
 {
 }
 
-bool TurnTree::add(Turn turn, Time now)
+bool TurnTree::add(Turn turn, Time now, TurnOrigin origin)
 {
     const TurnId parent = turn.parent;
     const TurnId id = turn.id;
     const std::size_t bytes = textBytes(turn);
-    const auto [found, isNew] = m_turns.try_emplace(id, StoredTurn{std::move(turn), now});
+    const auto [found, isNew] = m_turns.try_emplace(id, StoredTurn{std::move(turn), now, origin});
     found->second.lastUse = now;
     if (isNew) {
         m_bytes += bytes;
+        m_callerBytes += origin == TurnOrigin::Caller ? bytes + turnBytes : 0;
     }
     touchAncestors(parent, now);
     if (m_maxBytes > 0 && m_bytes > m_maxBytes) {
@@ -111,12 +112,24 @@
     return m_bytes + m_turns.size() * turnBytes;
 }
 
+std::size_t TurnTree::callerBytes() const
+{
+    return m_callerBytes;
+}
+
+void TurnTree::forgetBytes(const StoredTurn &stored)
+{
+    const std::size_t bytes = textBytes(stored.turn);
+    m_bytes -= bytes;
+    m_callerBytes -= stored.origin == TurnOrigin::Caller ? bytes + turnBytes : 0;
+}
+
 void TurnTree::expire(Time now)
 {
     std::erase_if(m_turns, [this, now](const auto &item) {
         const bool isOld = now - item.second.lastUse > m_retention;
         if (isOld) {
-            m_bytes -= textBytes(item.second.turn);
+            forgetBytes(item.second);
         }
         return isOld;
     });
@@ -137,7 +150,7 @@
             return;
         }
         const auto found = m_turns.find(id);
-        m_bytes -= textBytes(found->second.turn);
+        forgetBytes(found->second);
         m_turns.erase(found);
     }
 }
--- a/src/libbriarhinge/turns/turntree.h
+++ b/src/libbriarhinge/turns/turntree.h
@@ -29,6 +29,13 @@
     bool isNewestKnown = false;
 };
 
+/** Where a turn comes from. */
+enum class TurnOrigin {
+    Caller,
+    /** From the journal or from another turn store; its age is not known, so it may expire late. */
+    Restored,
+};
+
 /**
  * Completed turns by id. They form a tree, since several turns may continue the same one. Reads no clock and is not
  * thread-safe.
@@ -53,9 +60,10 @@
      *
      * @param turn the turn
      * @param now the current time
+     * @param origin where the turn comes from
      * @return whether the turn was not known before
      */
-    bool add(Turn turn, Time now);
+    bool add(Turn turn, Time now, TurnOrigin origin = TurnOrigin::Caller);
 
     /** @return whether the turn @p id is stored */
     bool contains(const TurnId &id) const;
@@ -79,6 +87,9 @@
     /** @return memory of the stored turns in bytes, with what each needs besides its input and output */
     std::size_t bytes() const;
 
+    /** @return the part of bytes() for turns that callers have added */
+    std::size_t callerBytes() const;
+
     /** Removes the turns whose retention has passed at the time @p now. */
     void expire(Time now);
 
@@ -87,14 +98,17 @@
     {
         Turn turn;
         Time lastUse;
+        TurnOrigin origin = TurnOrigin::Caller;
     };
 
+    void forgetBytes(const StoredTurn &stored);
     void touchAncestors(TurnId id, Time now);
     void evictLeastRecentlyUsed();
 
     const base::Milliseconds m_retention;
     const std::size_t m_maxBytes;
     std::size_t m_bytes = 0;
+    std::size_t m_callerBytes = 0;
     std::unordered_map<TurnId, StoredTurn> m_turns;
 };
 
--- a/tests/test_turnstore.cpp
+++ b/tests/test_turnstore.cpp
@@ -174,6 +174,30 @@
     CHECK(chain == expected);
 }
 
+// Guards against a store that refuses all turns after a start, since its journal holds expired ones too.
+TEST(TurnStore, whatTheJournalHoldsDoesNotKeepOrdinaryTurnsOut)
+{
+    {
+        StartedStore first(folder.path());
+        first.store.adopt(makeGroup(3));
+        for (int i = 0; i < 8; ++i) {
+            auto ended = end(3, "old-" + std::to_string(i), "");
+            ended.turn->input = std::string(maxBytes / 2, 'x');
+            first.store.end(ended, start);
+        }
+        first.sync();
+    }
+    StartedStore second(folder.path(), maxBytes);
+    auto next = begin(3, "b");
+    next.input_bytes = 1000;
+    CHECK(second.store.begin(next, start).status == wire::StoreStatus::Done);
+    CHECK(second.store.end(end(3, "b", ""), start).status == wire::StoreStatus::Done);
+    next.input_bytes = 100'000;
+    CHECK(second.store.begin(next, start).status == wire::StoreStatus::Full);
+    second.store.compact(start + 2 * retention);
+    CHECK(second.store.begin(next, start + 2 * retention).status == wire::StoreStatus::Done);
+}
+
 TEST(TurnStore, aTurnThatNoLongerFitsIsSettledButNotAcknowledged)
 {
     StartedStore started(folder.path(), maxBytes);
