TurnStore: Turns of callers may have half of the memory

Now: half of the memory for turns that callers have added since the start; inputs from 64 KB only while all turns have less than a quarter, as before.

--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -24,8 +24,8 @@
 constexpr base::Milliseconds saveDelay{500};
 /** Longer than the 60 s for which the users' routes retain turns, so that a late turn still finds its chain. */
 constexpr base::Milliseconds retention{90'000};
-/** Part of the memory for turns: a snapshot of all turns for the journal takes as much again. */
-constexpr std::size_t keptTurnsPart = 3;
+/** Part of the memory for turns: one in this many bytes. */
+constexpr std::size_t keptTurnsPart = 2;
 
 std::string newDiskId(const std::string &name)
 {
--- a/src/libbriarhinge/turns/journal.cpp
+++ b/src/libbriarhinge/turns/journal.cpp
@@ -180,9 +180,10 @@
     std::copy(record.begin(), record.end(), bytes.begin() + static_cast<std::ptrdiff_t>(at + headerBytes));
 }
 
-void Journal::beginSnapshot()
+void Journal::beginSnapshot(std::size_t expectedBytes)
 {
     m_pending = {{}, true};
+    m_pending.bytes.reserve(expectedBytes);
 }
 
 bool Journal::hasPending() const
--- a/src/libbriarhinge/turns/journal.h
+++ b/src/libbriarhinge/turns/journal.h
@@ -57,8 +57,10 @@
     /**
      * Discards the pending batch and starts a snapshot. The records appended from now on form the complete state; once
      * written, they replace all earlier segments.
+     *
+     * @param expectedBytes size of these records, as far as it is known
      */
-    void beginSnapshot();
+    void beginSnapshot(std::size_t expectedBytes);
 
     /** @return whether the pending batch contains records */
     bool hasPending() const;
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -18,8 +18,11 @@
 constexpr std::size_t minSnapshotBytes = std::size_t{32} * 1024 * 1024;
 /** Input of a turn from which it counts as large. */
 constexpr std::size_t largeTurnBytes = std::size_t{64} * 1024;
-/** Part of the memory that only smaller turns may use, so that large ones don't keep them out: one in this many bytes. */
-constexpr std::size_t smallTurnPart = 4;
+/**
+ * Part of the memory that only smaller turns may use: one in this many bytes. A snapshot of all turns for the journal takes
+ * as much memory again.
+ */
+constexpr std::size_t smallTurnPart = 2;
 /** Ratio of journal size to live data beyond which a snapshot is written. */
 constexpr std::size_t snapshotSizeRatio = 3;
 
@@ -270,7 +273,7 @@
     }
     // What the journal holds is in memory after a start.
     const std::size_t maxJournalBytes =
-        std::min(minSnapshotBytes + snapshotSizeRatio * storedBytes, storedBytes + m_maxBytes);
+        std::min(minSnapshotBytes + snapshotSizeRatio * storedBytes, storedBytes + m_maxBytes / smallTurnPart);
     if (m_isRewriteNeeded || m_journal.bytes() > maxJournalBytes) {
         writeSnapshot();
     }
@@ -319,7 +322,7 @@
 
 void TurnStore::writeSnapshot()
 {
-    m_journal.beginSnapshot();
+    m_journal.beginSnapshot(m_turns.bytes());
     wire::StoreStateT head;
     head.group = toJson(m_group);
     for (const base::ProgramId &program : m_budgets.programs()) {
