TurnStore: A turn that may begin can also be kept

Callers saw: beside full turn stores every turn ran and was broken off, instead of being refused before it ran; without a token budget it was not even asked whether there is room. Cause: begin and end had the same limit, and an answer adds to its input; a turn without a budget and without a previous turn began without a word of the stores. Now: turns that have begun may go a quarter beyond the limit at which none begins, and every turn that will be stored asks first. A stored turn without a budget waits for a write quorum as one with a budget does: without one it could not be kept anyway.

--- a/src/libbriarhinge/turns/beginoperation.cpp
+++ b/src/libbriarhinge/turns/beginoperation.cpp
@@ -24,8 +24,6 @@
 /** Retries of a reservation on a contended budget, each after a random delay of up to maxContentionDelay. */
 constexpr int maxContentionRetries = 3;
 constexpr base::Milliseconds maxContentionDelay{40};
-/** Input from which the turn stores are asked for room although nothing else is wanted of them. */
-constexpr std::size_t largeInputBytes = std::size_t{64} * 1024;
 /** Maximum number of group changes during one begin request; the request fails if there are more. */
 constexpr int maxGroupChanges = 4;
 
@@ -108,7 +106,7 @@
             m_start.budget ? AttemptId(m_start.attempt.value() + "/" + std::to_string(m_round)) : AttemptId();
         m_disksWithRoom.clear();
         m_disksWithoutRoom.clear();
-        if (!m_start.budget && m_missingTurn.value().empty() && m_start.inputBytes < largeInputBytes) {
+        if (!m_start.budget && m_missingTurn.value().empty() && m_start.inputBytes == 0) {
             finish(granted());
             return;
         }
@@ -303,8 +301,8 @@
             return;
         }
         if (!m_start.budget) {
-            const bool isRoomKnown = m_start.inputBytes < largeInputBytes
-                || hasWriteQuorum(m_client.m_rule, m_client.m_group, m_disksWithRoom);
+            const bool isRoomKnown =
+                m_start.inputBytes == 0 || hasWriteQuorum(m_client.m_rule, m_client.m_group, m_disksWithRoom);
             if (isRoomKnown) {
                 finish(granted());
             } else if (m_openRequests == 0) {
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -23,6 +23,8 @@
  * as much memory again.
  */
 constexpr std::size_t smallTurnPart = 2;
+/** Memory beyond the limit for turns that have begun within it, as a part of it: one in this many bytes. */
+constexpr std::size_t begunTurnPart = 4;
 /** Ratio of journal size to live data beyond which a snapshot is written. */
 constexpr std::size_t snapshotSizeRatio = 3;
 
@@ -184,7 +186,8 @@
     }
     if (request.turn) {
         Turn turn = fromWire(*request.turn);
-        if (!m_turns.contains(turn.id) && m_turns.callerBytes() + textBytes(turn) > m_maxBytes) {
+        const std::size_t allowed = m_maxBytes + m_maxBytes / begunTurnPart;
+        if (!m_turns.contains(turn.id) && m_turns.callerBytes() + textBytes(turn) > allowed) {
             answer.status = wire::StoreStatus::Full;
         } else if (m_turns.add(std::move(turn), now)) {
             state.turns.push_back(std::make_unique<wire::TurnRecordT>(*request.turn));
--- a/tests/system/test_crowd.py
+++ b/tests/system/test_crowd.py
@@ -18,6 +18,9 @@
 # More connections than the machine has descriptors.
 IDLE_CALLERS = 600
 MANY_CALLERS = 380
+# Together more than half of a turn store's memory.
+SMALL_TURNS = 800
+SMALL_TURN_BYTES = 60_000
 # A chain of more than one frame of the turn stores holds.
 CHAIN_TURNS = 9
 LARGE_CHUNK_BYTES = 65_536
@@ -111,6 +114,14 @@
         self.assert_served("/turn/ordinary", "hello")
         self.assert_bounded()
 
+    def test_small_turns_that_fill_the_turn_stores(self):
+        for i in range(SMALL_TURNS):
+            status, _ = self.stack.send("entry-0", f"/turn/{i}", "x" * SMALL_TURN_BYTES)
+            # A turn that can't be kept is refused before it runs.
+            self.assertIn(status, (200, 503))
+        self.assert_served("/safe/ordinary")
+        self.assert_bounded()
+
     def test_many_turns_that_continue_a_long_chain(self):
         fields = {}
         for i in range(CHAIN_TURNS):
