--- a/tests/test_turnstore.cpp
+++ b/tests/test_turnstore.cpp
@@ -165,7 +165,7 @@
         const auto answer = started.store.begin(begin(3, "x" + std::to_string(parts), parent), start);
         CHECK(answer.known);
         CHECK(answer.chain.size() < 2 * maxBytes);
-        chain = answer.chain + chain;
+        chain.insert(0, answer.chain);
         CHECK_EQUAL(!answer.missing.empty(), answer.missing_known);
         parent = answer.missing;
         ++parts;
