--- a/tests/system/crowdsoak.py
+++ b/tests/system/crowdsoak.py
@@ -65,6 +65,8 @@
         connection = None
         for count in itertools.count():
             if self.is_over.is_set():
+                if connection is not None:
+                    connection.close()
                 return
             if connection is None:
                 connection = http.client.HTTPConnection(next(hosts), platformstack.CALLER_PORT, timeout=HANG_S)
