TurnClient: One rule for when a write quorum is needed

`m_disksWithRoom` repeated `m_reservedDisks`, and counted answers to requests that had not named the size of the input; the branch for turns without a budget repeated the wait for the quorum; of the stores without room only their existence was used; a turn that is too large was logged in a second place.

--- a/src/libbriarhinge/turns/beginoperation.cpp
+++ b/src/libbriarhinge/turns/beginoperation.cpp
@@ -104,9 +104,8 @@
         m_openChainRequests = 0;
         m_reservation =
             m_start.budget ? AttemptId(m_start.attempt.value() + "/" + std::to_string(m_round)) : AttemptId();
-        m_disksWithRoom.clear();
-        m_disksWithoutRoom.clear();
-        if (!m_start.budget && m_missingTurn.value().empty() && m_start.inputBytes == 0) {
+        m_isStoreFull = false;
+        if (!needsQuorum() && m_missingTurn.value().empty()) {
             finish(granted());
             return;
         }
@@ -187,13 +186,10 @@
         }
         const DiskId disk(begun->disk);
         if (begun->status == wire::StoreStatus::Full) {
-            m_disksWithoutRoom.insert(disk);
+            m_isStoreFull = true;
             evaluate();
             return;
         }
-        if (begun->status == wire::StoreStatus::Done) {
-            m_disksWithRoom.insert(disk);
-        }
         if (begun->status == wire::StoreStatus::Done && isReserving) {
             m_reservedDisks.insert(disk);
             BudgetEntries entries;
@@ -300,29 +296,29 @@
             }
             return;
         }
-        if (!m_start.budget) {
-            const bool isRoomKnown =
-                m_start.inputBytes == 0 || hasWriteQuorum(m_client.m_rule, m_client.m_group, m_disksWithRoom);
-            if (isRoomKnown) {
-                finish(granted());
-            } else if (m_openRequests == 0) {
-                retryOrFail();
-            }
-            return;
-        }
-        if (!hasWriteQuorum(m_client.m_rule, m_client.m_group, m_reservedDisks)) {
+        if (needsQuorum() && !hasWriteQuorum(m_client.m_rule, m_client.m_group, m_reservedDisks)) {
             if (m_openRequests == 0) {
                 retryOrFail();
             }
             return;
         }
-        decideOnBudget();
+        if (m_start.budget) {
+            decideOnBudget();
+        } else {
+            finish(granted());
+        }
+    }
+
+    /** @return whether a write quorum has to reserve the tokens of the turn or to have room for it */
+    bool needsQuorum() const
+    {
+        return m_start.budget || m_start.inputBytes > 0;
     }
 
     /** Retries once through a relay if this process can't reach a quorum itself; otherwise the begin request fails. */
     void retryOrFail()
     {
-        if (!m_disksWithoutRoom.empty()) {
+        if (m_isStoreFull) {
             finish(NoRoom{"turn stores are full"});
             return;
         }
@@ -400,8 +396,6 @@
     std::size_t m_openChainRequests = 0;
     AttemptId m_reservation;
     RespondingDisks m_reservedDisks;
-    RespondingDisks m_disksWithRoom;
-    RespondingDisks m_disksWithoutRoom;
     BudgetEntries m_budgetEntries;
     /** The memory of the prompt. */
     std::shared_ptr<base::MemoryBudget::Share> m_memory;
@@ -413,6 +407,7 @@
     RespondingDisks m_disksWithoutTurn;
     std::unordered_set<StoreName> m_chainRequested;
     bool m_isTurnKnown = false;
+    bool m_isStoreFull = false;
     bool m_isHedgeDelayOver = false;
     bool m_hasRetried = false;
 };
--- a/src/libbriarhinge/turns/endoperation.cpp
+++ b/src/libbriarhinge/turns/endoperation.cpp
@@ -167,12 +167,6 @@
         return;
     }
     EndHandler handler = std::move(onDone);
-    if (end.turn && end.turn->input.size() + end.turn->output.size() > maxTurnBytes) {
-        m_log.write(logging::events::turnNotKept, {{"request", end.turn->id.value()}});
-        releaseReservation(end.program, end.reservation, end.spent);
-        handler(false);
-        return;
-    }
     if (end.turn) {
         handler = [this, turn = *end.turn, inner = std::move(handler)](bool isDurable) {
             if (isDurable) {
@@ -183,6 +177,11 @@
             inner(isDurable);
         };
     }
+    if (end.turn && end.turn->input.size() + end.turn->output.size() > maxTurnBytes) {
+        releaseReservation(end.program, end.reservation, end.spent);
+        handler(false);
+        return;
+    }
     std::make_shared<EndOperation>(*this, end, std::move(handler))->run(timeLimit);
 }
 
