--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -36,6 +36,7 @@
 inline constexpr EventKind peerLost{202, "peer-lost", Level::Info};
 inline constexpr EventKind platformUnavailable{300, "platform-unavailable", Level::Warning};
 inline constexpr EventKind platformAvailable{301, "platform-available", Level::Info};
+inline constexpr EventKind platformAnswerLost{302, "platform-answer-lost", Level::Warning};
 inline constexpr EventKind ownerSuperseded{310, "owner-superseded", Level::Warning};
 inline constexpr EventKind leaseLapsed{311, "lease-lapsed", Level::Warning};
 inline constexpr EventKind entryTakenOver{312, "entry-taken-over", Level::Warning};
@@ -103,6 +104,7 @@
     peerLost,
     platformUnavailable,
     platformAvailable,
+    platformAnswerLost,
     ownerSuperseded,
     leaseLapsed,
     entryTakenOver,
--- a/standins/platform/platformstore.cpp
+++ b/standins/platform/platformstore.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/listenerresources.h"
 
+#include <iterator>
 #include <stdexcept>
 
 #include <nlohmann/json.hpp>
@@ -120,6 +121,7 @@
     item.revision = ++m_revision;
     item.created = item.created == 0 ? item.revision : item.created;
     m_events.push_back({key, item.revision, false, item});
+    m_revisions[std::chrono::steady_clock::now()] = m_revision;
     answerWatches();
 }
 
@@ -127,6 +129,7 @@
 {
     if (m_items.erase(key) > 0) {
         m_events.push_back({key, ++m_revision, true, {}});
+        m_revisions[std::chrono::steady_clock::now()] = m_revision;
         answerWatches();
     }
 }
@@ -163,6 +166,22 @@
     m_lostWatches.splice(m_lostWatches.end(), m_watches);
 }
 
+void PlatformStore::loseNextWatchAnswers(int count)
+{
+    m_watchAnswersToLose = count;
+}
+
+void PlatformStore::setStaleness(std::chrono::milliseconds staleness)
+{
+    m_staleness = staleness;
+}
+
+std::uint64_t PlatformStore::revisionAt(std::chrono::steady_clock::time_point time) const
+{
+    const auto later = m_revisions.upper_bound(time);
+    return later == m_revisions.begin() ? 1 : std::prev(later)->second;
+}
+
 void PlatformStore::discardHistory()
 {
     m_events.clear();
@@ -229,7 +248,9 @@
         }
         items.push_back(itemJson(name, item));
     }
-    reply(connection, 200, {{"items", items}, {"has_more", hasMore}, {"at", m_revision}});
+    const bool isStale = query.contains("serializable");
+    const std::uint64_t at = isStale ? revisionAt(std::chrono::steady_clock::now() - m_staleness) : m_revision;
+    reply(connection, 200, {{"items", items}, {"has_more", hasMore}, {"at", at}});
 }
 
 void PlatformStore::key(const Connection &connection, const Query &query) const
@@ -286,6 +307,11 @@
             ++watch;
             continue;
         }
+        if (m_watchAnswersToLose > 0) {
+            --m_watchAnswersToLose;
+            m_lostWatches.splice(m_lostWatches.end(), m_watches, watch++);
+            continue;
+        }
         watch->connection->respond({200, {}}, body);
         watch = m_watches.erase(watch);
     }
--- a/standins/platform/platformstore.h
+++ b/standins/platform/platformstore.h
@@ -3,6 +3,7 @@
 #include "http/listener.h"
 #include "http/serverconnection.h"
 
+#include <chrono>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -77,6 +78,16 @@
     /** Never answers the pending watches, whose connections stay open. */
     void loseWatchAnswers();
 
+    /**
+     * Loses the answers to watches while their connections stay open.
+     *
+     * @param count number of answers from now on
+     */
+    void loseNextWatchAnswers(int count);
+
+    /** Sets how old the answers to reads are for which that will do ("serializable"). */
+    void setStaleness(std::chrono::milliseconds staleness);
+
     /** Discards the history, so that watches from earlier revisions are answered with status 410. */
     void discardHistory();
 
@@ -118,6 +129,7 @@
     void key(const Connection &connection, const Query &query) const;
     void watch(const Connection &connection, const Query &query);
     void transact(const Connection &connection, const std::string &body);
+    std::uint64_t revisionAt(std::chrono::steady_clock::time_point time) const;
     std::string eventsAfter(const std::string &prefix, std::uint64_t after, bool &hasEvents) const;
     void answerWatches();
 
@@ -128,10 +140,14 @@
     std::list<Watch> m_watches;
     /** Kept so that their connections stay open. */
     std::list<Watch> m_lostWatches;
+    /** When each revision was reached. */
+    std::map<std::chrono::steady_clock::time_point, std::uint64_t> m_revisions;
+    std::chrono::milliseconds m_staleness{0};
     std::uint64_t m_revision = 1;
     std::uint64_t m_historyStart = 0;
     StoreFault m_fault = StoreFault::None;
     int m_answersToDrop = 0;
+    int m_watchAnswersToLose = 0;
     int m_conflicts = 0;
     int m_reads = 0;
 };
--- a/tests/test_storewatches.cpp
+++ b/tests/test_storewatches.cpp
@@ -208,6 +208,43 @@
         std::chrono::seconds(1)));
 }
 
+// Guards against requests to a draining runner (DRAIN) and by an old configuration: the answer to a watch is lost, and reads
+// that may be seconds old don't show it.
+TEST(StoreWatches, aLostAnswerIsFoundThoughStaleReadsAreSecondsOld)
+{
+    store.setStaleness(std::chrono::seconds(6));
+    store.loseNextWatchAnswers(1);
+    store.put("op/config", "8");
+    // Time limits apply again 3 s after the loss.
+    runFor(std::chrono::milliseconds(3000));
+    store.put("op/config", "9");
+    CHECK(runUntil(
+        [this] {
+            return config == "9";
+        },
+        std::chrono::seconds(2)));
+}
+
+// Guards against a change that stays unknown for the whole wait of a watch, since the answer to the repeated watch was lost, too.
+TEST(StoreWatches, aChangeWhoseAnswerWasLostTwiceIsReadAgain)
+{
+    store.loseNextWatchAnswers(2);
+    removalGracePeriod = base::Milliseconds(-1);
+    store.put("op/config", "10");
+    // The second answer is lost 2 s after the first; time limits apply again 3 s after that, and are 2 s.
+    CHECK(runUntil(
+        [this] {
+            return config == "10";
+        },
+        std::chrono::seconds(2 + 3 + 2)));
+    // The store answered all the while, so a runner that is removed is gone.
+    store.remove("servers/one");
+    CHECK(runUntil([this] {
+        return runner.empty();
+    }));
+    LONGS_EQUAL(0, removalGracePeriod.count());
+}
+
 // Guards against reads that are repeated over and over on a store that changes nothing.
 TEST(StoreWatches, aQuietStoreIsAskedLittle)
 {
