TurnStore: Restored turns keep their age and take room

Cause: room was counted by what callers had added since the start, since the age of restored turns was not known.

Time for which a store was down is not counted, so nothing is forgotten early and the time of day does not matter. All turns take room, and what has expired keeps nothing out.

TurnStore.whatTheJournalHoldsDoesNotKeepOrdinaryTurnsOut asked that turns that have not expired keep no others out: that is the fault. TurnStore.expiredTurnsOfTheJournalKeepNoTurnsOut asks the same of expired ones, at once instead of after 90 s, and for large turns too.

--- a/src/libbriarhinge/turns/budgetledger.cpp
+++ b/src/libbriarhinge/turns/budgetledger.cpp
@@ -72,10 +72,10 @@
 {
 }
 
-bool BudgetLedger::apply(const base::ProgramId &program, const BudgetEntry &entry, Time now)
+bool BudgetLedger::apply(const base::ProgramId &program, const BudgetEntry &entry, Time changedAt)
 {
-    Budget &budget = m_budgets[program];
-    budget.lastChange = now;
+    Budget &budget = m_budgets.try_emplace(program, Budget{{}, changedAt}).first->second;
+    budget.lastChange = std::max(budget.lastChange, changedAt);
     return mergeEntry(budget.entries, entry);
 }
 
@@ -91,14 +91,9 @@
     return found != m_budgets.end() && turns::isUnderWay(found->second.entries);
 }
 
-std::vector<base::ProgramId> BudgetLedger::programs() const
+const std::map<base::ProgramId, BudgetLedger::Budget> &BudgetLedger::budgets() const
 {
-    std::vector<base::ProgramId> names;
-    names.reserve(m_budgets.size());
-    for (const auto &[program, budget] : m_budgets) {
-        names.push_back(program);
-    }
-    return names;
+    return m_budgets;
 }
 
 void BudgetLedger::expire(Time now)
--- a/src/libbriarhinge/turns/budgetledger.h
+++ b/src/libbriarhinge/turns/budgetledger.h
@@ -6,8 +6,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace briarhinge::turns
@@ -79,15 +79,23 @@
     /** @param retention how long the budget of a program is retained after its last update */
     explicit BudgetLedger(base::Milliseconds retention);
 
+    /** The attempts of a program, and when one of them was last added or settled. */
+    struct Budget
+    {
+        BudgetEntries entries;
+        Time lastChange;
+    };
+
     /**
      * Adds or settles an attempt and renews the retention of its program.
      *
      * @param program the program
      * @param entry the attempt
-     * @param now the current time
+     * @param changedAt when the attempt was added or settled; the current time unless it comes from another store or from
+     * the journal
      * @return whether an entry changed
      */
-    bool apply(const base::ProgramId &program, const BudgetEntry &entry, Time now);
+    bool apply(const base::ProgramId &program, const BudgetEntry &entry, Time changedAt);
 
     /** @return the attempts of @p program */
     BudgetEntries entries(const base::ProgramId &program) const;
@@ -95,21 +103,15 @@
     /** @return whether @p program is known and under way */
     bool isUnderWay(const base::ProgramId &program) const;
 
-    /** @return all programs in unspecified order */
-    std::vector<base::ProgramId> programs() const;
+    /** @return all budgets by program */
+    const std::map<base::ProgramId, Budget> &budgets() const;
 
     /** Removes the programs whose retention has passed at the time @p now. */
     void expire(Time now);
 
 private:
-    struct Budget
-    {
-        BudgetEntries entries;
-        Time lastChange;
-    };
-
     const base::Milliseconds m_retention;
-    std::unordered_map<base::ProgramId, Budget> m_budgets;
+    std::map<base::ProgramId, Budget> m_budgets;
 };
 
 }
--- a/src/libbriarhinge/turns/statetransfer.cpp
+++ b/src/libbriarhinge/turns/statetransfer.cpp
@@ -111,7 +111,7 @@
     wire::FetchStateT own;
     own.epoch = m_group.epoch.value();
     own.after = after;
-    wire::StatePageT page = m_store.fetch(own);
+    wire::StatePageT page = m_store.fetch(own, steadyNow());
     if (page.status != wire::StoreStatus::Done) {
         finishMember(member, false);
         return;
--- a/src/libbriarhinge/turns/turnserver.cpp
+++ b/src/libbriarhinge/turns/turnserver.cpp
@@ -77,7 +77,7 @@
     } else if (const auto *end = frame.message.AsEndTurn()) {
         answer->message.Set(m_store.end(*end, now));
     } else if (const auto *fetch = frame.message.AsFetchState()) {
-        answer->message.Set(m_store.fetch(*fetch));
+        answer->message.Set(m_store.fetch(*fetch, now));
     } else if (const auto *state = frame.message.AsStoreState()) {
         answer->message.Set(m_store.storeRecords(*state, now));
     } else if (frame.message.AsFetchDeployment() != nullptr) {
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -25,6 +25,10 @@
 constexpr std::size_t smallTurnPart = 2;
 /** Memory beyond the limit for turns that have begun within it, as a part of it: one in this many bytes. */
 constexpr std::size_t begunTurnPart = 4;
+/** Interval of the store's running time at which expired records are removed while the journal is replayed. */
+constexpr std::chrono::seconds replayExpiryInterval{5};
+/** Greatest age of a record that is told apart from older ones. */
+constexpr base::Milliseconds maxAge = std::chrono::hours(24);
 /** Ratio of journal size to live data beyond which a snapshot is written. */
 constexpr std::size_t snapshotSizeRatio = 3;
 
@@ -33,16 +37,38 @@
     return turn.input.size() + turn.output.size();
 }
 
-std::unique_ptr<wire::ProgramBudgetT> budgetRecord(const base::ProgramId &program, const BudgetEntries &entries)
+/** @return the age for a record of the wire format; zero if @p then is later than @p now */
+std::uint64_t ageMs(TurnStore::Time then, TurnStore::Time now)
+{
+    const auto age = std::chrono::duration_cast<base::Milliseconds>(now - then).count();
+    return age > 0 ? static_cast<std::uint64_t>(age) : 0;
+}
+
+TurnStore::Time timeBefore(TurnStore::Time now, std::uint64_t ageMs)
+{
+    const auto age = std::min<std::uint64_t>(ageMs, static_cast<std::uint64_t>(maxAge.count()));
+    return now - base::Milliseconds(static_cast<base::Milliseconds::rep>(age));
+}
+
+std::unique_ptr<wire::ProgramBudgetT> budgetRecord(const base::ProgramId &program, const BudgetEntries &entries,
+                                                   std::uint64_t ageMs = 0)
 {
     auto record = std::make_unique<wire::ProgramBudgetT>();
     record->program = program.value();
+    record->age_ms = ageMs;
     for (const BudgetEntry &entry : entries) {
         record->entries.push_back(std::make_unique<wire::BudgetEntryT>(toWire(entry)));
     }
     return record;
 }
 
+std::unique_ptr<wire::TurnRecordT> turnRecord(const TurnTree::StoredTurn &stored, TurnStore::Time now)
+{
+    auto record = std::make_unique<wire::TurnRecordT>(toWire(stored.turn));
+    record->age_ms = ageMs(stored.lastUse, now);
+    return record;
+}
+
 }
 
 TurnStore::TurnStore(DiskId disk, Journal &journal, base::Milliseconds retention, std::size_t maxBytes)
@@ -66,6 +92,8 @@
     if (state == nullptr) {
         return;
     }
+    m_startedAt = now;
+    m_replayedUntil = std::max(m_replayedUntil, Time(base::Milliseconds(state->running_ms())));
     if (state->group() != nullptr && state->group()->size() > 0) {
         const auto group = parseStoreGroup(state->group()->string_view());
         if (group && group->epoch > m_group.epoch) {
@@ -74,23 +102,38 @@
     }
     if (state->turns() != nullptr) {
         for (const wire::TurnRecord *turn : *state->turns()) {
-            m_turns.add(fromWire(*turn), now, TurnOrigin::Restored);
+            m_turns.add(fromWire(*turn), timeBefore(m_replayedUntil, turn->age_ms()));
+        }
+    }
+    if (state->budgets() != nullptr) {
+        for (const wire::ProgramBudget *budget : *state->budgets()) {
+            replayBudget(*budget);
         }
     }
-    if (state->budgets() == nullptr) {
+    // What has expired is not kept until the end of the journal, which is several times as large as the memory for turns.
+    if (m_replayedUntil - m_replayExpiredAt > replayExpiryInterval) {
+        m_replayExpiredAt = m_replayedUntil;
+        m_turns.expire(m_replayedUntil);
+        m_budgets.expire(m_replayedUntil);
+    }
+}
+
+void TurnStore::replayBudget(const wire::ProgramBudget &budget)
+{
+    if (budget.entries() == nullptr) {
         return;
     }
-    for (const wire::ProgramBudget *budget : *state->budgets()) {
-        const base::ProgramId program(copyString(budget->program()));
-        if (budget->entries() == nullptr) {
-            continue;
-        }
-        for (const wire::BudgetEntry *entry : *budget->entries()) {
-            m_budgets.apply(program, fromWire(*entry), now);
-        }
+    const base::ProgramId program(copyString(budget.program()));
+    for (const wire::BudgetEntry *entry : *budget.entries()) {
+        m_budgets.apply(program, fromWire(*entry), timeBefore(m_replayedUntil, budget.age_ms()));
     }
 }
 
+TurnStore::Time TurnStore::runningTime(Time now) const
+{
+    return m_replayedUntil + (now - m_startedAt);
+}
+
 bool TurnStore::adopt(const StoreGroup &group)
 {
     if (group.epoch <= m_group.epoch) {
@@ -146,10 +189,11 @@
     const base::ProgramId program(request.program);
     if (request.most > 0) {
         const BudgetEntry entry{AttemptId(request.attempt), base::Tokens(request.most), false, base::Tokens(0)};
-        if (m_budgets.apply(program, entry, now)) {
+        const Time running = runningTime(now);
+        if (m_budgets.apply(program, entry, running)) {
             wire::StoreStateT state;
             state.budgets.push_back(budgetRecord(program, {entry}));
-            journalState(std::move(state));
+            journalState(std::move(state), running);
         }
         for (const BudgetEntry &known : m_budgets.entries(program)) {
             answer.entries.push_back(std::make_unique<wire::BudgetEntryT>(toWire(known)));
@@ -176,53 +220,49 @@
     if (!checkEpoch(request, answer)) {
         return answer;
     }
+    const Time running = runningTime(now);
     wire::StoreStateT state;
     if (!request.attempt.empty()) {
         const base::ProgramId program(request.program);
         const BudgetEntry entry{AttemptId(request.attempt), base::Tokens(0), true, base::Tokens(request.spent)};
-        if (m_budgets.apply(program, entry, now)) {
+        if (m_budgets.apply(program, entry, running)) {
             state.budgets.push_back(budgetRecord(program, {entry}));
         }
     }
     if (request.turn) {
         Turn turn = fromWire(*request.turn);
         const std::size_t allowed = m_maxBytes + m_maxBytes / begunTurnPart;
-        if (!m_turns.contains(turn.id) && m_turns.callerBytes() + textBytes(turn) > allowed) {
+        if (!m_turns.contains(turn.id) && m_turns.bytes() + textBytes(turn) > allowed) {
             answer.status = wire::StoreStatus::Full;
-        } else if (m_turns.add(std::move(turn), now)) {
+        } else if (m_turns.add(std::move(turn), running)) {
             state.turns.push_back(std::make_unique<wire::TurnRecordT>(*request.turn));
+            state.turns.back()->age_ms = 0;
         }
     }
     if (!state.budgets.empty() || !state.turns.empty()) {
-        journalState(std::move(state));
+        journalState(std::move(state), running);
     }
     return answer;
 }
 
-wire::StatePageT TurnStore::fetch(const wire::FetchStateT &request)
+wire::StatePageT TurnStore::fetch(const wire::FetchStateT &request, Time now)
 {
     wire::StatePageT page;
     if (!checkEpoch(request, page)) {
         return page;
     }
+    const Time running = runningTime(now);
     if (request.after.empty()) {
-        for (const base::ProgramId &program : m_budgets.programs()) {
-            page.budgets.push_back(budgetRecord(program, m_budgets.entries(program)));
+        for (const auto &[program, budget] : m_budgets.budgets()) {
+            page.budgets.push_back(budgetRecord(program, budget.entries, ageMs(budget.lastChange, running)));
         }
     }
-    auto turns = m_turns.turns();
-    std::sort(turns.begin(), turns.end(), [](const Turn *left, const Turn *right) {
-        return left->id < right->id;
-    });
-    const TurnId after(request.after);
-    auto turn = std::partition_point(turns.begin(), turns.end(), [&after](const Turn *candidate) {
-        return candidate->id <= after;
-    });
-    for (std::size_t bytes = 0; turn != turns.end() && bytes < pageBytes; ++turn) {
-        bytes += textBytes(**turn);
-        page.turns.push_back(std::make_unique<wire::TurnRecordT>(toWire(**turn)));
+    const TurnTree::StoredTurn *stored = m_turns.next(TurnId(request.after));
+    for (std::size_t bytes = 0; stored != nullptr && bytes < pageBytes; stored = m_turns.next(stored->turn.id)) {
+        bytes += textBytes(stored->turn);
+        page.turns.push_back(turnRecord(*stored, running));
     }
-    page.more = turn != turns.end();
+    page.more = stored != nullptr;
     return page;
 }
 
@@ -243,9 +283,10 @@
 void TurnStore::mergeRecords(const std::vector<std::unique_ptr<wire::TurnRecordT>> &turns,
                              const std::vector<std::unique_ptr<wire::ProgramBudgetT>> &budgets, Time now)
 {
+    const Time running = runningTime(now);
     wire::StoreStateT state;
     for (const auto &turn : turns) {
-        if (m_turns.add(fromWire(*turn), now, TurnOrigin::Restored)) {
+        if (m_turns.add(fromWire(*turn), timeBefore(running, turn->age_ms))) {
             state.turns.push_back(std::make_unique<wire::TurnRecordT>(*turn));
         }
     }
@@ -253,32 +294,29 @@
         const base::ProgramId program(budget->program);
         BudgetEntries changed;
         for (const auto &entry : budget->entries) {
-            if (m_budgets.apply(program, fromWire(*entry), now)) {
+            if (m_budgets.apply(program, fromWire(*entry), timeBefore(running, budget->age_ms))) {
                 changed.push_back(fromWire(*entry));
             }
         }
         if (!changed.empty()) {
-            state.budgets.push_back(budgetRecord(program, changed));
+            state.budgets.push_back(budgetRecord(program, changed, budget->age_ms));
         }
     }
     if (!state.turns.empty() || !state.budgets.empty()) {
-        journalState(std::move(state));
+        journalState(std::move(state), running);
     }
 }
 
 void TurnStore::compact(Time now)
 {
-    m_turns.expire(now);
-    m_budgets.expire(now);
-    std::size_t storedBytes = 0;
-    for (const Turn *turn : m_turns.turns()) {
-        storedBytes += textBytes(*turn);
-    }
-    // What the journal holds is in memory after a start.
+    const Time running = runningTime(now);
+    m_turns.expire(running);
+    m_budgets.expire(running);
+    const std::size_t storedBytes = m_turns.bytes();
     const std::size_t maxJournalBytes =
         std::min(minSnapshotBytes + snapshotSizeRatio * storedBytes, storedBytes + m_maxBytes / smallTurnPart);
     if (m_isRewriteNeeded || m_journal.bytes() > maxJournalBytes) {
-        writeSnapshot();
+        writeSnapshot(running);
     }
 }
 
@@ -294,11 +332,8 @@
 
 bool TurnStore::hasRoom(std::size_t textBytes) const
 {
-    // After a start the journal's turns are here as well, also those that have expired. They don't keep ordinary turns out.
-    if (textBytes < largeTurnBytes) {
-        return m_turns.callerBytes() + textBytes <= m_maxBytes;
-    }
-    return m_turns.bytes() + textBytes <= m_maxBytes - m_maxBytes / smallTurnPart;
+    const std::size_t reserved = textBytes < largeTurnBytes ? 0 : m_maxBytes / smallTurnPart;
+    return m_turns.bytes() + textBytes <= m_maxBytes - reserved;
 }
 
 bool TurnStore::isRewriteNeeded() const
@@ -316,26 +351,27 @@
     return m_turns.size();
 }
 
-void TurnStore::journalState(wire::StoreStateT state)
+void TurnStore::journalState(wire::StoreStateT state, Time running)
 {
+    state.running_ms = ageMs({}, running);
     wire::FrameT frame;
     frame.message.Set(std::move(state));
     m_journal.append(wire::encodeFrame(frame));
 }
 
-void TurnStore::writeSnapshot()
+void TurnStore::writeSnapshot(Time running)
 {
     m_journal.beginSnapshot(m_turns.bytes());
     wire::StoreStateT head;
     head.group = toJson(m_group);
-    for (const base::ProgramId &program : m_budgets.programs()) {
-        head.budgets.push_back(budgetRecord(program, m_budgets.entries(program)));
+    for (const auto &[program, budget] : m_budgets.budgets()) {
+        head.budgets.push_back(budgetRecord(program, budget.entries, ageMs(budget.lastChange, running)));
     }
-    journalState(std::move(head));
-    for (const Turn *turn : m_turns.turns()) {
+    journalState(std::move(head), running);
+    for (auto *stored = m_turns.next({}); stored != nullptr; stored = m_turns.next(stored->turn.id)) {
         wire::StoreStateT state;
-        state.turns.push_back(std::make_unique<wire::TurnRecordT>(toWire(*turn)));
-        journalState(std::move(state));
+        state.turns.push_back(turnRecord(*stored, running));
+        journalState(std::move(state), running);
     }
 }
 
--- a/src/libbriarhinge/turns/turnstore.h
+++ b/src/libbriarhinge/turns/turnstore.h
@@ -31,7 +31,7 @@
      * @param disk incarnation of this store's disk
      * @param journal persists the state
      * @param retention how long turns and budgets are retained
-     * @param maxBytes limit for the memory of all turns in bytes, beyond which turns of callers are not accepted
+     * @param maxBytes limit for the memory of all turns in bytes, beyond which further turns are not begun
      */
     TurnStore(DiskId disk, Journal &journal, base::Milliseconds retention, std::size_t maxBytes);
 
@@ -75,9 +75,10 @@
      * Reads one page of the state, in the order of turn ids. The first page also contains all budgets.
      *
      * @param request the request; names the last turn of the previous page
+     * @param now the current time
      * @return the response, to be sent once the journal is written
      */
-    wire::StatePageT fetch(const wire::FetchStateT &request);
+    wire::StatePageT fetch(const wire::FetchStateT &request, Time now);
 
     /**
      * Stores records that another turn store has pushed.
@@ -121,11 +122,17 @@
 private:
     template <class Request, class Answer>
     bool checkEpoch(const Request &request, Answer &answer);
+    /**
+     * Time on the store's own clock, which goes on where it was at the end of the journal. The time for which the store did
+     * not run is not counted: nobody knows it for sure, and what is kept too long does no harm.
+     */
+    Time runningTime(Time now) const;
     void mergeRecords(const std::vector<std::unique_ptr<wire::TurnRecordT>> &turns,
                       const std::vector<std::unique_ptr<wire::ProgramBudgetT>> &budgets, Time now);
+    void replayBudget(const wire::ProgramBudget &budget);
     bool hasRoom(std::size_t textBytes) const;
-    void journalState(wire::StoreStateT state);
-    void writeSnapshot();
+    void journalState(wire::StoreStateT state, Time running = {});
+    void writeSnapshot(Time running);
 
     const DiskId m_disk;
     Journal &m_journal;
@@ -135,6 +142,11 @@
     TurnTree m_turns;
     /** Buffer for the record being replayed; a member to reuse its allocation. */
     std::vector<std::uint8_t> m_replayBuffer;
+    /** Running time at the end of the journal, and when the store went on from there. */
+    Time m_replayedUntil;
+    Time m_startedAt;
+    /** Running time at which expired records were last removed while the journal was replayed. */
+    Time m_replayExpiredAt;
     bool m_isRewriteNeeded = false;
 };
 
--- a/src/libbriarhinge/turns/turntree.cpp
+++ b/src/libbriarhinge/turns/turntree.cpp
@@ -24,32 +24,29 @@
 {
 }
 
-bool TurnTree::add(Turn turn, Time now, TurnOrigin origin)
+bool TurnTree::add(Turn turn, Time lastUse)
 {
     const TurnId parent = turn.parent;
     const TurnId id = turn.id;
     const std::size_t bytes = textBytes(turn);
-    const auto [found, isNew] = m_turns.try_emplace(id, StoredTurn{std::move(turn), now, origin});
-    found->second.lastUse = now;
-    if (isNew) {
-        m_bytes += bytes;
-        m_callerBytes += origin == TurnOrigin::Caller ? bytes + turnBytes : 0;
-    }
-    touchAncestors(parent, now);
+    const auto [found, isNew] = m_turns.try_emplace(id, StoredTurn{std::move(turn), lastUse});
+    found->second.lastUse = std::max(found->second.lastUse, lastUse);
+    m_bytes += isNew ? bytes : 0;
+    touchAncestors(parent, lastUse);
     if (m_maxBytes > 0 && m_bytes > m_maxBytes) {
         evictLeastRecentlyUsed();
     }
     return isNew;
 }
 
-void TurnTree::touchAncestors(TurnId id, Time now)
+void TurnTree::touchAncestors(TurnId id, Time time)
 {
     while (!id.value().empty()) {
         const auto found = m_turns.find(id);
-        if (found == m_turns.end() || found->second.lastUse >= now) {
+        if (found == m_turns.end() || found->second.lastUse >= time) {
             return;
         }
-        found->second.lastUse = now;
+        found->second.lastUse = time;
         id = found->second.turn.parent;
     }
 }
@@ -92,14 +89,10 @@
     return known;
 }
 
-std::vector<const Turn *> TurnTree::turns() const
+const TurnTree::StoredTurn *TurnTree::next(const TurnId &id) const
 {
-    std::vector<const Turn *> all;
-    all.reserve(m_turns.size());
-    for (const auto &[id, stored] : m_turns) {
-        all.push_back(&stored.turn);
-    }
-    return all;
+    const auto found = m_turns.upper_bound(id);
+    return found == m_turns.end() ? nullptr : &found->second;
 }
 
 std::size_t TurnTree::size() const
@@ -112,24 +105,12 @@
     return m_bytes + m_turns.size() * turnBytes;
 }
 
-std::size_t TurnTree::callerBytes() const
-{
-    return m_callerBytes;
-}
-
-void TurnTree::forgetBytes(const StoredTurn &stored)
-{
-    const std::size_t bytes = textBytes(stored.turn);
-    m_bytes -= bytes;
-    m_callerBytes -= stored.origin == TurnOrigin::Caller ? bytes + turnBytes : 0;
-}
-
 void TurnTree::expire(Time now)
 {
     std::erase_if(m_turns, [this, now](const auto &item) {
         const bool isOld = now - item.second.lastUse > m_retention;
         if (isOld) {
-            forgetBytes(item.second);
+            m_bytes -= textBytes(item.second.turn);
         }
         return isOld;
     });
@@ -150,7 +131,7 @@
             return;
         }
         const auto found = m_turns.find(id);
-        forgetBytes(found->second);
+        m_bytes -= textBytes(found->second.turn);
         m_turns.erase(found);
     }
 }
--- a/src/libbriarhinge/turns/turntree.h
+++ b/src/libbriarhinge/turns/turntree.h
@@ -6,9 +6,8 @@
 #include <chrono>
 #include <cstddef>
 #include <limits>
-#include <memory>
+#include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace briarhinge::turns
@@ -29,13 +28,6 @@
     bool isNewestKnown = false;
 };
 
-/** Where a turn comes from. */
-enum class TurnOrigin {
-    Caller,
-    /** From the journal or from another turn store; its age is not known, so it may expire late. */
-    Restored,
-};
-
 /**
  * Completed turns by id. They form a tree, since several turns may continue the same one. Reads no clock and is not
  * thread-safe.
@@ -48,6 +40,13 @@
     /** Point in time on any monotonic clock. */
     using Time = std::chrono::steady_clock::time_point;
 
+    /** A turn, and when it or its latest descendant was added. */
+    struct StoredTurn
+    {
+        Turn turn;
+        Time lastUse;
+    };
+
     /**
      * @param retention how long a turn is retained after its last use
      * @param maxBytes limit for the total size of inputs and outputs in bytes, beyond which the least recently used
@@ -59,11 +58,10 @@
      * Adds a completed turn and marks it and its ancestors as used.
      *
      * @param turn the turn
-     * @param now the current time
-     * @param origin where the turn comes from
+     * @param lastUse when it was last used; the current time unless it comes from another store or from the journal
      * @return whether the turn was not known before
      */
-    bool add(Turn turn, Time now, TurnOrigin origin = TurnOrigin::Caller);
+    bool add(Turn turn, Time lastUse);
 
     /** @return whether the turn @p id is stored */
     bool contains(const TurnId &id) const;
@@ -78,8 +76,8 @@
      */
     KnownChain chain(const TurnId &id, std::size_t maxBytes = std::numeric_limits<std::size_t>::max()) const;
 
-    /** @return all turns in unspecified order; the pointers are valid until the tree is modified */
-    std::vector<const Turn *> turns() const;
+    /** @return the turn with the lowest id above @p id, or null; valid until the tree is modified */
+    const StoredTurn *next(const TurnId &id) const;
 
     /** @return the number of stored turns */
     std::size_t size() const;
@@ -87,29 +85,17 @@
     /** @return memory of the stored turns in bytes, with what each needs besides its input and output */
     std::size_t bytes() const;
 
-    /** @return the part of bytes() for turns that callers have added */
-    std::size_t callerBytes() const;
-
     /** Removes the turns whose retention has passed at the time @p now. */
     void expire(Time now);
 
 private:
-    struct StoredTurn
-    {
-        Turn turn;
-        Time lastUse;
-        TurnOrigin origin = TurnOrigin::Caller;
-    };
-
-    void forgetBytes(const StoredTurn &stored);
-    void touchAncestors(TurnId id, Time now);
+    void touchAncestors(TurnId id, Time time);
     void evictLeastRecentlyUsed();
 
     const base::Milliseconds m_retention;
     const std::size_t m_maxBytes;
     std::size_t m_bytes = 0;
-    std::size_t m_callerBytes = 0;
-    std::unordered_map<TurnId, StoredTurn> m_turns;
+    std::map<TurnId, StoredTurn> m_turns;
 };
 
 }
