TurnStore: Budgets and ids take room

Cause: room was counted by inputs and outputs. Budgets had no bound in bytes, ids counted nowhere. An entry's cache of turns was bounded by their texts alone, so turns of a few bytes were kept without end.

Why it works: BudgetLedger and TurnTree count what they hold as it comes and goes, and a turn is begun only with room for its reservation. TurnTree.theOldestTurnsAreEvictedBeyondTheSizeLimit now takes the room of ten turns from ten turns, and also asks that the limit holds.

--- a/src/libbriarhinge/turns/budgetledger.cpp
+++ b/src/libbriarhinge/turns/budgetledger.cpp
@@ -1,6 +1,7 @@
 #include "turns/budgetledger.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace briarhinge::turns
 {
@@ -8,6 +9,20 @@
 namespace
 {
 
+/** Memory of a program and of an attempt besides their ids. */
+constexpr std::size_t programBytes = 192;
+constexpr std::size_t attemptBytes = 128;
+
+std::size_t memoryBytes(const base::ProgramId &program)
+{
+    return programBytes + program.value().size();
+}
+
+std::size_t memoryBytes(const AttemptId &attempt)
+{
+    return attemptBytes + attempt.value().size();
+}
+
 bool mergeEntry(BudgetEntries &target, const BudgetEntry &entry)
 {
     const auto existing = std::find_if(target.begin(), target.end(), [&entry](const BudgetEntry &other) {
@@ -74,9 +89,14 @@
 
 bool BudgetLedger::apply(const base::ProgramId &program, const BudgetEntry &entry, Time changedAt)
 {
-    Budget &budget = m_budgets.try_emplace(program, Budget{{}, changedAt}).first->second;
+    const auto [found, isNew] = m_budgets.try_emplace(program, Budget{{}, changedAt});
+    Budget &budget = found->second;
     budget.lastChange = std::max(budget.lastChange, changedAt);
-    return mergeEntry(budget.entries, entry);
+    const std::size_t attempts = budget.entries.size();
+    const bool isChanged = mergeEntry(budget.entries, entry);
+    m_bytes += isNew ? memoryBytes(program) : 0;
+    m_bytes += budget.entries.size() > attempts ? memoryBytes(entry.attempt) : 0;
+    return isChanged;
 }
 
 BudgetEntries BudgetLedger::entries(const base::ProgramId &program) const
@@ -91,6 +111,16 @@
     return found != m_budgets.end() && turns::isUnderWay(found->second.entries);
 }
 
+std::size_t BudgetLedger::bytes() const
+{
+    return m_bytes;
+}
+
+std::size_t BudgetLedger::bytesOf(const base::ProgramId &program, const AttemptId &attempt)
+{
+    return memoryBytes(program) + memoryBytes(attempt);
+}
+
 const std::map<base::ProgramId, BudgetLedger::Budget> &BudgetLedger::budgets() const
 {
     return m_budgets;
@@ -99,7 +129,15 @@
 void BudgetLedger::expire(Time now)
 {
     std::erase_if(m_budgets, [this, now](const auto &item) {
-        return now - item.second.lastChange > m_retention;
+        const auto &[program, budget] = item;
+        if (now - budget.lastChange <= m_retention) {
+            return false;
+        }
+        m_bytes -= std::accumulate(budget.entries.begin(), budget.entries.end(), memoryBytes(program),
+                                   [](std::size_t bytes, const BudgetEntry &entry) {
+                                       return bytes + memoryBytes(entry.attempt);
+                                   });
+        return true;
     });
 }
 
--- a/src/libbriarhinge/turns/budgetledger.h
+++ b/src/libbriarhinge/turns/budgetledger.h
@@ -103,6 +103,12 @@
     /** @return whether @p program is known and under way */
     bool isUnderWay(const base::ProgramId &program) const;
 
+    /** @return memory of all budgets in bytes */
+    std::size_t bytes() const;
+
+    /** @return memory of one more attempt of a program that may not be known yet, in bytes */
+    static std::size_t bytesOf(const base::ProgramId &program, const AttemptId &attempt);
+
     /** @return all budgets by program */
     const std::map<base::ProgramId, Budget> &budgets() const;
 
@@ -112,6 +118,7 @@
 private:
     const base::Milliseconds m_retention;
     std::map<base::ProgramId, Budget> m_budgets;
+    std::size_t m_bytes = 0;
 };
 
 }
--- a/src/libbriarhinge/turns/turn.h
+++ b/src/libbriarhinge/turns/turn.h
@@ -2,6 +2,7 @@
 
 #include "base/strongtype.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -29,6 +30,12 @@
     std::string output;
     /** Id of the runner whose engine ran the turn. */
     std::string engine;
+
+    /** @return the size of the turn as it is sent and written, in bytes */
+    std::size_t bytes() const
+    {
+        return id.value().size() + parent.value().size() + input.size() + output.size() + engine.size();
+    }
 };
 
 }
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -35,11 +35,6 @@
 /** Ratio of journal size to live data beyond which a snapshot is written. */
 constexpr std::size_t snapshotSizeRatio = 3;
 
-std::size_t textBytes(const Turn &turn)
-{
-    return turn.input.size() + turn.output.size();
-}
-
 /** @return the age for a record of the wire format; zero if @p then is later than @p now */
 std::uint64_t ageMs(TurnStore::Time then, TurnStore::Time now)
 {
@@ -193,12 +188,14 @@
     if (!checkEpoch(request, answer)) {
         return answer;
     }
-    if (request.input_bytes > 0 && !hasRoom(request.input_bytes)) {
+    const base::ProgramId program(request.program);
+    const bool hasBudget = request.most > 0;
+    const std::size_t reservation = hasBudget ? BudgetLedger::bytesOf(program, AttemptId(request.attempt)) : 0;
+    if ((request.input_bytes > 0 || hasBudget) && !hasRoom(request.input_bytes + reservation)) {
         answer.status = wire::StoreStatus::Full;
         return answer;
     }
-    const base::ProgramId program(request.program);
-    if (request.most > 0) {
+    if (hasBudget) {
         const BudgetEntry entry{AttemptId(request.attempt), base::Tokens(request.most), false, base::Tokens(0)};
         const Time running = runningTime(now);
         if (m_budgets.apply(program, entry, running)) {
@@ -243,7 +240,7 @@
     if (request.turn) {
         Turn turn = fromWire(*request.turn);
         const std::size_t allowed = m_maxBytes + m_maxBytes / begunTurnPart;
-        if (!m_turns.contains(turn.id) && m_turns.bytes() + textBytes(turn) > allowed) {
+        if (!m_turns.contains(turn.id) && storedBytes() + turn.bytes() > allowed) {
             answer.status = wire::StoreStatus::Full;
         } else if (m_turns.add(std::move(turn), running)) {
             state.turns.push_back(std::make_unique<wire::TurnRecordT>(*request.turn));
@@ -270,7 +267,7 @@
     }
     const TurnTree::StoredTurn *stored = m_turns.next(TurnId(request.after));
     for (std::size_t bytes = 0; stored != nullptr && bytes < pageBytes; stored = m_turns.next(stored->turn.id)) {
-        bytes += textBytes(stored->turn);
+        bytes += stored->turn.bytes();
         page.turns.push_back(turnRecord(*stored, running));
     }
     page.more = stored != nullptr;
@@ -323,9 +320,9 @@
     const Time running = runningTime(now);
     m_turns.expire(running);
     m_budgets.expire(running);
-    const std::size_t storedBytes = m_turns.bytes();
+    const std::size_t stored = storedBytes();
     const std::size_t maxJournalBytes =
-        std::min(minSnapshotBytes + snapshotSizeRatio * storedBytes, storedBytes + m_maxBytes / smallTurnPart);
+        std::min(minSnapshotBytes + snapshotSizeRatio * stored, stored + m_maxBytes / smallTurnPart);
     if (!m_snapshot && (m_isRewriteNeeded || m_journal.bytes() > maxJournalBytes)) {
         m_snapshot.emplace();
         m_journal.beginSnapshot();
@@ -358,7 +355,7 @@
             return;
         }
         lastTurn = stored->turn.id;
-        bytes += textBytes(stored->turn);
+        bytes += stored->turn.bytes();
         wire::StoreStateT state;
         state.turns.push_back(turnRecord(*stored, running));
         journalState(std::move(state), running);
@@ -392,10 +389,15 @@
     m_isRewriteNeeded = false;
 }
 
-bool TurnStore::hasRoom(std::size_t textBytes) const
+std::size_t TurnStore::storedBytes() const
+{
+    return m_turns.bytes() + m_budgets.bytes();
+}
+
+bool TurnStore::hasRoom(std::size_t newBytes) const
 {
-    const std::size_t reserved = textBytes < largeTurnBytes ? 0 : m_maxBytes / smallTurnPart;
-    return m_turns.bytes() + textBytes <= m_maxBytes - reserved;
+    const std::size_t reserved = newBytes < largeTurnBytes ? 0 : m_maxBytes / smallTurnPart;
+    return storedBytes() + newBytes <= m_maxBytes - reserved;
 }
 
 bool TurnStore::isRewriteNeeded() const
--- a/src/libbriarhinge/turns/turnstore.h
+++ b/src/libbriarhinge/turns/turnstore.h
@@ -32,7 +32,7 @@
      * @param disk incarnation of this store's disk
      * @param journal persists the state
      * @param retention how long turns and budgets are retained
-     * @param maxBytes limit for the memory of all turns in bytes, beyond which further turns are not begun
+     * @param maxBytes limit for the memory of all turns and budgets in bytes, beyond which further turns are not begun
      */
     TurnStore(DiskId disk, Journal &journal, base::Milliseconds retention, std::size_t maxBytes);
 
@@ -141,7 +141,8 @@
     void mergeRecords(const std::vector<std::unique_ptr<wire::TurnRecordT>> &turns,
                       const std::vector<std::unique_ptr<wire::ProgramBudgetT>> &budgets, Time now);
     void replayBudget(const wire::ProgramBudget &budget);
-    bool hasRoom(std::size_t textBytes) const;
+    std::size_t storedBytes() const;
+    bool hasRoom(std::size_t newBytes) const;
     void journalState(wire::StoreStateT state, Time running = {});
     void appendBudgetParts(const base::ProgramId &program, const BudgetLedger::Budget &budget, Time running);
 
--- a/src/libbriarhinge/turns/turntree.cpp
+++ b/src/libbriarhinge/turns/turntree.cpp
@@ -8,9 +8,15 @@
 namespace
 {
 
-/** Memory of a turn besides its input and output. */
+/** Memory of a turn besides its texts. */
 constexpr std::size_t turnBytes = 512;
 
+/** @return memory of a turn, whose id is stored twice */
+std::size_t memoryBytes(const Turn &turn)
+{
+    return turnBytes + turn.bytes() + turn.id.value().size();
+}
+
 std::size_t textBytes(const Turn &turn)
 {
     return turn.input.size() + turn.output.size();
@@ -28,7 +34,7 @@
 {
     const TurnId parent = turn.parent;
     const TurnId id = turn.id;
-    const std::size_t bytes = textBytes(turn);
+    const std::size_t bytes = memoryBytes(turn);
     const auto [found, isNew] = m_turns.try_emplace(id, StoredTurn{std::move(turn), lastUse});
     found->second.lastUse = std::max(found->second.lastUse, lastUse);
     m_bytes += isNew ? bytes : 0;
@@ -102,7 +108,7 @@
 
 std::size_t TurnTree::bytes() const
 {
-    return m_bytes + m_turns.size() * turnBytes;
+    return m_bytes;
 }
 
 void TurnTree::expire(Time now)
@@ -110,7 +116,7 @@
     std::erase_if(m_turns, [this, now](const auto &item) {
         const bool isOld = now - item.second.lastUse > m_retention;
         if (isOld) {
-            m_bytes -= textBytes(item.second.turn);
+            m_bytes -= memoryBytes(item.second.turn);
         }
         return isOld;
     });
@@ -131,7 +137,7 @@
             return;
         }
         const auto found = m_turns.find(id);
-        m_bytes -= textBytes(found->second.turn);
+        m_bytes -= memoryBytes(found->second.turn);
         m_turns.erase(found);
     }
 }
--- a/src/libbriarhinge/turns/turntree.h
+++ b/src/libbriarhinge/turns/turntree.h
@@ -49,8 +49,7 @@
 
     /**
      * @param retention how long a turn is retained after its last use
-     * @param maxBytes limit for the total size of inputs and outputs in bytes, beyond which the least recently used
-     * turns are evicted; zero means unlimited
+     * @param maxBytes limit for bytes(), beyond which the least recently used turns are evicted; zero means unlimited
      */
     TurnTree(base::Milliseconds retention, std::size_t maxBytes);
 
@@ -82,7 +81,7 @@
     /** @return the number of stored turns */
     std::size_t size() const;
 
-    /** @return memory of the stored turns in bytes, with what each needs besides its input and output */
+    /** @return memory of the stored turns in bytes, with what each needs besides its texts */
     std::size_t bytes() const;
 
     /** Removes the turns whose retention has passed at the time @p now. */
--- a/tests/test_budgetledger.cpp
+++ b/tests/test_budgetledger.cpp
@@ -78,6 +78,25 @@
     LONGS_EQUAL(0, ledger.entries(program).size());
 }
 
+// Guards against budgets that nobody counts, and against a count that only grows.
+TEST(BudgetLedger, bytesAreThoseOfTheAttemptsThatAreThere)
+{
+    BudgetLedger ledger(base::Milliseconds(1000));
+    const BudgetLedger::Time now{};
+    const base::ProgramId longProgram(std::string(10'000, 'p'));
+    ledger.apply(longProgram, open("a", 50), now);
+    const std::size_t one = ledger.bytes();
+    CHECK(one > 10'000);
+    LONGS_EQUAL(BudgetLedger::bytesOf(longProgram, AttemptId("a")), one);
+    ledger.apply(longProgram, settled("a", 50, 20), now);
+    LONGS_EQUAL(one, ledger.bytes());
+    ledger.apply(longProgram, open("b", 50), now);
+    CHECK(ledger.bytes() > one);
+    CHECK(ledger.bytes() < 2 * one);
+    ledger.expire(now + base::Milliseconds(1001));
+    LONGS_EQUAL(0, ledger.bytes());
+}
+
 TEST(BudgetLedger, replicasAgreeWhateverTheOrderOfMerges)
 {
     CHECK(rc::check("merge is commutative and idempotent", [] {
--- a/tests/test_turnstore.cpp
+++ b/tests/test_turnstore.cpp
@@ -322,6 +322,38 @@
     CHECK(holds);
 }
 
+// Guards against budgets and ids that nobody counts, which take a store over its memory while it has room for turns.
+TEST(TurnStore, budgetsAndIdsTakeRoom)
+{
+    constexpr std::size_t idBytes = 14'000;
+    StartedStore started(folder.path(), maxBytes);
+    started.store.adopt(makeGroup(3));
+    std::size_t begun = 0;
+    const auto request = [&begun] {
+        auto next = begin(3, "a");
+        next.program = std::string(idBytes, 'p') + std::to_string(begun);
+        return next;
+    };
+    while (started.store.begin(request(), start).status == wire::StoreStatus::Done) {
+        ++begun;
+        CHECK(begun * idBytes <= maxBytes);
+    }
+    CHECK(begun > 0);
+    // What needs no room is read all the same.
+    auto read = begin(3, "", "unknown");
+    read.most = 0;
+    CHECK(started.store.begin(read, start).status == wire::StoreStatus::Done);
+    started.store.compact(start + 2 * retention);
+    CHECK(started.store.begin(request(), start + 2 * retention).status == wire::StoreStatus::Done);
+    std::size_t ended = 0;
+    while (started.store.end(end(3, std::string(idBytes, 't') + std::to_string(ended), ""), start + 2 * retention).status
+           == wire::StoreStatus::Done) {
+        ++ended;
+        CHECK(ended * idBytes <= 2 * maxBytes);
+    }
+    CHECK(ended > 0);
+}
+
 // Guards against turns that run and are broken off since their answers, unlike their inputs, no longer fit.
 TEST(TurnStore, aTurnThatHasBegunIsStoredAlthoughItsAnswerIsBeyondTheLimit)
 {
--- a/tests/test_turntree.cpp
+++ b/tests/test_turntree.cpp
@@ -71,11 +71,18 @@
 
 TEST(TurnTree, theOldestTurnsAreEvictedBeyondTheSizeLimit)
 {
-    constexpr std::size_t roomForTen = 120;
-    TurnTree small(retention, roomForTen);
+    const auto add = [](TurnTree &turns, int i) {
+        turns.add({TurnId(std::to_string(i)), TurnId(), "123456", "12345\n", ""}, start + base::Milliseconds(i));
+    };
+    TurnTree ten(retention, 0);
+    for (int i = 90; i < 100; ++i) {
+        add(ten, i);
+    }
+    TurnTree small(retention, ten.bytes());
     for (int i = 0; i < 100; ++i) {
-        small.add({TurnId(std::to_string(i)), TurnId(), "123456", "12345\n", ""}, start + base::Milliseconds(i));
+        add(small, i);
     }
+    CHECK(small.bytes() <= ten.bytes());
     CHECK(small.size() <= 10);
     CHECK(small.contains(TurnId("99")));
     CHECK_FALSE(small.contains(TurnId("0")));
