StateTransfer: Copies budgets in pages, within the memory of the store

Budgets of over 8 MB don't fit into the one frame that carried them, so a store with a new disk never got the state, and the next loss would leave no service.

Cause: the first page of a copy held all budgets; merged records were kept whatever they took.

Why it works: a page ends with the last program or turn that it holds, and the next one goes on behind it. A copy that needs more than the limit and half of it ends, and is not complete.

--- a/src/libbriarhinge/turns/statetransfer.cpp
+++ b/src/libbriarhinge/turns/statetransfer.cpp
@@ -77,12 +77,21 @@
     }
 }
 
-void StateTransfer::fetchPage(const StoreMember &member, const std::string &after)
+StateTransfer::PagePosition StateTransfer::lastOf(const wire::StatePageT &page)
+{
+    if (!page.turns.empty()) {
+        return {{}, page.turns.back()->id};
+    }
+    return page.budgets.empty() ? PagePosition{} : PagePosition{page.budgets.back()->program, {}};
+}
+
+void StateTransfer::fetchPage(const StoreMember &member, const PagePosition &after)
 {
     wire::FetchStateT request;
     request.epoch = m_group.epoch.value();
     request.group = toJson(m_group);
-    request.after = after;
+    request.after = after.turn;
+    request.after_program = after.program;
     wire::MessageUnion message;
     message.Set(std::move(request));
     m_peers.sendRequest(member.address, std::move(message), pageTimeout,
@@ -96,27 +105,30 @@
                                 self->finishMember(member, false);
                                 return;
                             }
-                            self->m_store.mergePage(*page, steadyNow());
+                            const bool hasRoom = self->m_store.mergePage(*page, steadyNow());
                             self->m_turnCount += page->turns.size();
-                            if (page->more && !page->turns.empty()) {
-                                self->fetchPage(member, page->turns.back()->id);
+                            const bool isEmpty = page->turns.empty() && page->budgets.empty();
+                            if (hasRoom && page->more && !isEmpty) {
+                                self->fetchPage(member, lastOf(*page));
                                 return;
                             }
-                            self->finishMember(member, true);
+                            self->finishMember(member, hasRoom);
                         });
 }
 
-void StateTransfer::pushPage(const StoreMember &member, const std::string &after)
+void StateTransfer::pushPage(const StoreMember &member, const PagePosition &after)
 {
     wire::FetchStateT own;
     own.epoch = m_group.epoch.value();
-    own.after = after;
+    own.after = after.turn;
+    own.after_program = after.program;
     wire::StatePageT page = m_store.fetch(own, steadyNow());
     if (page.status != wire::StoreStatus::Done) {
         finishMember(member, false);
         return;
     }
-    const std::string last = page.more && !page.turns.empty() ? page.turns.back()->id : std::string();
+    const bool isLast = !page.more;
+    const PagePosition last = lastOf(page);
     m_turnCount += page.turns.size();
     wire::StoreStateT request;
     request.epoch = m_group.epoch.value();
@@ -126,12 +138,12 @@
     wire::MessageUnion message;
     message.Set(std::move(request));
     m_peers.sendRequest(member.address, std::move(message), pageTimeout,
-                        [self = shared_from_this(), member, last](wire::ChannelReply reply) {
+                        [self = shared_from_this(), member, last, isLast](wire::ChannelReply reply) {
                             const auto *frame = std::get_if<wire::FrameT>(&reply);
                             const auto *ended = frame == nullptr ? nullptr : frame->message.AsTurnEnded();
                             const bool isStored = ended != nullptr && ended->status == wire::StoreStatus::Done
                                 && ended->disk == member.disk.value();
-                            if (isStored && !last.empty()) {
+                            if (isStored && !isLast) {
                                 self->pushPage(member, last);
                                 return;
                             }
--- a/src/libbriarhinge/turns/statetransfer.h
+++ b/src/libbriarhinge/turns/statetransfer.h
@@ -38,9 +38,17 @@
     void spread(DoneHandler onDone);
 
 private:
+    /** The last record of a page: a turn or, before the first turn, a program. Both are empty before the first page. */
+    struct PagePosition
+    {
+        std::string program;
+        std::string turn;
+    };
+
+    static PagePosition lastOf(const wire::StatePageT &page);
     void begin(const std::vector<StoreMember> &members, bool isPush, DoneHandler onDone);
-    void fetchPage(const StoreMember &member, const std::string &after);
-    void pushPage(const StoreMember &member, const std::string &after);
+    void fetchPage(const StoreMember &member, const PagePosition &after);
+    void pushPage(const StoreMember &member, const PagePosition &after);
     void finishMember(const StoreMember &member, bool isComplete);
     void finish();
 
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -24,6 +24,11 @@
 constexpr std::size_t smallTurnPart = 2;
 /** Memory beyond the limit for turns that have begun within it, as a part of it: one in this many bytes. */
 constexpr std::size_t begunTurnPart = 4;
+/**
+ * Memory beyond the limit for what other stores have sent, as a part of it: one in this many bytes. Stores that have
+ * accepted different turns have more together than each of them.
+ */
+constexpr std::size_t copiedTurnPart = 2;
 /** Most attempts of a program in one record of the journal, which can't be larger than a frame. */
 constexpr std::size_t maxRecordEntries = 1024;
 /** Memory of an attempt and of a program in a snapshot, besides their ids. */
@@ -260,13 +265,24 @@
         return page;
     }
     const Time running = runningTime(now);
-    if (request.after.empty()) {
-        for (const auto &[program, budget] : m_budgets.budgets()) {
-            page.budgets.push_back(budgetRecord(program, budget.entries, ageMs(budget.lastChange, running)));
+    const auto &budgets = m_budgets.budgets();
+    std::size_t bytes = 0;
+    auto budget = budgets.upper_bound(base::ProgramId(request.after_program));
+    if (request.after_program.empty()) {
+        budget = budgets.begin();
+    }
+    for (; request.after.empty() && budget != budgets.end(); ++budget) {
+        // The next page can't begin after an empty id.
+        if (bytes >= pageBytes && !page.budgets.back()->program.empty()) {
+            page.more = true;
+            return page;
         }
+        bytes += budgetBytes(budget->first, budget->second.entries);
+        page.budgets.push_back(
+            budgetRecord(budget->first, budget->second.entries, ageMs(budget->second.lastChange, running)));
     }
     const TurnTree::StoredTurn *stored = m_turns.next(TurnId(request.after));
-    for (std::size_t bytes = 0; stored != nullptr && bytes < pageBytes; stored = m_turns.next(stored->turn.id)) {
+    for (; stored != nullptr && bytes < pageBytes; stored = m_turns.next(stored->turn.id)) {
         bytes += stored->turn.bytes();
         page.turns.push_back(turnRecord(*stored, running));
     }
@@ -277,18 +293,18 @@
 wire::TurnEndedT TurnStore::storeRecords(const wire::StoreStateT &request, Time now)
 {
     wire::TurnEndedT answer;
-    if (checkEpoch(request, answer)) {
-        mergeRecords(request.turns, request.budgets, now);
+    if (checkEpoch(request, answer) && !mergeRecords(request.turns, request.budgets, now)) {
+        answer.status = wire::StoreStatus::Full;
     }
     return answer;
 }
 
-void TurnStore::mergePage(const wire::StatePageT &page, Time now)
+bool TurnStore::mergePage(const wire::StatePageT &page, Time now)
 {
-    mergeRecords(page.turns, page.budgets, now);
+    return mergeRecords(page.turns, page.budgets, now);
 }
 
-void TurnStore::mergeRecords(const std::vector<std::unique_ptr<wire::TurnRecordT>> &turns,
+bool TurnStore::mergeRecords(const std::vector<std::unique_ptr<wire::TurnRecordT>> &turns,
                              const std::vector<std::unique_ptr<wire::ProgramBudgetT>> &budgets, Time now)
 {
     const Time running = runningTime(now);
@@ -313,6 +329,7 @@
     if (!state.turns.empty() || !state.budgets.empty()) {
         journalState(std::move(state), running);
     }
+    return storedBytes() <= m_maxBytes + m_maxBytes / copiedTurnPart;
 }
 
 void TurnStore::compact(Time now)
--- a/src/libbriarhinge/turns/turnstore.h
+++ b/src/libbriarhinge/turns/turnstore.h
@@ -73,16 +73,17 @@
     wire::TurnEndedT end(const wire::EndTurnT &request, Time now);
 
     /**
-     * Reads one page of the state, in the order of turn ids. The first page also contains all budgets.
+     * Reads one page of the state: the budgets in the order of programs, then the turns in the order of their ids.
      *
-     * @param request the request; names the last turn of the previous page
+     * @param request the request; names the last turn, or else the last program, of the previous page
      * @param now the current time
      * @return the response, to be sent once the journal is written
      */
     wire::StatePageT fetch(const wire::FetchStateT &request, Time now);
 
     /**
-     * Stores records that another turn store has pushed.
+     * Stores records that another turn store has pushed. The answer is that the store is full if they need more memory than
+     * there is.
      *
      * @param request the records
      * @param now the current time
@@ -95,8 +96,9 @@
      *
      * @param page the records
      * @param now the current time
+     * @return whether there is memory for them
      */
-    void mergePage(const wire::StatePageT &page, Time now);
+    bool mergePage(const wire::StatePageT &page, Time now);
 
     /**
      * Removes expired state and begins a snapshot if most of the journal is obsolete or a write failed.
@@ -138,7 +140,7 @@
      * not run is not counted: nobody knows it for sure, and what is kept too long does no harm.
      */
     Time runningTime(Time now) const;
-    void mergeRecords(const std::vector<std::unique_ptr<wire::TurnRecordT>> &turns,
+    bool mergeRecords(const std::vector<std::unique_ptr<wire::TurnRecordT>> &turns,
                       const std::vector<std::unique_ptr<wire::ProgramBudgetT>> &budgets, Time now);
     void replayBudget(const wire::ProgramBudget &budget);
     std::size_t storedBytes() const;
--- a/tests/test_turnstore.cpp
+++ b/tests/test_turnstore.cpp
@@ -1,5 +1,6 @@
 #include "logging/eventlog.h"
 #include "temporaryfolder.h"
+#include "turns/statetransfer.h"
 #include "turns/storepeers.h"
 #include "turns/turnserver.h"
 #include "turns/turnstore.h"
@@ -346,8 +347,9 @@
     started.store.compact(start + 2 * retention);
     CHECK(started.store.begin(request(), start + 2 * retention).status == wire::StoreStatus::Done);
     std::size_t ended = 0;
-    while (started.store.end(end(3, std::string(idBytes, 't') + std::to_string(ended), ""), start + 2 * retention).status
-           == wire::StoreStatus::Done) {
+    while (
+        started.store.end(end(3, std::string(idBytes, 't') + std::to_string(ended), ""), start + 2 * retention).status
+        == wire::StoreStatus::Done) {
         ++ended;
         CHECK(ended * idBytes <= 2 * maxBytes);
     }
@@ -463,6 +465,77 @@
     LONGS_EQUAL(turns + 1, into.store.begin(begin(3, "new"), start).entries.size());
 }
 
+// Guards against budgets that don't fit into one frame, so that a store with a new disk never gets the state (RECOVER).
+TEST(TurnStore, budgetsAreCopiedInPages)
+{
+    constexpr int programs = 300;
+    const std::string longId(10'000, 'p');
+    StartedStore from(folder.path());
+    from.store.adopt(makeGroup(3));
+    from.store.end(end(3, "kept", ""), start);
+    for (int i = 0; i < programs; ++i) {
+        auto request = begin(3, "a");
+        request.program = longId + std::to_string(i);
+        from.store.begin(request, start);
+    }
+    const tests::TemporaryFolder other;
+    StartedStore into(other.path());
+    wire::FetchStateT fetch;
+    fetch.epoch = 3;
+    int pages = 0;
+    for (bool more = true; more; ++pages) {
+        const auto page = from.store.fetch(fetch, start);
+        std::size_t bytes = 0;
+        for (const auto &budget : page.budgets) {
+            bytes += budget->program.size();
+        }
+        CHECK(bytes < maxBytes);
+        CHECK(into.store.mergePage(page, start));
+        more = page.more;
+        fetch.after = page.turns.empty() ? "" : page.turns.back()->id;
+        fetch.after_program = page.budgets.empty() ? "" : page.budgets.back()->program;
+    }
+    CHECK(pages > 1);
+    into.store.adopt(makeGroup(3));
+    CHECK(into.store.begin(begin(3, "new", "kept"), start).known);
+    for (int i = 0; i < programs; ++i) {
+        auto request = begin(3, "b");
+        request.program = longId + std::to_string(i);
+        LONGS_EQUAL(2, into.store.begin(request, start).entries.size());
+    }
+}
+
+// Guards against copies from other stores that take a store over its memory.
+TEST(TurnStore, aCopyWithoutRoomIsNotComplete)
+{
+    StartedStore from(folder.path());
+    from.store.adopt(makeGroup(3));
+    for (int i = 0; i < 8; ++i) {
+        auto ended = end(3, std::to_string(i), "");
+        ended.turn->input = std::string(maxBytes / 2, 'x');
+        from.store.end(ended, start);
+    }
+    const tests::TemporaryFolder other;
+    StartedStore into(other.path(), maxBytes);
+    into.store.adopt(makeGroup(3));
+    wire::FetchStateT fetch;
+    fetch.epoch = 3;
+    bool hasRoom = true;
+    for (bool more = true; more && hasRoom;) {
+        const auto page = from.store.fetch(fetch, start);
+        hasRoom = into.store.mergePage(page, start);
+        more = page.more;
+        fetch.after = page.turns.back()->id;
+    }
+    CHECK_FALSE(hasRoom);
+    CHECK(into.store.turnCount() < 8);
+    wire::StoreStateT pushed;
+    pushed.epoch = 3;
+    auto page = from.store.fetch(fetch, start);
+    pushed.turns = std::move(page.turns);
+    CHECK(into.store.storeRecords(pushed, start).status == wire::StoreStatus::Full);
+}
+
 // Guards against a snapshot that can't be read back, so that all kept turns are gone after a start (LOST): its budgets were one
 // record, which grew beyond what is taken for intact.
 TEST(TurnStore, aSnapshotOfManyBudgetsIsReadBack)
@@ -621,6 +694,48 @@
     server.stop();
 }
 
+// Guards against a store with a new disk that never gets the state, since the budgets don't fit into one frame (RECOVER).
+TEST(TurnServer, budgetsThatNeedManyFramesAreCopied)
+{
+    constexpr int programs = 1000;
+    const std::string longId(10'000, 'p');
+    StartedStore from(folder.path());
+    boost::asio::io_context context;
+    logging::EventLog log("test");
+    TurnServer server(context, from.store, from.journal, log, noDeployment, noOtherRequests);
+    const auto port = server.listen({"127.0.0.1", 0});
+    StoreGroup group = makeGroup(3);
+    group.current.front().address = {"127.0.0.1", std::get<std::uint16_t>(port)};
+    from.store.adopt(group);
+    from.store.end(end(3, "kept", ""), TurnStore::Time::clock::now());
+    for (int i = 0; i < programs; ++i) {
+        auto request = begin(3, "a");
+        request.program = longId + std::to_string(i);
+        from.store.begin(request, TurnStore::Time::clock::now());
+    }
+    const tests::TemporaryFolder other;
+    Journal journal(other.path());
+    TurnStore into(DiskId("new"), journal, retention, ampleBytes);
+    into.adopt(group);
+    StorePeers peers(context);
+    std::optional<bool> isComplete;
+    std::make_shared<StateTransfer>(peers, into, QuorumRule{0}, log)->fetch([&isComplete](bool whole) {
+        isComplete = whole;
+    });
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!isComplete && std::chrono::steady_clock::now() < limit) {
+        context.run_one_for(std::chrono::milliseconds(100));
+    }
+    CHECK(isComplete.value_or(false));
+    CHECK(into.begin(begin(3, "new", "kept"), TurnStore::Time::clock::now()).known);
+    for (int i = 0; i < programs; ++i) {
+        auto request = begin(3, "b");
+        request.program = longId + std::to_string(i);
+        LONGS_EQUAL(2, into.begin(request, TurnStore::Time::clock::now()).entries.size());
+    }
+    server.stop();
+}
+
 TEST(TurnServer, aConnectionThatIsNotAcceptedFailsSoon)
 {
     boost::asio::io_context context;
