ClientConnection: A status outside 100 to 599 is a broken answer

On our own interface a tool waited 5 s.

Cause: a status below 200 was interim and any other final.

Evidence: FaultyAnswers.aStatusThatIsNoneIsABrokenAnswer (504 instead of 502) and OwnAnswerEnds.anAnswerWithAStatusThatIsNoneIsUnknown (5.1 s) failed before; both pass.

Why it works: both clients ask http::kindOf(), so the answer is invalid as soon as its head is there, and nothing behind it is read.

--- a/src/libbriarhinge/http/client.cpp
+++ b/src/libbriarhinge/http/client.cpp
@@ -348,14 +348,17 @@
             read();
             return;
         }
-        if (!m_hasHead && m_parser->get().result_int() < firstFinalStatus) {
-            if (m_parser->get().result_int() == statusSwitchingProtocols
-                || ++m_interimResponses > maxInterimResponses) {
-                fail(Ending::Invalid, "unexpected interim response");
+        if (!m_hasHead) {
+            const ResponseKind kind = kindOf(*m_parser);
+            const bool isInterim = kind == ResponseKind::Interim;
+            if (kind == ResponseKind::Invalid || (isInterim && ++m_interimResponses > maxInterimResponses)) {
+                fail(Ending::Invalid, "no valid response: status " + std::to_string(m_parser->get().result_int()));
+                return;
+            }
+            if (isInterim) {
+                awaitResponse();
                 return;
             }
-            awaitResponse();
-            return;
         }
         if (!m_hasHead) {
             reportHead();
--- a/src/libbriarhinge/http/clientconnection.cpp
+++ b/src/libbriarhinge/http/clientconnection.cpp
@@ -172,18 +172,17 @@
         return;
     }
     if (!d->isHeadReported) {
-        d->isHeadReported = true;
-        const auto &message = parser.get();
-        if (message.result_int() < firstFinalStatus) {
-            d->isHeadReported = false;
-            const bool isSwitching = message.result_int() == statusSwitchingProtocols;
-            if (isSwitching || ++d->interimResponses > maxInterimResponses) {
-                fail(Ending::Invalid);
-                return;
-            }
+        const ResponseKind kind = kindOf(parser);
+        const bool isInterim = kind == ResponseKind::Interim;
+        if (kind == ResponseKind::Invalid || (isInterim && ++d->interimResponses > maxInterimResponses)) {
+            fail(Ending::Invalid);
+            return;
+        }
+        if (isInterim) {
             awaitResponse();
             return;
         }
+        d->isHeadReported = true;
         const ResponseHead head = headOf(parser);
         d->isReusable = d->isReusable && head.isKeepAlive;
         d->isSkipping = d->handlers.onHead(head) == HeadAction::Skip;
--- a/src/libbriarhinge/http/responseparser.cpp
+++ b/src/libbriarhinge/http/responseparser.cpp
@@ -9,6 +9,16 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
+namespace
+{
+
+constexpr unsigned firstStatus = 100;
+constexpr unsigned statusSwitchingProtocols = 101;
+constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned lastStatus = 599;
+
+}
+
 Ending endingOf(const boost::system::error_code &error)
 {
     if (error == asio::error::eof || error == beast::http::error::end_of_stream
@@ -32,6 +42,15 @@
     return parser.content_length() ? Framing::Length : Framing::None;
 }
 
+ResponseKind kindOf(const ResponseParser &parser)
+{
+    const unsigned status = parser.get().result_int();
+    if (status < firstStatus || status > lastStatus || status == statusSwitchingProtocols) {
+        return ResponseKind::Invalid;
+    }
+    return status < firstFinalStatus ? ResponseKind::Interim : ResponseKind::Final;
+}
+
 ResponseHead headOf(const ResponseParser &parser)
 {
     const auto &message = parser.get();
--- a/src/libbriarhinge/http/responseparser.h
+++ b/src/libbriarhinge/http/responseparser.h
@@ -22,8 +22,6 @@
 inline constexpr std::uint32_t headLimitBytes = 32 * 1024;
 /** Most bytes of a response that are read before they are parsed. */
 inline constexpr std::size_t readAheadBytes = std::size_t{256} * 1024;
-inline constexpr unsigned firstFinalStatus = 200;
-inline constexpr unsigned statusSwitchingProtocols = 101;
 /** Interim responses to one request; servers send one or two. */
 inline constexpr int maxInterimResponses = 8;
 
@@ -40,6 +38,20 @@
  */
 Framing framingOf(const ResponseParser &parser, bool isHeadRequest);
 
+/** What the status of a response says of the response. */
+enum class ResponseKind {
+    Interim,
+    Final,
+    /** No response to the request: a status outside 100 to 599, or a switch of protocols that was not asked for. */
+    Invalid,
+};
+
+/**
+ * @param parser a parser that has received the head of a response
+ * @return the kind of the response
+ */
+ResponseKind kindOf(const ResponseParser &parser);
+
 /**
  * @param parser a parser that has received the head of a response
  * @return the head
--- a/tests/test_ownanswerends.cpp
+++ b/tests/test_ownanswerends.cpp
@@ -195,6 +195,21 @@
     CHECK_FALSE(list(plainHead, AnswerEnding::Close));
 }
 
+// Guards against a status outside 100 to 599 that is passed on as an answer, or that is taken for an interim one and waited behind.
+TEST(OwnAnswerEnds, anAnswerWithAStatusThatIsNoneIsUnknown)
+{
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        const auto with = [&status](std::string bytes) {
+            return bytes.replace(bytes.find("200"), 3, status);
+        };
+        const auto begin = std::chrono::steady_clock::now();
+        CHECK(isUnknown<runner::ToolUpstream>(with(withLength(toolAnswer)), AnswerEnding::KeepOpen));
+        CHECK(isUnknown<runner::EngineUpstream>(with(withLength(engineAnswer)), AnswerEnding::KeepOpen));
+        CHECK(isUnknown<runner::ToolUpstream>(with(withLength("")), AnswerEnding::KeepOpen));
+        CHECK(std::chrono::steady_clock::now() - begin < std::chrono::milliseconds(900));
+    }
+}
+
 // Guards against a body without end that fills the memory of the process which reads it.
 TEST(OwnAnswerEnds, aBodyWithoutEndIsUnknownAndItsReaderStops)
 {
