--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -30,7 +30,7 @@
  */
 constexpr std::size_t copiedTurnPart = 2;
 /** Most attempts of a program in one record of the journal, which can't be larger than a frame. */
-constexpr std::size_t maxRecordEntries = 1024;
+constexpr std::size_t maxRecordEntries = 256;
 /** Memory of an attempt and of a program in a snapshot, besides their ids. */
 constexpr std::size_t budgetEntryBytes = 64;
 /** Interval of the store's running time at which expired records are removed while the journal is replayed. */
--- a/src/libbriarhinge/turns/turnstore.h
+++ b/src/libbriarhinge/turns/turnstore.h
@@ -16,6 +16,15 @@
 namespace briarhinge::turns
 {
 
+/** How far a snapshot has come: the budgets are appended first, then the turns, in the order of their ids. */
+struct SnapshotProgress
+{
+    std::optional<base::ProgramId> lastProgram;
+    TurnId lastTurn;
+    /** Whether everything was appended; it may not be written yet. */
+    bool isAppended = false;
+};
+
 /**
  * State of one turn store and its request handling. Uses no clock and no sockets; not thread-safe.
  *
@@ -161,16 +170,7 @@
     Time m_startedAt;
     /** Running time at which expired records were last removed while the journal was replayed. */
     Time m_replayExpiredAt;
-    /** Progress of a snapshot: the budgets are appended first, then the turns, in the order of their ids. */
-    struct Snapshot
-    {
-        std::optional<base::ProgramId> lastProgram;
-        TurnId lastTurn;
-        /** Whether everything was appended; it may not be written yet. */
-        bool isAppended = false;
-    };
-
-    std::optional<Snapshot> m_snapshot;
+    std::optional<SnapshotProgress> m_snapshot;
     bool m_isRewriteNeeded = false;
 };
 
