ServerConnection: Handles a request that is sent before the response once

Cause: a read was pending in the buffer while the next request was parsed from it. Consuming that request moved the buffer's start, and the read declared the request's own bytes as received.

Why it works: the connection waits until its socket is readable and then reads at once, so nothing is pending while input is parsed. requestsAreHandledOnceInOrderHoweverTheyArrive draws requests, pieces and waits.

--- a/src/libbriarhinge/http/serverconnection.cpp
+++ b/src/libbriarhinge/http/serverconnection.cpp
@@ -114,6 +114,8 @@
         , onRequest(std::move(requestHandler))
         , onClose(std::move(closeHandler))
     {
+        error_code ignored;
+        socket.non_blocking(true, ignored);
     }
 
     tcp::socket socket;
@@ -340,22 +342,28 @@
         d->input.shrink_to_fit();
     }
     d->isReading = true;
-    d->socket.async_read_some(d->input.prepare(readBytes),
-                              [self = shared_from_this()](error_code error, std::size_t size) {
-                                  self->d->isReading = false;
-                                  if (self->d->isClosed) {
-                                      return;
-                                  }
-                                  if (error) {
-                                      self->closeNow();
-                                      return;
-                                  }
-                                  if (!self->d->isDiscarding) {
-                                      self->d->input.commit(size);
-                                      self->parseInput();
-                                  }
-                                  self->readMore();
-                              });
+    d->socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+        self->d->isReading = false;
+        if (!error && !self->d->isClosed) {
+            self->readAvailable();
+        }
+    });
+}
+
+void ServerConnection::readAvailable()
+{
+    // The memory for a read moves when input is parsed, so no read may be pending meanwhile.
+    error_code error;
+    const std::size_t size = d->socket.read_some(d->input.prepare(readBytes), error);
+    if (error && error != asio::error::would_block) {
+        closeNow();
+        return;
+    }
+    if (!d->isDiscarding) {
+        d->input.commit(size);
+        parseInput();
+    }
+    readMore();
 }
 
 void ServerConnection::parseInput()
--- a/src/libbriarhinge/http/serverconnection.h
+++ b/src/libbriarhinge/http/serverconnection.h
@@ -169,6 +169,7 @@
 
     void awaitRequest();
     void readMore();
+    void readAvailable();
     void parseInput();
     bool isWithinBuffer() const;
     void requestReceived();
--- a/tests/test_serverconnection.cpp
+++ b/tests/test_serverconnection.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -11,6 +12,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <rapidcheck.h>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace briarhinge;
@@ -130,6 +133,119 @@
 }
 
 // Guards against a request whose unfinished part outgrows the input buffer and ends the process.
+namespace
+{
+
+/** Requests as they are handled, and the connection of the one that awaits its response. */
+struct HandledRequests
+{
+    std::vector<std::string> texts;
+    std::shared_ptr<http::ServerConnection> waiting;
+
+    /** Answers the request that was handled last with its own text. */
+    void respond()
+    {
+        std::exchange(waiting, nullptr)->respond({200, {}}, texts.back());
+    }
+};
+
+std::string post(const std::string &target, const std::string &body)
+{
+    return "POST " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+}
+
+// Guards against a charge that runs twice, and whose answer the next one gets (TWICE, MIXED): its bytes were parsed while a read into
+// the same buffer was pending, and were taken for what had been read.
+TEST(ServerConnection, aRequestSentBeforeTheResponseIsHandledOnce)
+{
+    HandledRequests handled;
+    http::Listener later{context,
+                         shortLimits,
+                         {base::MemoryBudget(memoryBytes), maxConnections},
+                         [&handled](const auto &connection, const auto &request) {
+                             handled.texts.push_back(request.target + ' ' + request.body);
+                             handled.waiting = connection;
+                         }};
+    STRCMP_EQUAL("", later.listen({"127.0.0.1", port + 1}).c_str());
+    const std::string charge = post("/charge", "one charge of many");
+    for (const std::size_t early : {charge.size(), charge.size() - 5, std::size_t{30}}) {
+        handled.texts.clear();
+        tcp::socket client{callerContext};
+        client.connect({boost::asio::ip::make_address("127.0.0.1"), port + 1});
+        const auto handle = [this, &handled, &client](const std::string &bytes, std::size_t count) {
+            boost::asio::write(client, boost::asio::buffer(bytes));
+            runFor(std::chrono::milliseconds(10));
+            LONGS_EQUAL(count, handled.texts.size());
+        };
+        handle("GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n" + charge.substr(0, early), 1);
+        handled.respond();
+        handle(charge.substr(early), 2);
+        STRCMP_EQUAL("/charge one charge of many", handled.texts.back().c_str());
+        handled.respond();
+        handle(post("/other", "another charge"), 3);
+        STRCMP_EQUAL("/other another charge", handled.texts.back().c_str());
+        handled.respond();
+        runFor(std::chrono::milliseconds(10));
+        LONGS_EQUAL(3, handled.texts.size());
+    }
+    later.close();
+    context.poll();
+}
+
+// Guards against requests that are lost, run twice or get bytes of others, however they are cut into pieces and waited for.
+TEST(ServerConnection, requestsAreHandledOnceInOrderHoweverTheyArrive)
+{
+    HandledRequests handled;
+    http::Listener later{context,
+                         shortLimits,
+                         {base::MemoryBudget(memoryBytes), maxConnections},
+                         [&handled](const auto &connection, const auto &request) {
+                             handled.texts.push_back(request.target + ' ' + request.body);
+                             handled.waiting = connection;
+                         }};
+    STRCMP_EQUAL("", later.listen({"127.0.0.1", port + 1}).c_str());
+    const bool holds = rc::check([&](const std::vector<std::uint8_t> &sizes) {
+        handled = {};
+        std::vector<std::string> expected;
+        std::string bytes;
+        for (const std::uint8_t size : sizes) {
+            const std::string target = "/" + std::to_string(expected.size());
+            const std::string body(std::size_t{size} * 16, static_cast<char>('a' + expected.size() % 26));
+            expected.push_back(target);
+            expected.back().append(1, ' ').append(body);
+            bytes += post(target, body);
+        }
+        tcp::socket client{callerContext};
+        client.connect({boost::asio::ip::make_address("127.0.0.1"), port + 1});
+        std::size_t sent = 0;
+        for (int turns = 0; handled.texts.size() < expected.size() || handled.waiting; ++turns) {
+            RC_ASSERT(turns < 1000);
+            if (sent < bytes.size()) {
+                const std::size_t piece = *rc::gen::inRange<std::size_t>(1, 3000);
+                const std::size_t size = std::min(piece, bytes.size() - sent);
+                boost::asio::write(client, boost::asio::buffer(&bytes[sent], size));
+                sent += size;
+            }
+            context.restart();
+            context.run_for(std::chrono::microseconds(200));
+            if (handled.waiting && (sent == bytes.size() || *rc::gen::arbitrary<bool>())) {
+                handled.respond();
+            }
+            std::string answers(client.available(), '\0');
+            boost::asio::read(client, boost::asio::buffer(answers));
+        }
+        RC_ASSERT(handled.texts == expected);
+        client.close();
+        runFor(std::chrono::milliseconds(1));
+    });
+    CHECK(holds);
+    later.close();
+    context.poll();
+}
+
 TEST(ServerConnection, aBodyWhoseFramingNeverEndsIsRefused)
 {
     const std::string head = "POST /charge HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
