StoreNode: Turns and budgets may have five eighths of the memory

Why it works: 81 of 130 MB hold what half held before with budgets and ids beside it; what has begun may take an eighth of that more, and copies a quarter, which stays below the memory of the process.

--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -24,8 +24,8 @@
 constexpr base::Milliseconds saveDelay{500};
 /** Longer than the 60 s for which the users' routes retain turns, so that a late turn still finds its chain. */
 constexpr base::Milliseconds retention{90'000};
-/** Part of the memory for turns: one in this many bytes. */
-constexpr std::size_t keptTurnsPart = 2;
+/** Part of the memory for turns and budgets, in eighths. */
+constexpr std::size_t keptEighths = 5;
 
 std::string newDiskId(const std::string &name)
 {
@@ -85,7 +85,7 @@
         return error->reason;
     }
     m_store = std::make_unique<turns::TurnStore>(std::get<turns::DiskId>(disk), m_journal, retention,
-                                                 m_settings.machine.memoryBytes / keptTurnsPart);
+                                                 m_settings.machine.memoryBytes / 8 * keptEighths);
     const auto now = std::chrono::steady_clock::now();
     const auto opened = m_journal.open([this, now](std::span<const std::uint8_t> record) {
         m_store->replay(record, now);
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -23,12 +23,12 @@
 /** Part of the memory that only smaller turns may use: one in this many bytes. */
 constexpr std::size_t smallTurnPart = 2;
 /** Memory beyond the limit for turns that have begun within it, as a part of it: one in this many bytes. */
-constexpr std::size_t begunTurnPart = 4;
+constexpr std::size_t begunTurnPart = 8;
 /**
  * Memory beyond the limit for what other stores have sent, as a part of it: one in this many bytes. Stores that have
  * accepted different turns have more together than each of them.
  */
-constexpr std::size_t copiedTurnPart = 2;
+constexpr std::size_t copiedTurnPart = 4;
 /** Most attempts of a program in one record of the journal, which can't be larger than a frame. */
 constexpr std::size_t maxRecordEntries = 256;
 /** Memory of an attempt and of a program in a snapshot, besides their ids. */
