ResponseParser: Counts interim responses for both clients

Client and ClientConnection each repeated the limit of interim responses behind kindOf(), and Client asked twice whether the head was there. Behaviour is as before; FaultyAnswers, OwnAnswerEnds, ResponseEnd and AnswerEnds passed, clang-tidy of the files is clean.

--- a/src/libbriarhinge/http/client.cpp
+++ b/src/libbriarhinge/http/client.cpp
@@ -349,18 +349,15 @@
             return;
         }
         if (!m_hasHead) {
-            const ResponseKind kind = kindOf(*m_parser);
-            const bool isInterim = kind == ResponseKind::Interim;
-            if (kind == ResponseKind::Invalid || (isInterim && ++m_interimResponses > maxInterimResponses)) {
+            const ResponseKind kind = kindOf(*m_parser, m_interimResponses);
+            if (kind == ResponseKind::Invalid) {
                 fail(Ending::Invalid, "no valid response: status " + std::to_string(m_parser->get().result_int()));
                 return;
             }
-            if (isInterim) {
+            if (kind == ResponseKind::Interim) {
                 awaitResponse();
                 return;
             }
-        }
-        if (!m_hasHead) {
             reportHead();
         }
         const std::size_t size = m_piece.size() - m_parser->get().body().size;
--- a/src/libbriarhinge/http/clientconnection.cpp
+++ b/src/libbriarhinge/http/clientconnection.cpp
@@ -172,13 +172,12 @@
         return;
     }
     if (!d->isHeadReported) {
-        const ResponseKind kind = kindOf(parser);
-        const bool isInterim = kind == ResponseKind::Interim;
-        if (kind == ResponseKind::Invalid || (isInterim && ++d->interimResponses > maxInterimResponses)) {
+        const ResponseKind kind = kindOf(parser, d->interimResponses);
+        if (kind == ResponseKind::Invalid) {
             fail(Ending::Invalid);
             return;
         }
-        if (isInterim) {
+        if (kind == ResponseKind::Interim) {
             awaitResponse();
             return;
         }
--- a/src/libbriarhinge/http/responseparser.cpp
+++ b/src/libbriarhinge/http/responseparser.cpp
@@ -16,6 +16,8 @@
 constexpr unsigned statusSwitchingProtocols = 101;
 constexpr unsigned firstFinalStatus = 200;
 constexpr unsigned lastStatus = 599;
+/** Interim responses to one request; servers send one or two. */
+constexpr int maxInterimResponses = 8;
 
 }
 
@@ -42,13 +44,16 @@
     return parser.content_length() ? Framing::Length : Framing::None;
 }
 
-ResponseKind kindOf(const ResponseParser &parser)
+ResponseKind kindOf(const ResponseParser &parser, int &interimResponses)
 {
     const unsigned status = parser.get().result_int();
     if (status < firstStatus || status > lastStatus || status == statusSwitchingProtocols) {
         return ResponseKind::Invalid;
     }
-    return status < firstFinalStatus ? ResponseKind::Interim : ResponseKind::Final;
+    if (status >= firstFinalStatus) {
+        return ResponseKind::Final;
+    }
+    return ++interimResponses > maxInterimResponses ? ResponseKind::Invalid : ResponseKind::Interim;
 }
 
 ResponseHead headOf(const ResponseParser &parser)
--- a/src/libbriarhinge/http/responseparser.h
+++ b/src/libbriarhinge/http/responseparser.h
@@ -22,8 +22,6 @@
 inline constexpr std::uint32_t headLimitBytes = 32 * 1024;
 /** Most bytes of a response that are read before they are parsed. */
 inline constexpr std::size_t readAheadBytes = std::size_t{256} * 1024;
-/** Interim responses to one request; servers send one or two. */
-inline constexpr int maxInterimResponses = 8;
 
 /**
  * @param error the error that ended the receipt of a response
@@ -42,15 +40,19 @@
 enum class ResponseKind {
     Interim,
     Final,
-    /** No response to the request: a status outside 100 to 599, or a switch of protocols that was not asked for. */
+    /**
+     * No response to the request: a status outside 100 to 599, a switch of protocols that was not asked for, or an interim
+     * response too many.
+     */
     Invalid,
 };
 
 /**
  * @param parser a parser that has received the head of a response
+ * @param interimResponses number of interim responses to the request so far; raised if this is one
  * @return the kind of the response
  */
-ResponseKind kindOf(const ResponseParser &parser);
+ResponseKind kindOf(const ResponseParser &parser, int &interimResponses);
 
 /**
  * @param parser a parser that has received the head of a response
