--- a/tests/test_serverconnection.cpp
+++ b/tests/test_serverconnection.cpp
@@ -136,17 +136,53 @@
 namespace
 {
 
-/** Requests as they are handled, and the connection of the one that awaits its response. */
-struct HandledRequests
+/** A server that answers only when it is told to. */
+class DeferringServer
 {
-    std::vector<std::string> texts;
-    std::shared_ptr<http::ServerConnection> waiting;
+public:
+    explicit DeferringServer(boost::asio::io_context &context)
+        : m_context(context)
+        , m_listener(context, shortLimits, {base::MemoryBudget(memoryBytes), maxConnections},
+                     [this](const auto &connection, const auto &request) {
+                         texts.push_back(request.target + ' ' + request.body);
+                         m_waiting = connection;
+                     })
+    {
+        STRCMP_EQUAL("", m_listener.listen({"127.0.0.1", port + 1}).c_str());
+    }
+
+    ~DeferringServer()
+    {
+        m_listener.close();
+        m_context.poll();
+    }
 
-    /** Answers the request that was handled last with its own text. */
+    /** @return whether a request awaits its response */
+    bool isWaiting() const
+    {
+        return m_waiting != nullptr;
+    }
+
+    /** Answers the request that was handled last. */
     void respond()
     {
-        std::exchange(waiting, nullptr)->respond({200, {}}, texts.back());
+        std::exchange(m_waiting, nullptr)->respond({200, {}}, texts.back());
+    }
+
+    /** Forgets the requests of earlier connections. */
+    void clear()
+    {
+        texts.clear();
+        m_waiting = nullptr;
     }
+
+    /** Target and body of each request that was handled. */
+    std::vector<std::string> texts;
+
+private:
+    boost::asio::io_context &m_context;
+    std::shared_ptr<http::ServerConnection> m_waiting;
+    http::Listener m_listener;
 };
 
 std::string post(const std::string &target, const std::string &body)
@@ -161,54 +197,36 @@
 // the same buffer was pending, and were taken for what had been read.
 TEST(ServerConnection, aRequestSentBeforeTheResponseIsHandledOnce)
 {
-    HandledRequests handled;
-    http::Listener later{context,
-                         shortLimits,
-                         {base::MemoryBudget(memoryBytes), maxConnections},
-                         [&handled](const auto &connection, const auto &request) {
-                             handled.texts.push_back(request.target + ' ' + request.body);
-                             handled.waiting = connection;
-                         }};
-    STRCMP_EQUAL("", later.listen({"127.0.0.1", port + 1}).c_str());
+    DeferringServer server(context);
     const std::string charge = post("/charge", "one charge of many");
     for (const std::size_t early : {charge.size(), charge.size() - 5, std::size_t{30}}) {
-        handled.texts.clear();
+        server.clear();
         tcp::socket client{callerContext};
         client.connect({boost::asio::ip::make_address("127.0.0.1"), port + 1});
-        const auto handle = [this, &handled, &client](const std::string &bytes, std::size_t count) {
+        const auto handle = [this, &server, &client](const std::string &bytes, std::size_t count) {
             boost::asio::write(client, boost::asio::buffer(bytes));
             runFor(std::chrono::milliseconds(10));
-            LONGS_EQUAL(count, handled.texts.size());
+            LONGS_EQUAL(count, server.texts.size());
         };
         handle("GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n" + charge.substr(0, early), 1);
-        handled.respond();
+        server.respond();
         handle(charge.substr(early), 2);
-        STRCMP_EQUAL("/charge one charge of many", handled.texts.back().c_str());
-        handled.respond();
+        STRCMP_EQUAL("/charge one charge of many", server.texts.back().c_str());
+        server.respond();
         handle(post("/other", "another charge"), 3);
-        STRCMP_EQUAL("/other another charge", handled.texts.back().c_str());
-        handled.respond();
+        STRCMP_EQUAL("/other another charge", server.texts.back().c_str());
+        server.respond();
         runFor(std::chrono::milliseconds(10));
-        LONGS_EQUAL(3, handled.texts.size());
+        LONGS_EQUAL(3, server.texts.size());
     }
-    later.close();
-    context.poll();
 }
 
 // Guards against requests that are lost, run twice or get bytes of others, however they are cut into pieces and waited for.
 TEST(ServerConnection, requestsAreHandledOnceInOrderHoweverTheyArrive)
 {
-    HandledRequests handled;
-    http::Listener later{context,
-                         shortLimits,
-                         {base::MemoryBudget(memoryBytes), maxConnections},
-                         [&handled](const auto &connection, const auto &request) {
-                             handled.texts.push_back(request.target + ' ' + request.body);
-                             handled.waiting = connection;
-                         }};
-    STRCMP_EQUAL("", later.listen({"127.0.0.1", port + 1}).c_str());
+    DeferringServer server(context);
     const bool holds = rc::check([&](const std::vector<std::uint8_t> &sizes) {
-        handled = {};
+        server.clear();
         std::vector<std::string> expected;
         std::string bytes;
         for (const std::uint8_t size : sizes) {
@@ -221,7 +239,7 @@
         tcp::socket client{callerContext};
         client.connect({boost::asio::ip::make_address("127.0.0.1"), port + 1});
         std::size_t sent = 0;
-        for (int turns = 0; handled.texts.size() < expected.size() || handled.waiting; ++turns) {
+        for (int turns = 0; server.texts.size() < expected.size() || server.isWaiting(); ++turns) {
             RC_ASSERT(turns < 1000);
             if (sent < bytes.size()) {
                 const std::size_t piece = *rc::gen::inRange<std::size_t>(1, 3000);
@@ -231,19 +249,17 @@
             }
             context.restart();
             context.run_for(std::chrono::microseconds(200));
-            if (handled.waiting && (sent == bytes.size() || *rc::gen::arbitrary<bool>())) {
-                handled.respond();
+            if (server.isWaiting() && (sent == bytes.size() || *rc::gen::arbitrary<bool>())) {
+                server.respond();
             }
             std::string answers(client.available(), '\0');
             boost::asio::read(client, boost::asio::buffer(answers));
         }
-        RC_ASSERT(handled.texts == expected);
+        RC_ASSERT(server.texts == expected);
         client.close();
         runFor(std::chrono::milliseconds(1));
     });
     CHECK(holds);
-    later.close();
-    context.poll();
 }
 
 TEST(ServerConnection, aBodyWhoseFramingNeverEndsIsRefused)
