Tests: Two calls in a row show that a returned runner takes calls

The condition made one call and looked at engine-0 only, then another one and looked at engine-1 only. Two runners of equal cost take turns, so with one more call to engine-2 before the VM list is read, each check looks at the engine that was not called.

The check makes two calls and looks at both, and asks it of each of the two returned runners instead of one: stricter than before.

--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -105,8 +105,9 @@
         self.complete_calls(6)
         self.assertEqual([self.requests("engine-0"), self.requests("engine-1")], before)
         self.stack.publish(runner_0={"leaving": False}, runner_1={"leaving": False}, runner_2={"leaving": True})
-        stack.wait_until(lambda: self.receives_call("engine-0") or self.receives_call("engine-1"),
-                         "calls to go to a returned runner")
+        for engine in ("engine-0", "engine-1"):
+            stack.wait_until(lambda engine=engine: self.receives_one_of_two_calls(engine),
+                             f"calls to go to the returned runner of {engine}")
 
     def engine_2_receives_call(self):
         """Makes a call and returns whether it reached engine-2."""
@@ -118,6 +119,13 @@
         self.complete_calls(1)
         return self.requests(engine) > before
 
+    def receives_one_of_two_calls(self, engine):
+        """Makes two calls, since equal runners take turns, and returns whether one reached an engine."""
+        before = self.requests(engine)
+        self.complete_calls(1)
+        self.complete_calls(1)
+        return self.requests(engine) > before
+
     def test_restarted_runner_takes_calls_again(self):
         self.stack.publish(runner_1={"leaving": True}, runner_2={"leaving": True})
         stack.wait_until(lambda: self.receives_call("engine-0"), "calls to go to engine-0")
