StopStage: A stop takes only what it can see to its end

RouteStage compared the time left with a request's whole time only on routes of kind Once; streams, which must not execute twice either, needed time for their first event only. And it compared on arrival only, not when a request that had waited was sent to a runner.

A stage of its own asks RequestState::latestEnd(), on arrival and before each attempt. What does not fit is 503 with Retry-After 0 before anything is sent.

--- a/src/libbriarhinge/forwarding/exchange.h
+++ b/src/libbriarhinge/forwarding/exchange.h
@@ -7,6 +7,7 @@
 #include "stages/placementstage.h"
 #include "stages/programstage.h"
 #include "stages/routestage.h"
+#include "stages/stopstage.h"
 #include "stages/suspectstage.h"
 #include "stages/turnstage.h"
 #include "stages/usagestage.h"
@@ -42,7 +43,8 @@
         : m_shared(context)
         , m_caller(std::move(caller))
         , m_state(std::chrono::steady_clock::now())
-        , m_routeStage(m_state, context.routing, context.retryDelay, context.stopDeadline)
+        , m_routeStage(m_state, context.routing, context.retryDelay)
+        , m_stopStage(m_state, context.stopDeadline)
         , m_deadlineStage(m_state, context.context,
                           [this] {
                               deadlineExpired();
@@ -53,8 +55,8 @@
         , m_programStage(m_state, context.balancer, context.admission)
         , m_suspectStage(m_state, context.suspects, context.context)
         , m_placementStage(m_state, context.balancer, context.permits, context.returns, context.entryCount)
-        , m_stages(m_routeStage, m_deadlineStage, m_accountStage, m_usageStage, m_turnStage, m_programStage,
-                   m_suspectStage, m_placementStage)
+        , m_stages(m_routeStage, m_stopStage, m_deadlineStage, m_accountStage, m_usageStage, m_turnStage,
+                   m_programStage, m_suspectStage, m_placementStage, m_stopStage)
         , m_secondTry(context, m_state)
         , m_memory(context.memory)
     {
@@ -440,6 +442,7 @@
     const std::shared_ptr<http::ServerConnection> m_caller;
     stages::RequestState m_state;
     stages::RouteStage m_routeStage;
+    stages::StopStage m_stopStage;
     stages::DeadlineStage m_deadlineStage;
     stages::AccountStage m_accountStage;
     UsageStage m_usageStage;
@@ -447,8 +450,8 @@
     stages::ProgramStage m_programStage;
     stages::SuspectStage m_suspectStage;
     PlacementStage m_placementStage;
-    stages::StageRow<stages::RouteStage, stages::DeadlineStage, stages::AccountStage, UsageStage, TurnStage,
-                     stages::ProgramStage, stages::SuspectStage, PlacementStage>
+    stages::StageRow<stages::RouteStage, stages::StopStage, stages::DeadlineStage, stages::AccountStage, UsageStage,
+                     TurnStage, stages::ProgramStage, stages::SuspectStage, PlacementStage, stages::StopStage>
         m_stages;
     SecondTry m_secondTry;
     /** Memory for the requests to runners and the turn to be stored. */
--- a/src/libbriarhinge/forwarding/exchangecontext.h
+++ b/src/libbriarhinge/forwarding/exchangecontext.h
@@ -15,6 +15,7 @@
 #include "forwarding/usageclient.h"
 #include "placement/suspecttable.h"
 #include "stages/routestage.h"
+#include "stages/stopstage.h"
 #include "turns/turnclient.h"
 
 #include <cstddef>
@@ -65,8 +66,8 @@
     std::function<void(const wire::Address &, std::function<void(bool)>)> checkLiveness;
     /** The routing in force and how certain that is. */
     stages::RoutingKnowledge routing;
-    /** Returns the time at which this process ends, once it has been told to stop. */
-    stages::RouteStage::StopDeadline stopDeadline;
+    /** Returns the time at which the last answers must be whole, once this process has been told to stop. */
+    stages::StopStage::StopDeadline stopDeadline;
 };
 
 }
--- a/src/libbriarhinge/stages/requeststate.cpp
+++ b/src/libbriarhinge/stages/requeststate.cpp
@@ -53,6 +53,11 @@
     return std::chrono::duration_cast<base::Milliseconds>(deadline - std::chrono::steady_clock::now());
 }
 
+RequestState::Time RequestState::latestEnd(Time start) const
+{
+    return route->kind == requests::RouteKind::Idempotent ? start + route->latencyTarget : deadline;
+}
+
 base::Milliseconds RequestState::elapsedTime() const
 {
     return std::chrono::duration_cast<base::Milliseconds>(std::chrono::steady_clock::now() - arrivedAt);
--- a/src/libbriarhinge/stages/requeststate.h
+++ b/src/libbriarhinge/stages/requeststate.h
@@ -56,6 +56,13 @@
     /** @return time until the deadline of the request */
     base::Milliseconds remainingTime() const;
 
+    /**
+     * @param start time at which the request is sent to a runner
+     * @return time at which its caller has an answer or may ask elsewhere: a request that must not be executed twice
+     * may need all of its time, the answer to another one is usually there within the latency target of its route
+     */
+    Time latestEnd(Time start) const;
+
     /** @return time since the request arrived */
     base::Milliseconds elapsedTime() const;
 
--- a/src/libbriarhinge/stages/routestage.cpp
+++ b/src/libbriarhinge/stages/routestage.cpp
@@ -5,12 +5,10 @@
 namespace briarhinge::stages
 {
 
-RouteStage::RouteStage(RequestState &state, const RoutingKnowledge &routing, dispatch::RetryDelay &retryDelay,
-                       const StopDeadline &stopDeadline)
+RouteStage::RouteStage(RequestState &state, const RoutingKnowledge &routing, dispatch::RetryDelay &retryDelay)
     : m_state(state)
     , m_routing(routing)
     , m_retryDelay(retryDelay)
-    , m_stopDeadline(stopDeadline)
 {
 }
 
@@ -30,10 +28,6 @@
     m_state.record.route = route.name.value();
     m_state.record.routing = m_state.routing->version().value();
     m_state.deadline = m_state.arrivedAt + std::min(m_state.request.timeout.value_or(route.timeout), route.timeout);
-    if (!fitsBeforeStop()) {
-        onResult(refusal("this entry stops", base::Milliseconds(0)));
-        return;
-    }
     preparePlacement();
     onResult(Proceed{});
 }
@@ -48,19 +42,6 @@
                    m_retryDelay.recordFailure(std::chrono::steady_clock::now()));
 }
 
-bool RouteStage::fitsBeforeStop()
-{
-    const std::optional<Time> end = m_stopDeadline();
-    if (!end) {
-        return true;
-    }
-    // A request that may run once only would end with an unknown outcome.
-    const bool isOnce = m_state.route->kind == requests::RouteKind::Once;
-    const Time needed = isOnce ? m_state.deadline : m_state.arrivedAt + m_state.route->latencyTarget;
-    m_state.deadline = std::min(m_state.deadline, *end);
-    return needed <= *end;
-}
-
 void RouteStage::preparePlacement()
 {
     const requests::CallerRequest &request = m_state.request;
--- a/src/libbriarhinge/stages/routestage.h
+++ b/src/libbriarhinge/stages/routestage.h
@@ -6,7 +6,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 
 namespace briarhinge::stages
 {
@@ -26,23 +25,14 @@
 class RouteStage
 {
 public:
-    using Time = RequestState::Time;
-    /** Returns the time at which this process ends, once it has been told to stop. */
-    using StopDeadline = std::function<std::optional<Time>()>;
-
     /**
      * @param state the request
      * @param routing the known routing
      * @param retryDelay computes when callers should come back while the routing is not known for certain
-     * @param stopDeadline returns when this process ends
      */
-    RouteStage(RequestState &state, const RoutingKnowledge &routing, dispatch::RetryDelay &retryDelay,
-               const StopDeadline &stopDeadline);
+    RouteStage(RequestState &state, const RoutingKnowledge &routing, dispatch::RetryDelay &retryDelay);
 
-    /**
-     * @param onResult receives 404 when no route matches, 503 while that may be for lack of knowledge, or when this
-     * process ends before the request could be answered
-     */
+    /** @param onResult receives 404 when no route matches, 503 while that may be for lack of knowledge */
     void enter(const StageHandler &onResult);
 
     void leave()
@@ -52,12 +42,10 @@
 private:
     void preparePlacement();
     Refusal refuseUnknownRoute();
-    bool fitsBeforeStop();
 
     RequestState &m_state;
     const RoutingKnowledge &m_routing;
     dispatch::RetryDelay &m_retryDelay;
-    const StopDeadline &m_stopDeadline;
 };
 
 }
--- a/tests/test_stages.cpp
+++ b/tests/test_stages.cpp
@@ -1,6 +1,7 @@
 #include "stages/deadlinestage.h"
 #include "stages/placementstage.h"
 #include "stages/routestage.h"
+#include "stages/stopstage.h"
 #include "stages/suspectstage.h"
 #include "stages/turnstage.h"
 
@@ -66,7 +67,8 @@
         : balancer(base::ZoneName("z"))
         , suspects(placement::SuspectLimits{})
         , state(std::chrono::steady_clock::now())
-        , routeStage(state, routingKnowledge, retryDelay, stopDeadline)
+        , routeStage(state, routingKnowledge, retryDelay)
+        , stopStage(state, stopDeadline)
         , deadlineStage(state, context,
                         [this] {
                             hasExpired = true;
@@ -74,7 +76,7 @@
         , turnStage(state, turns, retryDelay)
         , suspectStage(state, suspects, context)
         , placementStage(state, balancer, permits, returns, entryCount)
-        , row(routeStage, deadlineStage, turnStage, suspectStage, placementStage)
+        , row(routeStage, stopStage, deadlineStage, turnStage, suspectStage, placementStage, stopStage)
     {
         requests::Route route;
         route.name = requests::RouteName("turns");
@@ -168,7 +170,7 @@
                                       [this] {
                                           ++requestsForNewerRouting;
                                       }};
-    RouteStage::StopDeadline stopDeadline = [this] {
+    StopStage::StopDeadline stopDeadline = [this] {
         return stopTime;
     };
     std::function<std::size_t()> entryCount = [] {
@@ -182,11 +184,12 @@
     FakePermits permits;
     RequestState state;
     RouteStage routeStage;
+    StopStage stopStage;
     DeadlineStage deadlineStage;
     Turns turnStage;
     SuspectStage suspectStage;
     Places placementStage;
-    StageRow<RouteStage, DeadlineStage, Turns, SuspectStage, Places> row;
+    StageRow<RouteStage, StopStage, DeadlineStage, Turns, SuspectStage, Places, StopStage> row;
     std::optional<StageResult> result;
     int results = 0;
     bool hasExpired = false;
@@ -294,12 +297,29 @@
     };
     LONGS_EQUAL(503, statusWith(RouteKind::Idempotent, std::chrono::milliseconds(150)));
     LONGS_EQUAL(0, statusWith(RouteKind::Idempotent, std::chrono::milliseconds(250)));
-    LONGS_EQUAL(503, statusWith(RouteKind::Stream, std::chrono::milliseconds(150)));
-    LONGS_EQUAL(0, statusWith(RouteKind::Stream, std::chrono::milliseconds(250)));
+    LONGS_EQUAL(503, statusWith(RouteKind::Stream, std::chrono::milliseconds(950)));
+    LONGS_EQUAL(0, statusWith(RouteKind::Stream, std::chrono::milliseconds(1050)));
     LONGS_EQUAL(503, statusWith(RouteKind::Once, std::chrono::milliseconds(950)));
     LONGS_EQUAL(0, statusWith(RouteKind::Once, std::chrono::milliseconds(1050)));
 }
 
+// Guards against a request that waits when the stop begins, and is then sent to a runner and cut at its end.
+TEST(Stages, aStopThatBeginsWhileARequestWaitsRefusesWhatCannotEnd)
+{
+    const auto statusWith = [](std::chrono::milliseconds left) {
+        Row row;
+        row.addRunner();
+        row.enter();
+        row.stopTime = row.state.arrivedAt + left;
+        row.turns.grant();
+        const unsigned status = row.refusedStatus();
+        row.checkNothingIsHeld();
+        return status;
+    };
+    LONGS_EQUAL(503, statusWith(std::chrono::milliseconds(950)));
+    LONGS_EQUAL(0, statusWith(std::chrono::milliseconds(1050)));
+}
+
 TEST(Stages, aCallerThatLeavesInAnyStageLeavesNothingHeld)
 {
     Row inTurns;
