--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -22,8 +22,10 @@
  * store.
  */
 constexpr base::Milliseconds saveDelay{500};
-/** Longer than the 60 s for which the users' routes retain turns, so that a late turn still finds its chain. */
-constexpr base::Milliseconds retention{90'000};
+/** Shortest retention, also while no configuration is known. */
+constexpr base::Milliseconds minRetention{90'000};
+/** Time for which turns are kept longer than their routes say, so that a late turn still finds its chain. */
+constexpr base::Milliseconds retentionMargin{30'000};
 /** Part of the memory for turns and budgets, in eighths. */
 constexpr std::size_t keptEighths = 5;
 
@@ -84,8 +86,10 @@
     if (const auto *error = std::get_if<turns::DiskError>(&disk)) {
         return error->reason;
     }
-    m_store = std::make_unique<turns::TurnStore>(std::get<turns::DiskId>(disk), m_journal, retention,
+    m_store = std::make_unique<turns::TurnStore>(std::get<turns::DiskId>(disk), m_journal, minRetention,
                                                  m_settings.machine.memoryBytes / 8 * keptEighths);
+    // The journal is read with the retention of the last known configuration.
+    loadDeployment();
     const auto now = std::chrono::steady_clock::now();
     const auto opened = m_journal.open([this, now](std::span<const std::uint8_t> record) {
         m_store->replay(record, now);
@@ -94,7 +98,6 @@
         // Not fatal: the journal starts a segment with the first record that can be written.
         m_log.write(logging::events::diskFailing, {{"reason", error->reason}});
     }
-    loadDeployment();
     const auto deployment = [this] {
         std::vector<keyvalue::KeyValue> items;
         for (const auto &[key, item] : m_deployment) {
@@ -153,6 +156,16 @@
     for (const auto &item : state->items) {
         m_deployment[item->key] = {item->key, item->value, {}};
         m_unconfirmedKeys.insert(item->key);
+        if (item->key == platform::routingKey) {
+            updateRetention(item->value);
+        }
+    }
+}
+
+void StoreNode::updateRetention(const std::string &routingText)
+{
+    if (const auto routing = platform::parseRouting(routingText)) {
+        m_store->setRetention(std::max(minRetention, routing->longestRetention() + retentionMargin));
     }
 }
 
@@ -214,6 +227,7 @@
             m_groupManager->setRetirement(turns::StoreName(item.key.substr(platform::retirementPrefix.size())), true);
         } else if (item.key == platform::routingKey) {
             updateDeployment({item.key, platform::withoutKeys(item.value), item.version});
+            updateRetention(item.value);
         }
     };
     handlers.onRemoved = [this](const std::string &key, base::Milliseconds) {
--- a/src/briarhingenode/storenode.h
+++ b/src/briarhingenode/storenode.h
@@ -63,6 +63,7 @@
     std::size_t permitKeepers() const;
     void loadDeployment();
     void updateDeployment(const keyvalue::KeyValue &item);
+    void updateRetention(const std::string &routingText);
     void scheduleSave();
     void watchOperators();
     void watchRunners();
--- a/src/libbriarhinge/requests/routing.cpp
+++ b/src/libbriarhinge/requests/routing.cpp
@@ -63,6 +63,17 @@
     return m_accounts ? &*m_accounts : nullptr;
 }
 
+base::Milliseconds Routing::longestRetention() const
+{
+    base::Milliseconds longest{0};
+    for (const auto &[host, hostRoutes] : m_routes) {
+        for (const Route &route : hostRoutes) {
+            longest = std::max(longest, route.storesTurns ? route.retention : base::Milliseconds(0));
+        }
+    }
+    return longest;
+}
+
 std::size_t Routing::routeCount() const
 {
     std::size_t count = 0;
--- a/src/libbriarhinge/requests/routing.h
+++ b/src/libbriarhinge/requests/routing.h
@@ -60,6 +60,8 @@
     std::uint32_t maxAttempts = 1;
     /** Whether turns are stored, so that later turns only need to carry new input. */
     bool storesTurns = false;
+    /** How long stored turns are retained after they were last continued. */
+    base::Milliseconds retention{0};
     /** Whether callers without a client account are served. */
     bool isAnonymousAllowed = false;
 };
@@ -116,6 +118,9 @@
     /** @return all client accounts; null if callers need none */
     const accounts::AccountDirectory *accounts() const;
 
+    /** @return the longest time for which a route retains its turns; zero if none does */
+    base::Milliseconds longestRetention() const;
+
     /** @return number of routes of all hosts */
     std::size_t routeCount() const;
 
--- a/src/libbriarhinge/turns/budgetledger.cpp
+++ b/src/libbriarhinge/turns/budgetledger.cpp
@@ -126,6 +126,11 @@
     return m_budgets;
 }
 
+void BudgetLedger::setRetention(base::Milliseconds retention)
+{
+    m_retention = retention;
+}
+
 void BudgetLedger::expire(Time now)
 {
     std::erase_if(m_budgets, [this, now](const auto &item) {
--- a/src/libbriarhinge/turns/budgetledger.h
+++ b/src/libbriarhinge/turns/budgetledger.h
@@ -112,11 +112,14 @@
     /** @return all budgets by program */
     const std::map<base::ProgramId, Budget> &budgets() const;
 
+    /** @param retention how long a budget is retained after its last change, from the next call of expire() on */
+    void setRetention(base::Milliseconds retention);
+
     /** Removes the programs whose retention has passed at the time @p now. */
     void expire(Time now);
 
 private:
-    const base::Milliseconds m_retention;
+    base::Milliseconds m_retention;
     std::map<base::ProgramId, Budget> m_budgets;
     std::size_t m_bytes = 0;
 };
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -332,6 +332,12 @@
     return storedBytes() <= m_maxBytes + m_maxBytes / copiedTurnPart;
 }
 
+void TurnStore::setRetention(base::Milliseconds retention)
+{
+    m_turns.setRetention(retention);
+    m_budgets.setRetention(retention);
+}
+
 void TurnStore::compact(Time now)
 {
     const Time running = runningTime(now);
--- a/src/libbriarhinge/turns/turnstore.h
+++ b/src/libbriarhinge/turns/turnstore.h
@@ -109,6 +109,13 @@
      */
     bool mergePage(const wire::StatePageT &page, Time now);
 
+    /**
+     * Sets how long turns and budgets are retained after their last use, from the next call of compact() on.
+     *
+     * @param retention the time
+     */
+    void setRetention(base::Milliseconds retention);
+
     /**
      * Removes expired state and begins a snapshot if most of the journal is obsolete or a write failed.
      *
--- a/src/libbriarhinge/turns/turntree.cpp
+++ b/src/libbriarhinge/turns/turntree.cpp
@@ -111,6 +111,11 @@
     return m_bytes;
 }
 
+void TurnTree::setRetention(base::Milliseconds retention)
+{
+    m_retention = retention;
+}
+
 void TurnTree::expire(Time now)
 {
     std::erase_if(m_turns, [this, now](const auto &item) {
--- a/src/libbriarhinge/turns/turntree.h
+++ b/src/libbriarhinge/turns/turntree.h
@@ -84,6 +84,9 @@
     /** @return memory of the stored turns in bytes, with what each needs besides its texts */
     std::size_t bytes() const;
 
+    /** @param retention how long a turn is retained after its last use, from the next call of expire() on */
+    void setRetention(base::Milliseconds retention);
+
     /** Removes the turns whose retention has passed at the time @p now. */
     void expire(Time now);
 
@@ -91,7 +94,7 @@
     void touchAncestors(TurnId id, Time time);
     void evictLeastRecentlyUsed();
 
-    const base::Milliseconds m_retention;
+    base::Milliseconds m_retention;
     const std::size_t m_maxBytes;
     std::size_t m_bytes = 0;
     std::map<TurnId, StoredTurn> m_turns;
--- a/tests/test_platformdocuments.cpp
+++ b/tests/test_platformdocuments.cpp
@@ -122,6 +122,21 @@
     POINTERS_EQUAL(nullptr, routing->find("other.example", "/a/b/c"));
 }
 
+// Guards against stored turns that are given up before their route's retention has passed.
+TEST(RoutingDocument, theLongestRetentionOfARouteThatStoresTurnsCounts)
+{
+    const auto longest = [](const std::string &text) {
+        return static_cast<int>(parseRouting(text)->longestRetention().count());
+    };
+    LONGS_EQUAL(60'000, longest(routingText));
+    LONGS_EQUAL(100'500, longest(replaced(routingText, "60.0", "100.5")));
+    LONGS_EQUAL(0, longest(replaced(routingText, "60.0", "null")));
+    LONGS_EQUAL(0, longest(replaced(routingText, "true", "false")));
+    const std::string others = R"({"name":"r4","host":"g.example","prefix":"/d/","kind":"streaming","timeout_ms":900,
+"service":"s1","retain_history":true,"retention_s":7200},)";
+    LONGS_EQUAL(7'200'000, longest(replaced(routingText, R"({"name":"r2")", others + R"({"name":"r2")")));
+}
+
 TEST(RoutingDocument, anUnknownKindRunsAtMostOnce)
 {
     const auto routing = parseRouting(routingText);
--- a/tests/test_turnstore.cpp
+++ b/tests/test_turnstore.cpp
@@ -71,10 +71,12 @@
 /** A turn store that has replayed its journal, as after a process start. */
 struct StartedStore
 {
-    explicit StartedStore(const std::string &folder, std::size_t bytes = ampleBytes, TurnStore::Time startedAt = start)
+    explicit StartedStore(const std::string &folder, std::size_t bytes = ampleBytes, TurnStore::Time startedAt = start,
+                          base::Milliseconds kept = retention)
         : journal(folder)
         , store(DiskId("d"), journal, retention, bytes)
     {
+        store.setRetention(kept);
         const auto opened = journal.open([this, startedAt](std::span<const std::uint8_t> record) {
             store.replay(record, startedAt);
         });
@@ -323,6 +325,32 @@
     CHECK(holds);
 }
 
+// Guards against turns that are answered 404 before the retention of their route has passed (LOST), at a start as well.
+TEST(TurnStore, turnsAndBudgetsAreKeptForTheRetentionThatIsSet)
+{
+    const auto late = start + retention + base::Milliseconds(1);
+    {
+        StartedStore first(folder.path());
+        first.store.adopt(makeGroup(3));
+        first.store.end(end(3, "a", ""), start);
+        first.store.setRetention(2 * retention);
+        first.store.compact(late);
+        LONGS_EQUAL(1, first.store.turnCount());
+        CHECK(first.store.isProgramUnderWay(base::ProgramId("p")));
+        // Tells the time that has passed since the turn.
+        first.store.end(end(3, "b", ""), late);
+        first.sync();
+    }
+    StartedStore second(folder.path(), ampleBytes, late, 2 * retention);
+    second.store.compact(late);
+    LONGS_EQUAL(2, second.store.turnCount());
+    second.store.compact(late + retention);
+    LONGS_EQUAL(1, second.store.turnCount());
+    second.store.compact(late + 2 * retention + base::Milliseconds(1));
+    LONGS_EQUAL(0, second.store.turnCount());
+    CHECK_FALSE(second.store.isProgramUnderWay(base::ProgramId("p")));
+}
+
 // Guards against budgets and ids that nobody counts, which take a store over its memory while it has room for turns.
 TEST(TurnStore, budgetsAndIdsTakeRoom)
 {
