--- a/tests/test_platformdocuments.cpp
+++ b/tests/test_platformdocuments.cpp
@@ -286,6 +286,25 @@
     CHECK(std::holds_alternative<requests::BadRequest>(WireFormat::decode(twice)));
 }
 
+// Guards against ids of many kilobytes, which the turn stores keep and the answers repeat.
+TEST(WireFormat, anIdThatIsTooLongIsRefused)
+{
+    for (const char *field : {"X-Request-Id", "x-program-id", "X-Previous-Turn"}) {
+        const auto isTaken = [field](std::size_t bytes) {
+            http::IncomingRequest incoming;
+            incoming.target = "/a/";
+            incoming.headers.add("Host", "h.example");
+            incoming.headers.add(field, std::string(bytes, 'i'));
+            if (std::string_view(field) != "X-Request-Id") {
+                incoming.headers.add("X-Request-Id", "r-1");
+            }
+            return std::holds_alternative<requests::CallerRequest>(WireFormat::decode(std::move(incoming)));
+        };
+        CHECK_TRUE(isTaken(1024));
+        CHECK_FALSE(isTaken(1025));
+    }
+}
+
 TEST(WireFormat, onlyTheRunnersStatementMarksARequestAsNotExecuted)
 {
     http::ResponseHead head;
