--- a/standins/platform/platformrunner.cpp
+++ b/standins/platform/platformrunner.cpp
@@ -210,13 +210,14 @@
     default:
         break;
     }
-    if (isTurn) {
-        stream(connection, id, behaviour != Behaviour::TruncateStream);
-        return;
-    }
+    const bool isWhole = behaviour != Behaviour::TruncateStream;
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, workDuration(received.target));
-    timer->async_wait([this, timer, connection, id](const boost::system::error_code &) {
-        connection->respond(signedAnswerHead(200, id), "answer " + id);
+    timer->async_wait([this, timer, connection, id, isTurn, isWhole](const boost::system::error_code &) {
+        if (isTurn) {
+            stream(connection, id, isWhole);
+        } else {
+            connection->respond(signedAnswerHead(200, id), "answer " + id);
+        }
     });
 }
 
