RunnerProcess: Its upstream ends before the sessions of running calls

AddressSanitizer: the upstream outlived the process; its running calls held sessions, whose sockets were closed after their io_context was gone.

The process owns the upstream, which ends before the service that it calls back and before the threads.

--- a/src/briarhinged/main.cpp
+++ b/src/briarhinged/main.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <memory>
 
 namespace
 {
@@ -94,12 +95,12 @@
         return run(process, settings, log);
     }
     if (settings.upstreamKind == settings::UpstreamKind::Engine) {
-        runner::EngineUpstream upstream(settings.upstreamUrl, upstreamTimeout);
-        daemon::RunnerProcess process(settings, log, upstream);
+        daemon::RunnerProcess process(settings, log,
+                                      std::make_unique<runner::EngineUpstream>(settings.upstreamUrl, upstreamTimeout));
         return run(process, settings, log);
     }
-    runner::ToolUpstream upstream(settings.upstreamUrl, upstreamTimeout);
-    daemon::RunnerProcess process(settings, log, upstream);
+    daemon::RunnerProcess process(settings, log,
+                                  std::make_unique<runner::ToolUpstream>(settings.upstreamUrl, upstreamTimeout));
     return run(process, settings, log);
 }
 
--- a/src/briarhinged/runnerprocess.h
+++ b/src/briarhinged/runnerprocess.h
@@ -13,6 +13,8 @@
 #include "wire/iothreads.h"
 
 #include <atomic>
+#include <memory>
+#include <utility>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -33,9 +35,9 @@
      *
      * @param settings validated settings; must outlive the process
      * @param log receives the events; must outlive the process
-     * @param upstream runs the calls; must outlive the process
+     * @param upstream runs the calls
      */
-    RunnerProcess(const settings::Settings &settings, logging::EventLog &log, UpstreamT &upstream)
+    RunnerProcess(const settings::Settings &settings, logging::EventLog &log, std::unique_ptr<UpstreamT> upstream)
         : m_settings(settings)
         , m_log(log)
         , m_threads(settings.ioThreads)
@@ -51,7 +53,8 @@
                            m_configuration.updatePeers(*vms);
                        }
                    })
-        , m_service(upstream, m_clock, log, makeRunnerPolicy(settings))
+        , m_service(*upstream, m_clock, log, makeRunnerPolicy(settings))
+        , m_upstream(std::move(upstream))
         , m_tickTimer(m_threads.context())
         , m_server(
               m_threads.context(), log,
@@ -186,6 +189,8 @@
     metrics::Metrics m_metrics;
     base::MonotonicClock m_clock;
     runner::RunnerService<UpstreamT> m_service;
+    /** Ends before the service that it calls back, and before the threads of the sessions that its running calls hold. */
+    std::unique_ptr<UpstreamT> m_upstream;
     boost::asio::steady_timer m_tickTimer;
     wire::FrameServer m_server;
     http::CallerEndpoint m_endpoint;
