--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -183,6 +183,8 @@
         # Time before the first byte of an answer, and between two events.
         self.work_s = work_s
         self.pause_s = 0.01
+        # The number of events and the pause for requests whose answers have another length, by request.
+        self.lengths = {}
         self.born = int(time.time() * 1000)
         self.sequence = 1
         self.runs = []
@@ -241,11 +243,12 @@
         lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in self.head(fields)),
                  "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-        for number in range(1, self.events + 1):
+        events, pause_s = self.lengths.get(fields["x-request-id"], (self.events, self.pause_s))
+        for number in range(1, events + 1):
             piece = f"id: {number}\ndata: {fields['x-request-id']}-{number}\n\n".encode()
             writer.write(b"%x\r\n" % len(piece) + piece + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(self.pause_s)
+            await asyncio.sleep(pause_s)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
