TurnStore: Fetches the turns that it missed while it was away

Cause: a store prolongs the chain of a new turn by walking to its ancestors, and stopped at the first turn that it lacks. A store that was down while a turn ended never gets it. What lies before the gap expired there 90 s after its own last use, and once each store had a gap, everywhere. A turn that arrived after its descendants did not pass their use on either.

Change: TurnTree records the uses of missing turns, and ChainRepair fetches them from the other members (event 616, FetchState.turns).

Why it works: each store that stores a turn has its whole chain soon after and prolongs all of it, whichever turns it missed.

--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -125,11 +125,13 @@
     m_groupManager =
         std::make_unique<Manager>(m_context, m_platformStore, m_retirementReport, m_peers, *m_store, *m_server, self,
                                   turns::QuorumRule{m_settings.toleratedDiskLosses}, m_log);
+    m_chainRepair = std::make_unique<turns::ChainRepair>(m_context, m_peers, *m_store, *m_server, m_log);
     watchGroup();
     watchOperators();
     watchRunners();
     m_watch.start();
     m_groupManager->start();
+    m_chainRepair->start();
     return {};
 }
 
@@ -263,6 +265,7 @@
     m_watch.stop();
     m_saveTimer.cancel();
     m_groupManager->stop();
+    m_chainRepair->stop();
     m_platformStore.close();
     m_server->stop();
 }
@@ -275,6 +278,7 @@
 {
     m_saveTimer.cancel();
     m_groupManager->stop();
+    m_chainRepair->stop();
     m_server->stop();
     onDone();
 }
--- a/src/briarhingenode/storenode.h
+++ b/src/briarhingenode/storenode.h
@@ -6,6 +6,7 @@
 #include "platform/storeclient.h"
 #include "platform/storewatch.h"
 #include "retirementreport.h"
+#include "turns/chainrepair.h"
 #include "turns/groupmanager.h"
 #include "turns/journal.h"
 #include "turns/turnserver.h"
@@ -81,6 +82,7 @@
     forwarding::UsageServer m_usageServer;
     std::unique_ptr<turns::TurnServer> m_server;
     std::unique_ptr<Manager> m_groupManager;
+    std::unique_ptr<turns::ChainRepair> m_chainRepair;
     /** The routing, the runners and the entries by key, for entries that start without the platform's store. */
     std::map<std::string, keyvalue::KeyValue> m_deployment;
     /** Keys known only from the disk, until a listing of the platform's store confirms them. */
--- a/src/libbriarhinge/logging/events.h
+++ b/src/libbriarhinge/logging/events.h
@@ -74,6 +74,7 @@
 inline constexpr EventKind retirement{613, "retirement", Level::Info};
 inline constexpr EventKind storeUnreachable{614, "store-unreachable", Level::Warning};
 inline constexpr EventKind groupTooSmall{615, "group-too-small", Level::Error};
+inline constexpr EventKind turnsRepaired{616, "turns-repaired", Level::Info};
 inline constexpr EventKind runnerChanged{620, "runner-changed", Level::Info};
 inline constexpr EventKind badEntry{621, "bad-entry", Level::Warning};
 inline constexpr EventKind routesInForce{622, "routes-in-force", Level::Info};
@@ -142,6 +143,7 @@
     retirement,
     storeUnreachable,
     groupTooSmall,
+    turnsRepaired,
     runnerChanged,
     badEntry,
     routesInForce,
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -265,6 +265,10 @@
         return page;
     }
     const Time running = runningTime(now);
+    if (!request.turns.empty()) {
+        appendTurns(request.turns, page, running);
+        return page;
+    }
     const auto &budgets = m_budgets.budgets();
     std::size_t bytes = 0;
     auto budget = budgets.upper_bound(base::ProgramId(request.after_program));
@@ -290,6 +294,21 @@
     return page;
 }
 
+void TurnStore::appendTurns(const std::vector<std::string> &ids, wire::StatePageT &page, Time running) const
+{
+    std::size_t bytes = 0;
+    for (const std::string &id : ids) {
+        if (bytes >= pageBytes) {
+            page.more = true;
+            return;
+        }
+        if (const TurnTree::StoredTurn *stored = m_turns.find(TurnId(id))) {
+            bytes += stored->turn.bytes();
+            page.turns.push_back(turnRecord(*stored, running));
+        }
+    }
+}
+
 wire::TurnEndedT TurnStore::storeRecords(const wire::StoreStateT &request, Time now)
 {
     wire::TurnEndedT answer;
@@ -438,6 +457,11 @@
     return m_turns.size();
 }
 
+std::vector<TurnId> TurnStore::missingTurns() const
+{
+    return hasRoom(0) ? m_turns.missingTurns() : std::vector<TurnId>();
+}
+
 void TurnStore::journalState(wire::StoreStateT state, Time running)
 {
     state.running_ms = ageMs({}, running);
--- a/src/libbriarhinge/turns/turnstore.h
+++ b/src/libbriarhinge/turns/turnstore.h
@@ -84,7 +84,7 @@
     /**
      * Reads one page of the state: the budgets in the order of programs, then the turns in the order of their ids.
      *
-     * @param request the request; names the last turn, or else the last program, of the previous page
+     * @param request the request; names the last turn, or else the last program, of the previous page, or the turns to read
      * @param now the current time
      * @return the response, to be sent once the journal is written
      */
@@ -148,6 +148,9 @@
     /** @return the number of stored turns */
     std::size_t turnCount() const;
 
+    /** @return turns that stored ones continue and that this store lacks; none while it has no room for them */
+    std::vector<TurnId> missingTurns() const;
+
 private:
     template <class Request, class Answer>
     bool checkEpoch(const Request &request, Answer &answer);
@@ -158,6 +161,8 @@
     Time runningTime(Time now) const;
     bool mergeRecords(const std::vector<std::unique_ptr<wire::TurnRecordT>> &turns,
                       const std::vector<std::unique_ptr<wire::ProgramBudgetT>> &budgets, Time now);
+    /** Appends those of the turns @p ids that are stored and fit into a page. */
+    void appendTurns(const std::vector<std::string> &ids, wire::StatePageT &page, Time running) const;
     void replayBudget(const wire::ProgramBudget &budget);
     std::size_t storedBytes() const;
     bool hasRoom(std::size_t newBytes) const;
--- a/src/libbriarhinge/turns/turntree.cpp
+++ b/src/libbriarhinge/turns/turntree.cpp
@@ -10,6 +10,8 @@
 
 /** Memory of a turn besides its texts. */
 constexpr std::size_t turnBytes = 512;
+/** Memory of a missing turn besides its id. */
+constexpr std::size_t missingTurnBytes = 96;
 
 /** @return memory of a turn, whose id is stored twice */
 std::size_t memoryBytes(const Turn &turn)
@@ -17,6 +19,12 @@
     return turnBytes + turn.bytes() + turn.id.value().size();
 }
 
+/** @return memory of a turn of which only the id is known */
+std::size_t memoryBytes(const TurnId &missing)
+{
+    return missingTurnBytes + missing.value().size();
+}
+
 std::size_t textBytes(const Turn &turn)
 {
     return turn.input.size() + turn.output.size();
@@ -38,7 +46,12 @@
     const auto [found, isNew] = m_turns.try_emplace(id, StoredTurn{std::move(turn), lastUse});
     found->second.lastUse = std::max(found->second.lastUse, lastUse);
     m_bytes += isNew ? bytes : 0;
-    touchAncestors(parent, lastUse);
+    if (const auto missing = m_missing.find(id); missing != m_missing.end()) {
+        found->second.lastUse = std::max(found->second.lastUse, missing->second);
+        m_bytes -= memoryBytes(id);
+        m_missing.erase(missing);
+    }
+    touchAncestors(parent, found->second.lastUse);
     if (m_maxBytes > 0 && m_bytes > m_maxBytes) {
         evictLeastRecentlyUsed();
     }
@@ -49,7 +62,11 @@
 {
     while (!id.value().empty()) {
         const auto found = m_turns.find(id);
-        if (found == m_turns.end() || found->second.lastUse >= time) {
+        if (found == m_turns.end()) {
+            touchMissing(id, time);
+            return;
+        }
+        if (found->second.lastUse >= time) {
             return;
         }
         found->second.lastUse = time;
@@ -57,6 +74,22 @@
     }
 }
 
+void TurnTree::touchMissing(const TurnId &id, Time time)
+{
+    const auto [found, isNew] = m_missing.try_emplace(id, time);
+    found->second = std::max(found->second, time);
+    m_bytes += isNew ? memoryBytes(id) : 0;
+}
+
+void TurnTree::forgetMissing(Time time)
+{
+    std::erase_if(m_missing, [this, time](const auto &item) {
+        const bool isOld = item.second < time;
+        m_bytes -= isOld ? memoryBytes(item.first) : 0;
+        return isOld;
+    });
+}
+
 bool TurnTree::contains(const TurnId &id) const
 {
     return m_turns.contains(id);
@@ -95,12 +128,28 @@
     return known;
 }
 
+const TurnTree::StoredTurn *TurnTree::find(const TurnId &id) const
+{
+    const auto found = m_turns.find(id);
+    return found == m_turns.end() ? nullptr : &found->second;
+}
+
 const TurnTree::StoredTurn *TurnTree::next(const TurnId &id) const
 {
     const auto found = m_turns.upper_bound(id);
     return found == m_turns.end() ? nullptr : &found->second;
 }
 
+std::vector<TurnId> TurnTree::missingTurns() const
+{
+    std::vector<TurnId> ids;
+    ids.reserve(m_missing.size());
+    for (const auto &[id, time] : m_missing) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
 std::size_t TurnTree::size() const
 {
     return m_turns.size();
@@ -125,6 +174,7 @@
         }
         return isOld;
     });
+    forgetMissing(now - m_retention);
 }
 
 void TurnTree::evictLeastRecentlyUsed()
@@ -139,6 +189,7 @@
     std::sort(byUse.begin(), byUse.end());
     for (const auto &[time, id] : byUse) {
         if (m_bytes <= target) {
+            forgetMissing(time);
             return;
         }
         const auto found = m_turns.find(id);
--- a/src/libbriarhinge/turns/turntree.h
+++ b/src/libbriarhinge/turns/turntree.h
@@ -32,7 +32,8 @@
  * Completed turns by id. They form a tree, since several turns may continue the same one. Reads no clock and is not
  * thread-safe.
  *
- * A turn expires once the retention has passed since it or its latest descendant was added.
+ * A turn expires once the retention has passed since it or its latest descendant was added. That includes descendants that
+ * were added while turns between the two were missing, once these are added.
  */
 class TurnTree
 {
@@ -75,13 +76,19 @@
      */
     KnownChain chain(const TurnId &id, std::size_t maxBytes = std::numeric_limits<std::size_t>::max()) const;
 
+    /** @return the turn @p id, or null if it is not stored; valid until the tree is modified */
+    const StoredTurn *find(const TurnId &id) const;
+
     /** @return the turn with the lowest id above @p id, or null; valid until the tree is modified */
     const StoredTurn *next(const TurnId &id) const;
 
+    /** @return the turns that stored ones continue and that are not stored */
+    std::vector<TurnId> missingTurns() const;
+
     /** @return the number of stored turns */
     std::size_t size() const;
 
-    /** @return memory of the stored turns in bytes, with what each needs besides its texts */
+    /** @return memory of the stored and the missing turns in bytes, with what each needs besides its texts */
     std::size_t bytes() const;
 
     /** @param retention how long a turn is retained after its last use, from the next call of expire() on */
@@ -92,12 +99,17 @@
 
 private:
     void touchAncestors(TurnId id, Time time);
+    void touchMissing(const TurnId &id, Time time);
+    /** Forgets the missing turns whose latest descendant was added before @p time. */
+    void forgetMissing(Time time);
     void evictLeastRecentlyUsed();
 
     base::Milliseconds m_retention;
     const std::size_t m_maxBytes;
     std::size_t m_bytes = 0;
     std::map<TurnId, StoredTurn> m_turns;
+    /** The missing turns, and when the latest descendant of each was added. */
+    std::map<TurnId, Time> m_missing;
 };
 
 }
--- a/tests/test_turntree.cpp
+++ b/tests/test_turntree.cpp
@@ -62,6 +62,41 @@
     LONGS_EQUAL(0, tree.size());
 }
 
+// Guards against a chain whose beginning expires while it is in use (LOST), since a turn in between arrived last.
+TEST(TurnTree, aTurnThatWasMissingPassesItsLatestUseOn)
+{
+    tree.add(turn("a", ""), start);
+    tree.add(turn("c", "b"), start + retention);
+    LONGS_EQUAL(1, tree.missingTurns().size());
+    STRCMP_EQUAL("b", tree.missingTurns().front().value().c_str());
+    tree.add(turn("b", "a"), start);
+    CHECK(tree.missingTurns().empty());
+    tree.expire(start + retention + retention);
+    CHECK(tree.chain(TurnId("c")).missingTurn.value().empty());
+}
+
+TEST(TurnTree, aMissingTurnIsForgottenWithTheTurnThatContinuesIt)
+{
+    tree.add(turn("c", "b"), start);
+    tree.expire(start + retention);
+    LONGS_EQUAL(1, tree.missingTurns().size());
+    tree.expire(start + retention + base::Milliseconds(1));
+    CHECK(tree.missingTurns().empty());
+    LONGS_EQUAL(0, tree.bytes());
+}
+
+// Guards against a cache that grows with each turn whose parent another process stored.
+TEST(TurnTree, missingTurnsAreEvictedToo)
+{
+    constexpr std::size_t maxBytes = 20'000;
+    TurnTree small(retention, maxBytes);
+    for (int i = 0; i < 1000; ++i) {
+        small.add(turn(std::to_string(i), "parent-" + std::to_string(i)), start + base::Milliseconds(i));
+        CHECK(small.bytes() <= maxBytes);
+    }
+    CHECK(small.missingTurns().size() <= small.size() + 1);
+}
+
 TEST(TurnTree, aCycleOfTurnsDoesNotPreventReadingAChain)
 {
     tree.add(turn("a", "b"), start);
