ChainRepair: Waits while its store joins the group, and pauses after a page

Cause: a store that joins gets the ends of running turns before its copy of the state, so each of them had a missing parent, and it fetched some 7,000 turns one page after the other beside the copy.

Change: only a member of the current set asks, and waits 100 ms after a page. ChainRepair.aStoreThatJoinsTheGroupAwaitsItsCopy guards it.

--- a/src/libbriarhinge/turns/chainrepair.cpp
+++ b/src/libbriarhinge/turns/chainrepair.cpp
@@ -1,6 +1,7 @@
 #include "turns/chainrepair.h"
 
-#include <algorithm>
+#include "turns/groupdecision.h"
+
 #include <chrono>
 #include <set>
 #include <utility>
@@ -13,6 +14,8 @@
 
 /** A turn is missing for this long before it is asked for, since its own request may just be on its way. */
 constexpr base::Milliseconds checkInterval{500};
+/** Pause after a page, which leaves the disks and the links to the requests of entries. */
+constexpr base::Milliseconds pageInterval{100};
 /** A page of half a megabyte takes 140 ms over the slowest link of 30 Mbit/s; a busy disk adds to that. */
 constexpr base::Milliseconds pageTimeout{1500};
 /** Most turns in one request. */
@@ -32,13 +35,7 @@
 
 void ChainRepair::start()
 {
-    m_timer.expires_after(checkInterval);
-    m_timer.async_wait([this](const boost::system::error_code &error) {
-        if (!error) {
-            check();
-            start();
-        }
-    });
+    checkAfter(checkInterval);
 }
 
 void ChainRepair::stop()
@@ -47,12 +44,23 @@
     m_timer.cancel();
 }
 
+void ChainRepair::checkAfter(base::Milliseconds time)
+{
+    m_timer.expires_after(time);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            check();
+        }
+    });
+}
+
 void ChainRepair::check()
 {
-    if (!m_isFetching) {
-        fetchMissing();
-    }
+    const bool isFetching = containsDisk(m_store.group().current, m_store.disk()) && fetchMissing();
     updateMissing();
+    if (!isFetching) {
+        checkAfter(checkInterval);
+    }
 }
 
 void ChainRepair::updateMissing()
@@ -79,10 +87,10 @@
     return ids;
 }
 
-void ChainRepair::fetchMissing()
+bool ChainRepair::fetchMissing()
 {
-    if (m_missing.empty() || m_isStopped) {
-        return;
+    if (m_missing.empty()) {
+        return false;
     }
     auto members = m_store.group().members();
     std::erase_if(members, [this](const StoreMember &member) {
@@ -94,9 +102,10 @@
         if (!ids.empty()) {
             ++m_requests;
             fetchFrom(member, std::move(ids));
-            return;
+            return true;
         }
     }
+    return false;
 }
 
 void ChainRepair::fetchFrom(const StoreMember &member, std::vector<std::string> ids)
@@ -106,14 +115,14 @@
     request.turns = ids;
     wire::MessageUnion message;
     message.Set(std::move(request));
-    m_isFetching = true;
     m_peers.sendRequest(member.address, std::move(message), pageTimeout,
                         [this, member, ids = std::move(ids)](const wire::ChannelReply &reply) {
-                            m_isFetching = false;
-                            if (!m_isStopped && mergePage(member, ids, reply)) {
-                                updateMissing();
-                                fetchMissing();
+                            if (m_isStopped) {
+                                return;
                             }
+                            const bool isMerged = mergePage(member, ids, reply);
+                            updateMissing();
+                            checkAfter(isMerged ? pageInterval : checkInterval);
                         });
 }
 
--- a/src/libbriarhinge/turns/chainrepair.h
+++ b/src/libbriarhinge/turns/chainrepair.h
@@ -18,7 +18,8 @@
 
 /**
  * Fetches the turns that this turn store missed while it was down or cut off, as soon as it stores a turn that continues
- * them. A store with gaps in a chain can't tell which older turns the chain still needs, and would let them expire.
+ * them. A store with gaps in a chain can't tell which older turns the chain still needs, and would let them expire. A store
+ * that joins the group gets a copy of all state instead.
  */
 class ChainRepair
 {
@@ -40,12 +41,14 @@
     void stop();
 
 private:
+    void checkAfter(base::Milliseconds time);
     void check();
-    void fetchMissing();
+    /** Asks a member for missing turns. @return whether there are any to ask for, so that a reply follows */
+    bool fetchMissing();
     /** @return missing turns that @p disk has not said to lack, as many as one request names */
     std::vector<std::string> turnsToAsk(const DiskId &disk) const;
     void fetchFrom(const StoreMember &member, std::vector<std::string> ids);
-    /** Records the turns that @p disk lacks. @return whether it answered and had any */
+    /** Stores what @p member has and records what it lacks. @return whether it answered and there is room */
     bool mergePage(const StoreMember &member, const std::vector<std::string> &ids, const wire::ChannelReply &reply);
     void updateMissing();
 
@@ -58,7 +61,6 @@
     std::map<TurnId, RespondingDisks> m_missing;
     /** Number of requests so far, by which the members take turns. */
     std::size_t m_requests = 0;
-    bool m_isFetching = false;
     bool m_isStopped = false;
 };
 
--- a/tests/test_chainrepair.cpp
+++ b/tests/test_chainrepair.cpp
@@ -189,6 +189,28 @@
     }));
 }
 
+// Guards against a store with a new disk that fetches turn by turn what it is being sent as a whole, so that its copy fails
+// and turns are refused (RECOVER).
+TEST(ChainRepair, aStoreThatJoinsTheGroupAwaitsItsCopy)
+{
+    RepairingStore whole(context, log, "whole");
+    RepairingStore joining(context, log, "joining");
+    const StoreGroup changing{GroupEpoch(1), {whole.member}, {whole.member, joining.member}};
+    const auto now = std::chrono::steady_clock::now();
+    whole.store.adopt(changing);
+    joining.store.adopt(changing);
+    whole.store.end(end("a", ""), now);
+    joining.store.end(end("b", "a"), now);
+    context.run_for(std::chrono::milliseconds(1500));
+    LONGS_EQUAL(1, joining.store.turnCount());
+    const StoreGroup changed{GroupEpoch(2), changing.next, {}};
+    whole.store.adopt(changed);
+    joining.store.adopt(changed);
+    CHECK(runUntil([&joining] {
+        return joining.store.turnCount() == 2;
+    }));
+}
+
 // Guards against chains that lose their beginning (LOST) after any series of missed turns and pauses.
 TEST(ChainRepair, aQuorumKeepsEachChainOverAnyMissedTurns)
 {
