TurnStore: Keeps turns and budgets for the longest retention they were promised

Cause: stores compared each turn's age with the longest retention of the newest configuration only.

Change: each turn and budget has an expiry of its own that only moves away.

Why it works: no configuration, start or copy moves an expiry closer.

--- a/src/briarhingenode/storenode.cpp
+++ b/src/briarhingenode/storenode.cpp
@@ -22,10 +22,6 @@
  * store.
  */
 constexpr base::Milliseconds saveDelay{500};
-/** Shortest retention, also while no configuration is known. */
-constexpr base::Milliseconds minRetention{90'000};
-/** Time for which turns are kept longer than their routes say, so that a late turn still finds its chain. */
-constexpr base::Milliseconds retentionMargin{30'000};
 /** Part of the memory for turns and budgets, in eighths. */
 constexpr std::size_t keptEighths = 5;
 
@@ -86,7 +82,8 @@
     if (const auto *error = std::get_if<turns::DiskError>(&disk)) {
         return error->reason;
     }
-    m_store = std::make_unique<turns::TurnStore>(std::get<turns::DiskId>(disk), m_journal, minRetention,
+    m_store = std::make_unique<turns::TurnStore>(std::get<turns::DiskId>(disk), m_journal,
+                                                 turns::storeRetention(base::Milliseconds(0)),
                                                  m_settings.machine.memoryBytes / 8 * keptEighths);
     // The journal is read with the retention of the last known configuration.
     loadDeployment();
@@ -167,7 +164,7 @@
 void StoreNode::updateRetention(const std::string &routingText)
 {
     if (const auto routing = platform::parseRouting(routingText)) {
-        m_store->setRetention(std::max(minRetention, routing->longestRetention() + retentionMargin));
+        m_store->setRetention(turns::storeRetention(routing->longestRetention()));
     }
 }
 
--- a/src/libbriarhinge/stages/turnstage.h
+++ b/src/libbriarhinge/stages/turnstage.h
@@ -55,6 +55,7 @@
         start.program = scoped<base::ProgramId>(m_state.request.program.value());
         start.attempt = turns::AttemptId(m_state.request.id.value());
         start.maxTokens = m_state.request.maxTokens;
+        start.retention = routeRetention();
         if (m_state.hasBudget()) {
             start.budget = m_state.request.programBudget;
         }
@@ -99,6 +100,12 @@
         return Id(accounts::scopedId(m_state.request.account, id));
     }
 
+    /** @return how long the route promises to retain turns, in the configuration under which the turn was accepted */
+    base::Milliseconds routeRetention() const
+    {
+        return m_state.route->storesTurns ? m_state.route->retention : base::Milliseconds(0);
+    }
+
     /** Maximum wait for the turn stores at the end of a turn; callers wait two seconds for the next bytes. */
     static constexpr base::Milliseconds storeTurnTimeout{1900};
 
@@ -146,6 +153,7 @@
         end.reservation = std::exchange(m_reservation, {});
         end.spent = m_state.deliveredTokens;
         end.turn = std::move(turn);
+        end.retention = routeRetention();
         m_turns.end(end, storeTurnTimeout, std::move(onSettled));
     }
 
--- a/src/libbriarhinge/turns/beginoperation.cpp
+++ b/src/libbriarhinge/turns/beginoperation.cpp
@@ -142,6 +142,7 @@
             request.program = m_start.program.value();
             request.attempt = m_reservation.value();
             request.most = static_cast<std::uint32_t>(m_start.maxTokens.value());
+            request.retention_ms = static_cast<std::uint64_t>(storeRetention(m_start.retention).count());
         }
         if (isReserving) {
             request.input_bytes = static_cast<std::uint32_t>(m_start.inputBytes);
--- a/src/libbriarhinge/turns/budgetledger.cpp
+++ b/src/libbriarhinge/turns/budgetledger.cpp
@@ -87,11 +87,13 @@
 {
 }
 
-bool BudgetLedger::apply(const base::ProgramId &program, const BudgetEntry &entry, Time changedAt)
+bool BudgetLedger::apply(const base::ProgramId &program, const BudgetEntry &entry, Time changedAt, Time expiry)
 {
-    const auto [found, isNew] = m_budgets.try_emplace(program, Budget{{}, changedAt});
+    Lifetime use{changedAt, expiry};
+    use.extend(m_retention);
+    const auto [found, isNew] = m_budgets.try_emplace(program, Budget{{}, use});
     Budget &budget = found->second;
-    budget.lastChange = std::max(budget.lastChange, changedAt);
+    budget.lifetime.extend(use);
     const std::size_t attempts = budget.entries.size();
     const bool isChanged = mergeEntry(budget.entries, entry);
     m_bytes += isNew ? memoryBytes(program) : 0;
@@ -129,13 +131,21 @@
 void BudgetLedger::setRetention(base::Milliseconds retention)
 {
     m_retention = retention;
+    extend(retention);
+}
+
+void BudgetLedger::extend(base::Milliseconds retention)
+{
+    for (auto &[program, budget] : m_budgets) {
+        budget.lifetime.extend(retention);
+    }
 }
 
 void BudgetLedger::expire(Time now)
 {
     std::erase_if(m_budgets, [this, now](const auto &item) {
         const auto &[program, budget] = item;
-        if (now - budget.lastChange <= m_retention) {
+        if (now <= budget.lifetime.expiry) {
             return false;
         }
         m_bytes -= std::accumulate(budget.entries.begin(), budget.entries.end(), memoryBytes(program),
--- a/src/libbriarhinge/turns/budgetledger.h
+++ b/src/libbriarhinge/turns/budgetledger.h
@@ -2,9 +2,9 @@
 
 #include "base/ids.h"
 #include "base/units.h"
+#include "turns/lifetime.h"
 #include "turns/turn.h"
 
-#include <chrono>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -74,16 +74,16 @@
 {
 public:
     /** Point in time on any monotonic clock. */
-    using Time = std::chrono::steady_clock::time_point;
+    using Time = Lifetime::Time;
 
     /** @param retention how long the budget of a program is retained after its last update */
     explicit BudgetLedger(base::Milliseconds retention);
 
-    /** The attempts of a program, and when one of them was last added or settled. */
+    /** The attempts of a program and their lifetime; adding or settling one of them counts as a use. */
     struct Budget
     {
         BudgetEntries entries;
-        Time lastChange;
+        Lifetime lifetime;
     };
 
     /**
@@ -93,9 +93,10 @@
      * @param entry the attempt
      * @param changedAt when the attempt was added or settled; the current time unless it comes from another store or from
      * the journal
+     * @param expiry when the budget of the program expires at the earliest, whatever the retention
      * @return whether an entry changed
      */
-    bool apply(const base::ProgramId &program, const BudgetEntry &entry, Time changedAt);
+    bool apply(const base::ProgramId &program, const BudgetEntry &entry, Time changedAt, Time expiry = Time::min());
 
     /** @return the attempts of @p program */
     BudgetEntries entries(const base::ProgramId &program) const;
@@ -112,10 +113,13 @@
     /** @return all budgets by program */
     const std::map<base::ProgramId, Budget> &budgets() const;
 
-    /** @param retention how long a budget is retained after its last change, from the next call of expire() on */
+    /** @param retention how long a budget is retained after its last change, unless it expires later already */
     void setRetention(base::Milliseconds retention);
 
-    /** Removes the programs whose retention has passed at the time @p now. */
+    /** Prolongs the retention of the present budgets. @param retention how long they are retained at least */
+    void extend(base::Milliseconds retention);
+
+    /** Removes the programs whose budgets have expired at the time @p now. */
     void expire(Time now);
 
 private:
--- a/src/libbriarhinge/turns/endoperation.cpp
+++ b/src/libbriarhinge/turns/endoperation.cpp
@@ -37,6 +37,7 @@
         m_request.program = end.program.value();
         m_request.attempt = end.reservation.value();
         m_request.spent = static_cast<std::uint32_t>(end.spent.value());
+        m_request.retention_ms = static_cast<std::uint64_t>(storeRetention(end.retention).count());
         if (end.turn) {
             m_request.turn = std::make_unique<wire::TurnRecordT>(toWire(*end.turn));
         }
--- a/src/libbriarhinge/turns/turnclient.h
+++ b/src/libbriarhinge/turns/turnclient.h
@@ -35,6 +35,8 @@
     TurnId previous;
     /** Size of the input if the turn will be stored, otherwise 0. */
     std::size_t inputBytes = 0;
+    /** How long the route promises to retain turns; zero if it stores none. */
+    base::Milliseconds retention{0};
 };
 
 /** The turn may run. */
@@ -87,6 +89,8 @@
     base::Tokens spent;
     /** The turn, if it completed and has to be stored. */
     std::optional<Turn> turn;
+    /** How long the route promises to retain turns; zero if it stores none. */
+    base::Milliseconds retention{0};
 };
 
 /**
--- a/src/libbriarhinge/turns/turnstore.cpp
+++ b/src/libbriarhinge/turns/turnstore.cpp
@@ -35,30 +35,46 @@
 constexpr std::size_t budgetEntryBytes = 64;
 /** Interval of the store's running time at which expired records are removed while the journal is replayed. */
 constexpr std::chrono::seconds replayExpiryInterval{5};
-/** Greatest age of a record that is told apart from older ones. */
-constexpr base::Milliseconds maxAge = std::chrono::hours(24);
 /** Ratio of journal size to live data beyond which a snapshot is written. */
 constexpr std::size_t snapshotSizeRatio = 3;
 
-/** @return the age for a record of the wire format; zero if @p then is later than @p now */
-std::uint64_t ageMs(TurnStore::Time then, TurnStore::Time now)
+/** @return the time from @p from to @p to for a record of the wire format; zero if @p from is the later one */
+std::uint64_t millisecondsBetween(TurnStore::Time from, TurnStore::Time to)
 {
-    const auto age = std::chrono::duration_cast<base::Milliseconds>(now - then).count();
-    return age > 0 ? static_cast<std::uint64_t>(age) : 0;
+    const auto time = std::chrono::duration_cast<base::Milliseconds>(to - from).count();
+    return time > 0 ? static_cast<std::uint64_t>(time) : 0;
 }
 
-TurnStore::Time timeBefore(TurnStore::Time now, std::uint64_t ageMs)
+/** @return a time of the wire format, cut to one that can be added to any point in time */
+base::Milliseconds boundedTime(std::uint64_t milliseconds)
 {
-    const auto age = std::min<std::uint64_t>(ageMs, static_cast<std::uint64_t>(maxAge.count()));
-    return now - base::Milliseconds(static_cast<base::Milliseconds::rep>(age));
+    constexpr auto maxTime = static_cast<std::uint64_t>((maxRetention + storeRetention(base::Milliseconds(0))).count());
+    return base::Milliseconds(static_cast<base::Milliseconds::rep>(std::min(milliseconds, maxTime)));
 }
 
-std::unique_ptr<wire::ProgramBudgetT> budgetRecord(const base::ProgramId &program, const BudgetEntries &entries,
-                                                   std::uint64_t ageMs = 0)
+/** Writes the lifetime of a record of the wire format, as of the time @p now. */
+template <class Record>
+void setLifetime(Record &record, const Lifetime &lifetime, TurnStore::Time now)
+{
+    record.age_ms = millisecondsBetween(lifetime.lastUse, now);
+    record.left_ms = millisecondsBetween(now, lifetime.expiry);
+}
+
+/**
+ * @param ageMs the age of a record of the wire format
+ * @param leftMs the time until it expires, 0 if its writer knew none
+ * @param now the time as of which both were written
+ * @return the lifetime; without an expiry, the retention alone decides
+ */
+Lifetime lifetimeOf(std::uint64_t ageMs, std::uint64_t leftMs, TurnStore::Time now)
+{
+    return {now - boundedTime(ageMs), leftMs > 0 ? now + boundedTime(leftMs) : TurnStore::Time::min()};
+}
+
+std::unique_ptr<wire::ProgramBudgetT> budgetRecord(const base::ProgramId &program, const BudgetEntries &entries)
 {
     auto record = std::make_unique<wire::ProgramBudgetT>();
     record->program = program.value();
-    record->age_ms = ageMs;
     for (const BudgetEntry &entry : entries) {
         record->entries.push_back(std::make_unique<wire::BudgetEntryT>(toWire(entry)));
     }
@@ -76,7 +92,7 @@
 std::unique_ptr<wire::TurnRecordT> turnRecord(const TurnTree::StoredTurn &stored, TurnStore::Time now)
 {
     auto record = std::make_unique<wire::TurnRecordT>(toWire(stored.turn));
-    record->age_ms = ageMs(stored.lastUse, now);
+    setLifetime(*record, stored.lifetime, now);
     return record;
 }
 
@@ -113,7 +129,8 @@
     }
     if (state->turns() != nullptr) {
         for (const wire::TurnRecord *turn : *state->turns()) {
-            m_turns.add(fromWire(*turn), timeBefore(m_replayedUntil, turn->age_ms()));
+            const Lifetime lifetime = lifetimeOf(turn->age_ms(), turn->left_ms(), m_replayedUntil);
+            m_turns.add(fromWire(*turn), lifetime.lastUse, lifetime.expiry);
         }
     }
     if (state->budgets() != nullptr) {
@@ -121,6 +138,10 @@
             replayBudget(*budget);
         }
     }
+    if (state->retention_ms() > 0) {
+        m_turns.extend(boundedTime(state->retention_ms()));
+        m_budgets.extend(boundedTime(state->retention_ms()));
+    }
     // What has expired is not kept until the end of the journal, which is several times as large as the memory for turns.
     if (m_replayedUntil - m_replayExpiredAt > replayExpiryInterval) {
         m_replayExpiredAt = m_replayedUntil;
@@ -135,8 +156,9 @@
         return;
     }
     const base::ProgramId program(copyString(budget.program()));
+    const Lifetime lifetime = lifetimeOf(budget.age_ms(), budget.left_ms(), m_replayedUntil);
     for (const wire::BudgetEntry *entry : *budget.entries()) {
-        m_budgets.apply(program, fromWire(*entry), timeBefore(m_replayedUntil, budget.age_ms()));
+        m_budgets.apply(program, fromWire(*entry), lifetime.lastUse, lifetime.expiry);
     }
 }
 
@@ -145,6 +167,14 @@
     return m_replayedUntil + (now - m_startedAt);
 }
 
+template <class Request>
+Lifetime TurnStore::newLifetime(const Request &request, Time running) const
+{
+    Lifetime lifetime{running, running + boundedTime(request.retention_ms)};
+    lifetime.extend(m_turns.retention());
+    return lifetime;
+}
+
 bool TurnStore::adopt(const StoreGroup &group)
 {
     if (group.epoch <= m_group.epoch) {
@@ -203,9 +233,11 @@
     if (hasBudget) {
         const BudgetEntry entry{AttemptId(request.attempt), base::Tokens(request.most), false, base::Tokens(0)};
         const Time running = runningTime(now);
-        if (m_budgets.apply(program, entry, running)) {
+        const Lifetime lifetime = newLifetime(request, running);
+        if (m_budgets.apply(program, entry, lifetime.lastUse, lifetime.expiry)) {
             wire::StoreStateT state;
             state.budgets.push_back(budgetRecord(program, {entry}));
+            setLifetime(*state.budgets.back(), lifetime, running);
             journalState(std::move(state), running);
         }
         for (const BudgetEntry &known : m_budgets.entries(program)) {
@@ -234,12 +266,14 @@
         return answer;
     }
     const Time running = runningTime(now);
+    const Lifetime lifetime = newLifetime(request, running);
     wire::StoreStateT state;
     if (!request.attempt.empty()) {
         const base::ProgramId program(request.program);
         const BudgetEntry entry{AttemptId(request.attempt), base::Tokens(0), true, base::Tokens(request.spent)};
-        if (m_budgets.apply(program, entry, running)) {
+        if (m_budgets.apply(program, entry, lifetime.lastUse, lifetime.expiry)) {
             state.budgets.push_back(budgetRecord(program, {entry}));
+            setLifetime(*state.budgets.back(), lifetime, running);
         }
     }
     if (request.turn) {
@@ -247,9 +281,9 @@
         const std::size_t allowed = m_maxBytes + m_maxBytes / begunTurnPart;
         if (!m_turns.contains(turn.id) && storedBytes() + turn.bytes() > allowed) {
             answer.status = wire::StoreStatus::Full;
-        } else if (m_turns.add(std::move(turn), running)) {
+        } else if (m_turns.add(std::move(turn), lifetime.lastUse, lifetime.expiry)) {
             state.turns.push_back(std::make_unique<wire::TurnRecordT>(*request.turn));
-            state.turns.back()->age_ms = 0;
+            setLifetime(*state.turns.back(), lifetime, running);
         }
     }
     if (!state.budgets.empty() || !state.turns.empty()) {
@@ -282,8 +316,8 @@
             return page;
         }
         bytes += budgetBytes(budget->first, budget->second.entries);
-        page.budgets.push_back(
-            budgetRecord(budget->first, budget->second.entries, ageMs(budget->second.lastChange, running)));
+        page.budgets.push_back(budgetRecord(budget->first, budget->second.entries));
+        setLifetime(*page.budgets.back(), budget->second.lifetime, running);
     }
     const TurnTree::StoredTurn *stored = m_turns.next(TurnId(request.after));
     for (; stored != nullptr && bytes < pageBytes; stored = m_turns.next(stored->turn.id)) {
@@ -329,20 +363,23 @@
     const Time running = runningTime(now);
     wire::StoreStateT state;
     for (const auto &turn : turns) {
-        if (m_turns.add(fromWire(*turn), timeBefore(running, turn->age_ms))) {
+        const Lifetime lifetime = lifetimeOf(turn->age_ms, turn->left_ms, running);
+        if (m_turns.add(fromWire(*turn), lifetime.lastUse, lifetime.expiry)) {
             state.turns.push_back(std::make_unique<wire::TurnRecordT>(*turn));
         }
     }
     for (const auto &budget : budgets) {
         const base::ProgramId program(budget->program);
+        const Lifetime lifetime = lifetimeOf(budget->age_ms, budget->left_ms, running);
         BudgetEntries changed;
         for (const auto &entry : budget->entries) {
-            if (m_budgets.apply(program, fromWire(*entry), timeBefore(running, budget->age_ms))) {
+            if (m_budgets.apply(program, fromWire(*entry), lifetime.lastUse, lifetime.expiry)) {
                 changed.push_back(fromWire(*entry));
             }
         }
         if (!changed.empty()) {
-            state.budgets.push_back(budgetRecord(program, changed, budget->age_ms));
+            state.budgets.push_back(budgetRecord(program, changed));
+            setLifetime(*state.budgets.back(), lifetime, running);
         }
     }
     if (!state.turns.empty() || !state.budgets.empty()) {
@@ -353,8 +390,15 @@
 
 void TurnStore::setRetention(base::Milliseconds retention)
 {
+    const bool isLonger = retention > m_turns.retention();
     m_turns.setRetention(retention);
     m_budgets.setRetention(retention);
+    if (isLonger && storedBytes() > 0) {
+        // A later configuration may ask for less before the store starts again.
+        wire::StoreStateT state;
+        state.retention_ms = static_cast<std::uint64_t>(retention.count());
+        journalState(std::move(state));
+    }
 }
 
 void TurnStore::compact(Time now)
@@ -412,8 +456,8 @@
         const auto begin = budget.entries.begin() + static_cast<std::ptrdiff_t>(first);
         const auto count = std::min(maxRecordEntries, budget.entries.size() - first);
         wire::StoreStateT state;
-        state.budgets.push_back(budgetRecord(program, {begin, begin + static_cast<std::ptrdiff_t>(count)},
-                                             ageMs(budget.lastChange, running)));
+        state.budgets.push_back(budgetRecord(program, {begin, begin + static_cast<std::ptrdiff_t>(count)}));
+        setLifetime(*state.budgets.back(), budget.lifetime, running);
         journalState(std::move(state), running);
     }
 }
@@ -464,7 +508,7 @@
 
 void TurnStore::journalState(wire::StoreStateT state, Time running)
 {
-    state.running_ms = ageMs({}, running);
+    state.running_ms = millisecondsBetween({}, running);
     wire::FrameT frame;
     frame.message.Set(std::move(state));
     m_journal.append(wire::encodeFrame(frame));
--- a/src/libbriarhinge/turns/turnstore.h
+++ b/src/libbriarhinge/turns/turnstore.h
@@ -35,7 +35,7 @@
 {
 public:
     /** Point in time on any monotonic clock. */
-    using Time = std::chrono::steady_clock::time_point;
+    using Time = Lifetime::Time;
 
     /**
      * @param disk incarnation of this store's disk
@@ -110,7 +110,8 @@
     bool mergePage(const wire::StatePageT &page, Time now);
 
     /**
-     * Sets how long turns and budgets are retained after their last use, from the next call of compact() on.
+     * Sets how long turns and budgets are retained after their last use. Those that are stored are prolonged, which is
+     * journaled, and never expire sooner than was promised before.
      *
      * @param retention the time
      */
@@ -159,6 +160,9 @@
      * not run is not counted: nobody knows it for sure, and what is kept too long does no harm.
      */
     Time runningTime(Time now) const;
+    /** @return the lifetime of what a request adds: the longer of the retentions that its sender and this store know */
+    template <class Request>
+    Lifetime newLifetime(const Request &request, Time running) const;
     bool mergeRecords(const std::vector<std::unique_ptr<wire::TurnRecordT>> &turns,
                       const std::vector<std::unique_ptr<wire::ProgramBudgetT>> &budgets, Time now);
     /** Appends those of the turns @p ids that are stored and fit into a page. */
--- a/src/libbriarhinge/turns/turntree.cpp
+++ b/src/libbriarhinge/turns/turntree.cpp
@@ -38,55 +38,59 @@
 {
 }
 
-bool TurnTree::add(Turn turn, Time lastUse)
+bool TurnTree::add(Turn turn, Time lastUse, Time expiry)
 {
     const TurnId parent = turn.parent;
     const TurnId id = turn.id;
     const std::size_t bytes = memoryBytes(turn);
-    const auto [found, isNew] = m_turns.try_emplace(id, StoredTurn{std::move(turn), lastUse});
-    found->second.lastUse = std::max(found->second.lastUse, lastUse);
+    Lifetime use{lastUse, expiry};
+    use.extend(m_retention);
+    const auto [found, isNew] = m_turns.try_emplace(id, StoredTurn{std::move(turn), use});
+    Lifetime &lifetime = found->second.lifetime;
+    lifetime.extend(use);
     m_bytes += isNew ? bytes : 0;
     if (const auto missing = m_missing.find(id); missing != m_missing.end()) {
-        found->second.lastUse = std::max(found->second.lastUse, missing->second);
+        lifetime.extend(missing->second);
         m_bytes -= memoryBytes(id);
         m_missing.erase(missing);
     }
-    touchAncestors(parent, found->second.lastUse);
+    touchAncestors(parent, lifetime);
     if (m_maxBytes > 0 && m_bytes > m_maxBytes) {
         evictLeastRecentlyUsed();
     }
     return isNew;
 }
 
-void TurnTree::touchAncestors(TurnId id, Time time)
+void TurnTree::touchAncestors(TurnId id, const Lifetime &use)
 {
     while (!id.value().empty()) {
         const auto found = m_turns.find(id);
         if (found == m_turns.end()) {
-            touchMissing(id, time);
+            touchMissing(id, use);
             return;
         }
-        if (found->second.lastUse >= time) {
+        if (found->second.lifetime.covers(use)) {
             return;
         }
-        found->second.lastUse = time;
+        found->second.lifetime.extend(use);
         id = found->second.turn.parent;
     }
 }
 
-void TurnTree::touchMissing(const TurnId &id, Time time)
+void TurnTree::touchMissing(const TurnId &id, const Lifetime &use)
 {
-    const auto [found, isNew] = m_missing.try_emplace(id, time);
-    found->second = std::max(found->second, time);
+    const auto [found, isNew] = m_missing.try_emplace(id, use);
+    found->second.extend(use);
     m_bytes += isNew ? memoryBytes(id) : 0;
 }
 
-void TurnTree::forgetMissing(Time time)
+template <class Predicate>
+void TurnTree::forgetMissing(Predicate isForgotten)
 {
-    std::erase_if(m_missing, [this, time](const auto &item) {
-        const bool isOld = item.second < time;
-        m_bytes -= isOld ? memoryBytes(item.first) : 0;
-        return isOld;
+    std::erase_if(m_missing, [this, &isForgotten](const auto &item) {
+        const bool isErased = isForgotten(item.second);
+        m_bytes -= isErased ? memoryBytes(item.first) : 0;
+        return isErased;
     });
 }
 
@@ -160,21 +164,37 @@
     return m_bytes;
 }
 
+base::Milliseconds TurnTree::retention() const
+{
+    return m_retention;
+}
+
 void TurnTree::setRetention(base::Milliseconds retention)
 {
     m_retention = retention;
+    extend(retention);
+}
+
+void TurnTree::extend(base::Milliseconds retention)
+{
+    for (auto &[id, stored] : m_turns) {
+        stored.lifetime.extend(retention);
+    }
+    for (auto &[id, lifetime] : m_missing) {
+        lifetime.extend(retention);
+    }
 }
 
 void TurnTree::expire(Time now)
 {
     std::erase_if(m_turns, [this, now](const auto &item) {
-        const bool isOld = now - item.second.lastUse > m_retention;
-        if (isOld) {
-            m_bytes -= memoryBytes(item.second.turn);
-        }
-        return isOld;
+        const bool isExpired = now > item.second.lifetime.expiry;
+        m_bytes -= isExpired ? memoryBytes(item.second.turn) : 0;
+        return isExpired;
+    });
+    forgetMissing([now](const Lifetime &lifetime) {
+        return now > lifetime.expiry;
     });
-    forgetMissing(now - m_retention);
 }
 
 void TurnTree::evictLeastRecentlyUsed()
@@ -184,12 +204,14 @@
     std::vector<std::pair<Time, TurnId>> byUse;
     byUse.reserve(m_turns.size());
     for (const auto &[id, stored] : m_turns) {
-        byUse.emplace_back(stored.lastUse, id);
+        byUse.emplace_back(stored.lifetime.lastUse, id);
     }
     std::sort(byUse.begin(), byUse.end());
     for (const auto &[time, id] : byUse) {
         if (m_bytes <= target) {
-            forgetMissing(time);
+            forgetMissing([oldest = time](const Lifetime &lifetime) {
+                return lifetime.lastUse < oldest;
+            });
             return;
         }
         const auto found = m_turns.find(id);
--- a/src/libbriarhinge/turns/turntree.h
+++ b/src/libbriarhinge/turns/turntree.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "base/units.h"
+#include "turns/lifetime.h"
 #include "turns/turn.h"
 
-#include <chrono>
 #include <cstddef>
 #include <limits>
 #include <map>
@@ -33,19 +33,20 @@
  * thread-safe.
  *
  * A turn expires once the retention has passed since it or its latest descendant was added. That includes descendants that
- * were added while turns between the two were missing, once these are added.
+ * were added while turns between the two were missing, once these are added. A retention that is set later holds for a
+ * turn if it is longer than those before.
  */
 class TurnTree
 {
 public:
     /** Point in time on any monotonic clock. */
-    using Time = std::chrono::steady_clock::time_point;
+    using Time = Lifetime::Time;
 
-    /** A turn, and when it or its latest descendant was added. */
+    /** A turn and its lifetime; adding it or a descendant counts as its use. */
     struct StoredTurn
     {
         Turn turn;
-        Time lastUse;
+        Lifetime lifetime;
     };
 
     /**
@@ -59,9 +60,10 @@
      *
      * @param turn the turn
      * @param lastUse when it was last used; the current time unless it comes from another store or from the journal
+     * @param expiry when it expires at the earliest, whatever the retention
      * @return whether the turn was not known before
      */
-    bool add(Turn turn, Time lastUse);
+    bool add(Turn turn, Time lastUse, Time expiry = Time::min());
 
     /** @return whether the turn @p id is stored */
     bool contains(const TurnId &id) const;
@@ -91,25 +93,31 @@
     /** @return memory of the stored and the missing turns in bytes, with what each needs besides its texts */
     std::size_t bytes() const;
 
-    /** @param retention how long a turn is retained after its last use, from the next call of expire() on */
+    /** @return how long a turn is retained after its last use, unless it expires later */
+    base::Milliseconds retention() const;
+
+    /** @param retention how long a turn is retained after its last use, unless it expires later already */
     void setRetention(base::Milliseconds retention);
 
-    /** Removes the turns whose retention has passed at the time @p now. */
+    /** Prolongs the retention of the present turns. @param retention how long they are retained at least */
+    void extend(base::Milliseconds retention);
+
+    /** Removes the turns that have expired at the time @p now. */
     void expire(Time now);
 
 private:
-    void touchAncestors(TurnId id, Time time);
-    void touchMissing(const TurnId &id, Time time);
-    /** Forgets the missing turns whose latest descendant was added before @p time. */
-    void forgetMissing(Time time);
+    void touchAncestors(TurnId id, const Lifetime &use);
+    void touchMissing(const TurnId &id, const Lifetime &use);
+    template <class Predicate>
+    void forgetMissing(Predicate isForgotten);
     void evictLeastRecentlyUsed();
 
     base::Milliseconds m_retention;
     const std::size_t m_maxBytes;
     std::size_t m_bytes = 0;
     std::map<TurnId, StoredTurn> m_turns;
-    /** The missing turns, and when the latest descendant of each was added. */
-    std::map<TurnId, Time> m_missing;
+    /** The missing turns, and the lifetimes that they will have. */
+    std::map<TurnId, Lifetime> m_missing;
 };
 
 }
--- a/tests/test_stages.cpp
+++ b/tests/test_stages.cpp
@@ -18,11 +18,14 @@
 namespace
 {
 
+constexpr base::Milliseconds turnRetention{300'000};
+
 /** Turn stores that answer when the test says so, and count the reservations that are not settled. */
 struct FakeTurns
 {
-    void begin(const turns::TurnStart &, std::function<void(turns::TurnStartResult)> onDone)
+    void begin(const turns::TurnStart &start, std::function<void(turns::TurnStartResult)> onDone)
     {
+        retention = start.retention;
         pending = std::move(onDone);
     }
 
@@ -30,6 +33,7 @@
     {
         openReservations -= end.reservation.value().empty() ? 0 : 1;
         spent = end.spent;
+        retention = end.retention;
         onDone(true);
     }
 
@@ -42,6 +46,8 @@
     std::function<void(turns::TurnStartResult)> pending;
     int openReservations = 0;
     base::Tokens spent;
+    /** The retention in the last request. */
+    base::Milliseconds retention{0};
 };
 
 /** Permits that are answered when the test says so. */
@@ -86,6 +92,7 @@
         route.timeout = base::Milliseconds(1000);
         route.latencyTarget = base::Milliseconds(200);
         route.storesTurns = true;
+        route.retention = turnRetention;
         route.services = {{requests::ServiceName("chat"), 1}};
         routing = std::make_shared<requests::Routing>(requests::RoutingVersion(1), std::vector{route},
                                                       std::vector<requests::Service>{}, http::ServerLimits{});
@@ -228,6 +235,20 @@
     row.checkNothingIsHeld();
 }
 
+// Guards against turn stores that keep a turn for less than its route promised (LOST), since another version holds by then.
+TEST(Stages, aTurnAndItsReservationGoWithTheRetentionOfTheirRoute)
+{
+    Row row;
+    row.addRunner();
+    row.enter();
+    LONGS_EQUAL(turnRetention.count(), row.turns.retention.count());
+    row.turns.grant();
+    row.turns.retention = {};
+    row.turnStage.storeTurn("a\n", dispatch::RunnerId("i-1"), [](bool) {});
+    LONGS_EQUAL(turnRetention.count(), row.turns.retention.count());
+    row.checkNothingIsHeld();
+}
+
 TEST(Stages, eachRefusalLeavesNothingHeld)
 {
     Row unknown;
--- a/tests/test_turnstore.cpp
+++ b/tests/test_turnstore.cpp
@@ -351,6 +351,109 @@
     CHECK_FALSE(second.store.isProgramUnderWay(base::ProgramId("p")));
 }
 
+// Guards against a route that is removed for a moment: its turns were answered 404 (LOST) and its programs' budgets could be
+// spent once more (BUDGET), by a store that goes on and by one that starts meanwhile.
+TEST(TurnStore, aRetentionThatWasInForceHoldsUnderAShorterOne)
+{
+    const auto late = start + 5 * retention;
+    {
+        StartedStore first(folder.path());
+        first.store.adopt(makeGroup(3));
+        first.store.end(end(3, "a", ""), start);
+        first.store.setRetention(5 * retention);
+        first.store.end(end(3, "b", ""), start);
+        first.store.setRetention(retention);
+        first.store.end(end(3, "c", ""), start);
+        first.store.compact(start + 2 * retention);
+        LONGS_EQUAL(2, first.store.turnCount());
+        LONGS_EQUAL(3, first.store.begin(begin(3, "x"), start).entries.size() - 1);
+        first.sync();
+    }
+    StartedStore second(folder.path());
+    second.store.compact(late);
+    LONGS_EQUAL(2, second.store.turnCount());
+    CHECK(second.store.isProgramUnderWay(base::ProgramId("p")));
+    second.store.compact(late + base::Milliseconds(1));
+    LONGS_EQUAL(0, second.store.turnCount());
+    CHECK_FALSE(second.store.isProgramUnderWay(base::ProgramId("p")));
+}
+
+// Guards against a turn that is forgotten (LOST) since its store did not see the configuration that its entry went by.
+TEST(TurnStore, theRetentionThatAnEntryPromisedHolds)
+{
+    const auto late = start + 5 * retention;
+    const auto copiedAt = start + retention;
+    auto begun = begin(3, "a");
+    begun.retention_ms = 5 * retention.count();
+    auto ended = end(3, "a", "");
+    ended.retention_ms = 5 * retention.count();
+    StartedStore from(folder.path());
+    from.store.adopt(makeGroup(3));
+    CHECK(from.store.begin(begun, start).status == wire::StoreStatus::Done);
+    CHECK(from.store.end(ended, start).status == wire::StoreStatus::Done);
+    wire::FetchStateT fetch;
+    fetch.epoch = 3;
+    const tests::TemporaryFolder other;
+    {
+        StartedStore into(other.path());
+        into.store.adopt(makeGroup(3));
+        into.store.mergePage(from.store.fetch(fetch, copiedAt), copiedAt);
+        into.sync();
+    }
+    StartedStore again(other.path(), ampleBytes, copiedAt);
+    for (TurnStore *store : {&from.store, &again.store}) {
+        store->compact(late);
+        LONGS_EQUAL(1, store->turnCount());
+        CHECK(store->isProgramUnderWay(base::ProgramId("p")));
+        store->compact(late + base::Milliseconds(1));
+        LONGS_EQUAL(0, store->turnCount());
+        CHECK_FALSE(store->isProgramUnderWay(base::ProgramId("p")));
+    }
+}
+
+// Guards against turns that are forgotten before what any configuration promised (LOST), in any order of configurations, starts,
+// snapshots and pauses.
+TEST(TurnStore, everyPromisedRetentionHoldsOverAnyConfigurationsAndStarts)
+{
+    const bool holds = rc::check([](const std::vector<std::uint8_t> &steps) {
+        const tests::TemporaryFolder disk;
+        auto current = retention;
+        auto now = start;
+        auto started = std::make_unique<StartedStore>(disk.path());
+        started->store.adopt(makeGroup(3));
+        // When each turn ended, and until when it was promised to be kept.
+        std::vector<std::pair<TurnStore::Time, TurnStore::Time>> turns;
+        for (const std::uint8_t step : steps) {
+            const auto pause = base::Milliseconds(step * 200);
+            if (step % 5 == 0) {
+                started->sync();
+                started = nullptr;
+                started = std::make_unique<StartedStore>(disk.path(), ampleBytes, now, current);
+            } else if (step % 5 == 1) {
+                now += pause;
+                started->store.compact(now);
+            } else if (step % 5 == 2) {
+                started->store.markWriteFailed();
+                compactWholly(*started, now);
+            } else if (step % 5 == 3) {
+                current = retention / 4 * (1 + step % 7);
+                started->store.setRetention(current);
+                for (auto &[endedAt, keptUntil] : turns) {
+                    keptUntil = now > keptUntil ? keptUntil : std::max(keptUntil, endedAt + current);
+                }
+            } else {
+                started->store.end(end(3, std::to_string(turns.size()), ""), now);
+                turns.emplace_back(now, now + current);
+            }
+            for (std::size_t i = 0; i < turns.size(); ++i) {
+                const bool isKept = now <= turns[i].second;
+                RC_ASSERT(!isKept || started->store.begin(begin(3, "x", std::to_string(i)), now).known);
+            }
+        }
+    });
+    CHECK(holds);
+}
+
 // Guards against budgets and ids that nobody counts, which take a store over its memory while it has room for turns.
 TEST(TurnStore, budgetsAndIdsTakeRoom)
 {
--- a/tests/test_turntree.cpp
+++ b/tests/test_turntree.cpp
@@ -97,6 +97,34 @@
     CHECK(small.missingTurns().size() <= small.size() + 1);
 }
 
+// Guards against turns that are forgotten (LOST) when a configuration asks for less than the one they were accepted under.
+TEST(TurnTree, aShorterRetentionShortensNoPromise)
+{
+    tree.add(turn("a", ""), start);
+    tree.add(turn("c", "b"), start);
+    tree.setRetention(retention / 2);
+    tree.add(turn("d", ""), start);
+    tree.expire(start + retention);
+    CHECK(tree.contains(TurnId("a")));
+    CHECK(tree.contains(TurnId("c")));
+    LONGS_EQUAL(1, tree.missingTurns().size());
+    CHECK_FALSE(tree.contains(TurnId("d")));
+    tree.expire(start + retention + base::Milliseconds(1));
+    LONGS_EQUAL(0, tree.bytes());
+}
+
+TEST(TurnTree, aTurnWithARetentionOfItsOwnKeepsItsChainForIt)
+{
+    tree.add(turn("a", ""), start);
+    tree.add(turn("b", "a"), start, start + 3 * retention);
+    tree.add(turn("other", ""), start);
+    tree.expire(start + 3 * retention);
+    CHECK(tree.chain(TurnId("b")).missingTurn.value().empty());
+    CHECK_FALSE(tree.contains(TurnId("other")));
+    tree.expire(start + 3 * retention + base::Milliseconds(1));
+    LONGS_EQUAL(0, tree.size());
+}
+
 TEST(TurnTree, aCycleOfTurnsDoesNotPreventReadingAChain)
 {
     tree.add(turn("a", "b"), start);
