ClientConnection, Client: A reset during the upload breaks the answer off

Cause: the system reports a reset once. While the upload is being sent, the send gets it, and the receipt just sees the connection end, as after an orderly close. Client, which reads for the own interface, did the same.

Change: an end of the connection counts as lost after a failed send, or when the connection's state says that it was reset.

Evidence: ResetUploads.anAnswerWithoutLengthIsBrokenOffByAResetDuringTheUpload failed for each reader without its part.

Why it works: the state tells a reset (closed) from an orderly close (half-closed by the peer), whichever operation was told.

--- a/src/libbriarhinge/http/client.cpp
+++ b/src/libbriarhinge/http/client.cpp
@@ -311,7 +311,7 @@
                           unlessEnded([](StreamCall &call, error_code error, std::size_t) {
                               call.m_isWriting = false;
                               // The pending read reports the response or the end of the connection.
-                              call.m_isKept = call.m_isKept && !error;
+                              call.m_hasWriteFailed = call.m_hasWriteFailed || error;
                           }));
         awaitResponse();
     }
@@ -373,15 +373,17 @@
 
     void receiptFailed(error_code error)
     {
-        const bool isStale = m_isReused && !m_parser->got_some() && endingOf(error) != Ending::Invalid;
+        const Ending ending = endingOf(error, m_hasWriteFailed || isReset(socketOf(*m_stream)));
+        const bool isStale = m_isReused && !m_parser->got_some() && ending != Ending::Invalid;
         if (isStale && m_isRepeatable) {
             m_isReused = false;
             m_stream.reset();
             m_input.clear();
+            m_hasWriteFailed = false;
             connect();
             return;
         }
-        fail(endingOf(error), error.message());
+        fail(ending, error.message());
     }
 
     void reportHead()
@@ -397,11 +399,12 @@
     void responseEnded()
     {
         const Framing framing = framingOf(*m_parser, m_isHeadRequest);
+        const bool wasReset = m_hasWriteFailed || isReset(socketOf(*m_stream));
         // A service may respond before it has read the whole request, and may send more than one response.
-        if (m_isKept && !m_isWriting && m_input.size() == 0) {
+        if (m_isKept && !m_isWriting && !m_hasWriteFailed && m_input.size() == 0) {
             m_owner.keep(std::move(m_stream));
         }
-        end({true, {true, framing, framing == Framing::UntilClose ? Ending::Closed : Ending::Delimited}, {}});
+        end({true, {true, framing, endingOf(framing, wasReset)}, {}});
     }
 
     void fail(Ending ending, std::string reason)
@@ -444,6 +447,7 @@
     bool m_wasConnected = false;
     bool m_isReused = false;
     bool m_isWriting = false;
+    bool m_hasWriteFailed = false;
     bool m_isKept = true;
     bool m_hasHead = false;
     bool m_isEnded = false;
--- a/src/libbriarhinge/http/clientconnection.cpp
+++ b/src/libbriarhinge/http/clientconnection.cpp
@@ -40,6 +40,11 @@
     {
     }
 
+    bool isReset()
+    {
+        return hasSendFailed || http::isReset(socket);
+    }
+
     tcp::socket socket;
     beast::flat_buffer input;
     std::optional<ResponseParser> parser;
@@ -55,6 +60,7 @@
     bool isHeadReported = false;
     bool isSkipping = false;
     bool isSending = false;
+    bool hasSendFailed = false;
     bool isBusy = false;
     bool isWatchingIdle = false;
     bool isReusable = true;
@@ -120,6 +126,7 @@
         // The pending read reports the response or the end of the connection.
         if (error) {
             self->d->isReusable = false;
+            self->d->hasSendFailed = true;
         }
     });
     d->interimResponses = 0;
@@ -156,7 +163,7 @@
                                          error = {};
                                      }
                                      if (error) {
-                                         self->fail(endingOf(error));
+                                         self->fail(endingOf(error, self->d->isReset()));
                                          return;
                                      }
                                      self->headReceived();
@@ -235,7 +242,7 @@
     }
     d->isBusy = false;
     const Framing framing = framingOf(*d->parser, d->isHeadRequest);
-    const ResponseEnd end{true, framing, framing == Framing::UntilClose ? Ending::Closed : Ending::Delimited};
+    const ResponseEnd end{true, framing, endingOf(framing, d->isReset())};
     const auto onEnd = std::exchange(d->handlers, {}).onEnd;
     if (d->isReusable) {
         watchIdle();
--- a/src/libbriarhinge/http/responseparser.cpp
+++ b/src/libbriarhinge/http/responseparser.cpp
@@ -23,15 +23,23 @@
 
 }
 
-Ending endingOf(const boost::system::error_code &error)
+Ending endingOf(const boost::system::error_code &error, bool isReset)
 {
     if (error == asio::error::eof || error == beast::http::error::end_of_stream
         || error == beast::http::error::partial_message) {
-        return Ending::Closed;
+        return isReset ? Ending::Lost : Ending::Closed;
     }
     return error.category() == asio::error::get_system_category() ? Ending::Lost : Ending::Invalid;
 }
 
+Ending endingOf(Framing framing, bool isReset)
+{
+    if (framing != Framing::UntilClose) {
+        return Ending::Delimited;
+    }
+    return isReset ? Ending::Lost : Ending::Closed;
+}
+
 Framing framingOf(const ResponseParser &parser, bool isHeadRequest)
 {
     if (isHeadRequest) {
--- a/src/libbriarhinge/http/responseparser.h
+++ b/src/libbriarhinge/http/responseparser.h
@@ -25,9 +25,18 @@
 
 /**
  * @param error the error that ended the receipt of a response
+ * @param isReset whether the connection was reset. The system reports that once, to the send or to the receipt, which otherwise
+ * just sees the connection end.
  * @return how the receipt ended
  */
-Ending endingOf(const boost::system::error_code &error);
+Ending endingOf(const boost::system::error_code &error, bool isReset);
+
+/**
+ * @param framing the framing of a response that was received to its end
+ * @param isReset whether the connection was reset
+ * @return how the receipt ended
+ */
+Ending endingOf(Framing framing, bool isReset);
 
 /**
  * @param parser a parser that has received the head of a response
--- a/src/libbriarhinge/http/socketoptions.cpp
+++ b/src/libbriarhinge/http/socketoptions.cpp
@@ -33,4 +33,13 @@
     setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
 }
 
+bool isReset(boost::asio::ip::tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    // After an orderly close by the peer, the state would be CLOSE-WAIT.
+    return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+        && info.tcpi_state == TCP_CLOSE;
+}
+
 }
--- a/src/libbriarhinge/http/socketoptions.h
+++ b/src/libbriarhinge/http/socketoptions.h
@@ -16,4 +16,11 @@
  */
 void setConnectionOptions(boost::asio::ip::tcp::socket &socket, base::Milliseconds peerTimeout);
 
+/**
+ * @param socket a socket whose receipt has ended
+ * @return whether its connection was reset, which the system may have told another operation of the socket; false if the system
+ * does not say
+ */
+bool isReset(boost::asio::ip::tcp::socket &socket);
+
 }
