--- a/src/libbriarhinge/http/client.cpp
+++ b/src/libbriarhinge/http/client.cpp
@@ -371,9 +371,14 @@
         responseEnded();
     }
 
+    bool wasReset()
+    {
+        return m_hasWriteFailed || isReset(socketOf(*m_stream));
+    }
+
     void receiptFailed(error_code error)
     {
-        const Ending ending = endingOf(error, m_hasWriteFailed || isReset(socketOf(*m_stream)));
+        const Ending ending = endingOf(error, wasReset());
         const bool isStale = m_isReused && !m_parser->got_some() && ending != Ending::Invalid;
         if (isStale && m_isRepeatable) {
             m_isReused = false;
@@ -399,12 +404,13 @@
     void responseEnded()
     {
         const Framing framing = framingOf(*m_parser, m_isHeadRequest);
-        const bool wasReset = m_hasWriteFailed || isReset(socketOf(*m_stream));
+        const Ending ending =
+            framing == Framing::UntilClose ? endingOf(asio::error::eof, wasReset()) : Ending::Delimited;
         // A service may respond before it has read the whole request, and may send more than one response.
         if (m_isKept && !m_isWriting && !m_hasWriteFailed && m_input.size() == 0) {
             m_owner.keep(std::move(m_stream));
         }
-        end({true, {true, framing, endingOf(framing, wasReset)}, {}});
+        end({true, {true, framing, ending}, {}});
     }
 
     void fail(Ending ending, std::string reason)
--- a/src/libbriarhinge/http/clientconnection.cpp
+++ b/src/libbriarhinge/http/clientconnection.cpp
@@ -242,7 +242,8 @@
     }
     d->isBusy = false;
     const Framing framing = framingOf(*d->parser, d->isHeadRequest);
-    const ResponseEnd end{true, framing, endingOf(framing, d->isReset())};
+    const Ending ending = framing == Framing::UntilClose ? endingOf(asio::error::eof, d->isReset()) : Ending::Delimited;
+    const ResponseEnd end{true, framing, ending};
     const auto onEnd = std::exchange(d->handlers, {}).onEnd;
     if (d->isReusable) {
         watchIdle();
--- a/src/libbriarhinge/http/responseparser.cpp
+++ b/src/libbriarhinge/http/responseparser.cpp
@@ -32,14 +32,6 @@
     return error.category() == asio::error::get_system_category() ? Ending::Lost : Ending::Invalid;
 }
 
-Ending endingOf(Framing framing, bool isReset)
-{
-    if (framing != Framing::UntilClose) {
-        return Ending::Delimited;
-    }
-    return isReset ? Ending::Lost : Ending::Closed;
-}
-
 Framing framingOf(const ResponseParser &parser, bool isHeadRequest)
 {
     if (isHeadRequest) {
--- a/src/libbriarhinge/http/responseparser.h
+++ b/src/libbriarhinge/http/responseparser.h
@@ -31,13 +31,6 @@
  */
 Ending endingOf(const boost::system::error_code &error, bool isReset);
 
-/**
- * @param framing the framing of a response that was received to its end
- * @param isReset whether the connection was reset
- * @return how the receipt ended
- */
-Ending endingOf(Framing framing, bool isReset);
-
 /**
  * @param parser a parser that has received the head of a response
  * @param isHeadRequest whether the request was a HEAD request
